--- /dev/null
+++ b/packages/adapters/chat_upstream.cpp
@@ -0,0 +1,131 @@
+#include "adapters/chat_upstream.h"
+
+#include <nlohmann/json.hpp>
+
+#include "adapters/sse.h"
+
+namespace figspoke::adapters {
+namespace {
+
+using nlohmann::json;
+
+// What was read of a stream so far.
+struct chat_reading {
+    chat_outcome outcome;
+    sse_buffer events;
+    bool done = false;
+    bool malformed = false;
+    bool cancelled = false;
+};
+
+std::string build_body(const chat_call& call) {
+    json body = json::parse(call.body, nullptr, false);
+    body["model"] = call.version;
+    body["stream"] = true;
+    body["priority"] = call.priority;
+    if (call.resume_from > 0) {
+        body["resume_from"] = call.resume_from;
+    }
+    if (call.alone) {
+        body["alone"] = true;
+    }
+    return body.dump();
+}
+
+bool read_choice(const json& choice, chat_reading& reading, const token_handler& on_token) {
+    if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
+        reading.outcome.finish_reason = choice["finish_reason"].get<std::string>();
+    }
+    const auto delta = choice.value("delta", json::object());
+    if (!delta.is_object() || !delta.contains("content") || !delta["content"].is_string()) {
+        return true;
+    }
+    ++reading.outcome.tokens;
+    reading.cancelled = !on_token(delta["content"].get<std::string>());
+    return !reading.cancelled;
+}
+
+bool read_event(std::string_view data, chat_reading& reading, const token_handler& on_token) {
+    if (data == "[DONE]") {
+        reading.done = true;
+        return true;
+    }
+    const json event = json::parse(data, nullptr, false);
+    if (!event.is_object() || event.contains("error")) {
+        reading.malformed = true;
+        return false;
+    }
+    if (event.contains("usage") && event["usage"].is_object()) {
+        reading.outcome.prompt_tokens = event["usage"].value("prompt_tokens", std::int64_t{0});
+    }
+    const auto choices = event.value("choices", json::array());
+    for (const auto& choice : choices) {
+        if (choice.is_object() && !read_choice(choice, reading, on_token)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool is_refusal(int status, const http_headers& headers) {
+    return status >= 400 && header_or_empty(headers, "x-not-run") == "true";
+}
+
+void settle(chat_reading& reading, const http_result<http_reply>& answer) {
+    auto& outcome = reading.outcome;
+    if (outcome.end == chat_end::not_run) {
+        return;
+    }
+    if (reading.cancelled) {
+        outcome.end = chat_end::cancelled;
+        return;
+    }
+    if (reading.done) {
+        outcome.end = chat_end::complete;
+        return;
+    }
+    outcome.end = chat_end::broken;
+    if (answer) {
+        outcome.message = "stream ended without [DONE]";
+        outcome.connection_lost = outcome.status == 200 && !reading.malformed;
+        return;
+    }
+    outcome.message = answer.error().message;
+    outcome.timed_out = answer.error().timed_out;
+    outcome.connection_lost = outcome.status < 400 && !outcome.timed_out && !reading.malformed;
+    if (answer.error().progress == call_progress::not_sent) {
+        outcome.end = chat_end::not_run;
+        outcome.connection_lost = false;
+    }
+}
+
+} // namespace
+
+chat_outcome run_chat(http_client& client, const chat_call& call, const token_handler& on_token,
+                      const boost::asio::yield_context& yield) {
+    chat_reading reading;
+    const http_call request{call.address,
+                            "POST",
+                            "/v1/chat/completions",
+                            {{"content-type", "application/json"}, {"x-request-id", call.request_id}},
+                            build_body(call),
+                            call.idle_timeout,
+                            true};
+    const auto on_head = [&](int status, const http_headers& headers) {
+        reading.outcome.status = status;
+        if (is_refusal(status, headers)) {
+            reading.outcome.end = chat_end::not_run;
+            reading.outcome.message = "refused with status " + std::to_string(status);
+        }
+        return status == 200;
+    };
+    const auto on_chunk = [&](std::string_view bytes) {
+        return feed_sse(reading.events, bytes,
+                        [&](std::string_view data) { return read_event(data, reading, on_token); });
+    };
+    const auto answer = client.stream(request, on_head, on_chunk, yield);
+    settle(reading, answer);
+    return reading.outcome;
+}
+
+} // namespace figspoke::adapters
--- a/packages/adapters/http_client.cpp
+++ b/packages/adapters/http_client.cpp
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <deque>
 #include <mutex>
 #include <optional>
 
+#include <sys/socket.h>
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -26,7 +29,6 @@
     explicit connection(asio::io_context& context) : stream(context) {}
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    bool reused = false;
 };
 
 using connection_ptr = std::unique_ptr<connection>;
@@ -123,9 +125,12 @@
     return {};
 }
 
-// A kept connection that the server closed meanwhile fails before any byte of an answer.
-bool is_stale_connection(const connection& link, const http_failure& cause) {
-    return link.reused && cause.progress != call_progress::answer_begun && !cause.timed_out;
+// An idle connection must have nothing to read: neither its end nor bytes of an earlier answer. A request
+// is never repeated on a second connection, since it may have run on the first.
+bool is_usable(connection& link) {
+    char byte = 0;
+    const auto size = ::recv(link.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 } // namespace
@@ -141,13 +146,14 @@
     connection_ptr take_idle(const std::string& address) {
         const std::lock_guard lock(mutex);
         auto& links = idle[address];
-        if (links.empty()) {
-            return nullptr;
+        while (!links.empty()) {
+            auto link = std::move(links.back());
+            links.pop_back();
+            if (is_usable(*link)) {
+                return link;
+            }
         }
-        auto link = std::move(links.back());
-        links.pop_back();
-        link->reused = true;
-        return link;
+        return nullptr;
     }
 
     void keep(const std::string& address, connection_ptr link) {
@@ -159,32 +165,25 @@
         }
     }
 
-    // Connects (or takes an idle connection), sends the request and runs `read`; repeats once on a new
-    // connection where the idle one turned out to be closed.
+    // Takes an idle connection or makes one, sends the request and runs `read`.
     template <class Read>
     auto exchange(const http_call& call, const asio::yield_context& yield, Read read)
         -> decltype(read(std::declval<connection&>())) {
         auto link = call.reuse_connection ? take_idle(call.address) : nullptr;
-        for (;;) {
-            if (!link) {
-                link = std::make_unique<connection>(context);
-                if (auto connected = connect(*link, call, yield); !connected) {
-                    return tl::make_unexpected(connected.error());
-                }
-            }
-            const auto sent = send_request(*link, call, yield);
-            auto answer = sent ? read(*link) : tl::make_unexpected(sent.error());
-            if (answer) {
-                if (call.reuse_connection && answer->second) {
-                    keep(call.address, std::move(link));
-                }
-                return answer;
+        if (!link) {
+            link = std::make_unique<connection>(context);
+            if (auto connected = connect(*link, call, yield); !connected) {
+                return tl::make_unexpected(connected.error());
             }
-            if (!is_stale_connection(*link, answer.error())) {
-                return answer;
-            }
-            link.reset();
         }
+        if (auto sent = send_request(*link, call, yield); !sent) {
+            return tl::make_unexpected(sent.error());
+        }
+        auto answer = read(*link);
+        if (answer && call.reuse_connection && answer->second) {
+            keep(call.address, std::move(link));
+        }
+        return answer;
     }
 
     asio::io_context& context;
