Add the admission queue with floors, fair shares and early refusal

Cause: under overload a node must serve urgent work first, keep the floors of lower priorities and keep one account from filling the queues.

Change: a bounded queue per priority and account, deficit round robin by account weight, floors by owed slot time, headroom that heavy work leaves free, early refusal from queued work and measured service rate, and the baseline fifo over the same code. Defaults of both deployment profiles.

--- /dev/null
+++ b/packages/policy/admission_queue.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/error.h"
+#include "core/time.h"
+#include "policy/admission_fair_queue.h"
+#include "policy/admission_shares.h"
+#include "policy/overload_defaults.h"
+
+namespace figspoke::policy {
+
+/// A request that occupies a slot.
+struct running_request {
+    core::priority priority = core::priority::normal;
+    std::string account;
+    double work = 0;
+    core::steady_time started;
+};
+
+/// Where a waiting request is queued.
+struct waiting_place {
+    core::priority priority = core::priority::normal;
+    std::string account;
+};
+
+/// What an account has done recently on this node.
+struct account_activity {
+    std::size_t running = 0;
+    double weight = 1;
+    core::steady_time last_seen;
+};
+
+/// Admission state of one node. Build it with `make_admission_queue` and change it only through the functions
+/// below. It isn't synchronised; time must not run backwards.
+struct admission_queue {
+    admission_settings settings;
+    /// Slots that this node may fill.
+    double capacity = 0;
+    std::array<fair_queue, core::priority_count> waiting;
+    admission_shares shares;
+    std::unordered_map<std::uint64_t, waiting_place> waiting_places;
+    std::unordered_map<std::uint64_t, running_request> running;
+    std::map<std::string, account_activity> accounts;
+    /// Sum of the weights of the accounts seen recently.
+    double active_weight = 0;
+    core::steady_time weight_updated{};
+    core::steady_time swept{};
+    /// Measured slot time divided by expected work.
+    double slowdown = 1;
+};
+
+enum class admission_state { admitted, queued, refused };
+
+/// A waiting request that leaves the queue: to be started now, or refused where `error` is set.
+struct admission_event {
+    std::uint64_t id = 0;
+    std::optional<core::error> error;
+};
+
+/// The answer to `submit`.
+struct admission_decision {
+    admission_state state = admission_state::refused;
+    /// `overloaded` or `deadline_unreachable` where the request was refused.
+    std::optional<core::error> error;
+    /// The waiting request that was refused to make room, if any.
+    std::optional<admission_event> displaced;
+};
+
+/// Builds an empty queue for a node with `capacity` slots.
+admission_queue make_admission_queue(const admission_settings& settings, double capacity,
+                                     core::steady_time now);
+
+/// Changes the number of slots; requests that run already are kept. Call `next` afterwards.
+void set_capacity(admission_queue& queue, double capacity, core::steady_time now);
+
+/// Admits a request at once, queues it or refuses it. The id must not be waiting or running. An admitted
+/// request occupies a slot until `finish`.
+admission_decision submit(admission_queue& queue, const admission_request& request, core::steady_time now);
+
+/// Returns the waiting requests that start now and those that can no longer be served in time. Call it after
+/// `finish`, `cancel` and `set_capacity`, and at least every 50 ms while requests wait.
+std::vector<admission_event> next(admission_queue& queue, core::steady_time now);
+
+/// Removes a waiting request; false where the id isn't waiting (a running one ends by `finish`).
+bool cancel(admission_queue& queue, std::uint64_t id, core::steady_time now);
+
+/// Frees the slot of a running request; false where the id isn't running.
+bool finish(admission_queue& queue, std::uint64_t id, core::steady_time now);
+
+/// Returns the number of requests that wait.
+std::size_t waiting_count(const admission_queue& queue);
+
+} // namespace figspoke::policy
--- /dev/null
+++ b/packages/policy/admission_wait.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "policy/admission_queue.h"
+
+namespace figspoke::policy {
+
+/// Returns the wait that a request must expect, from the work queued ahead of it and the measured service
+/// rate.
+std::chrono::nanoseconds expected_wait(const admission_queue& queue, const admission_request& request);
+
+/// Returns the last time at which a request can start and still be served in time.
+core::steady_time latest_start(const admission_queue& queue, const admission_request& request,
+                               core::steady_time now);
+
+} // namespace figspoke::policy
--- /dev/null
+++ b/packages/policy/overload_defaults.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+
+#include "core/config.h"
+
+namespace figspoke::policy {
+
+/// How waiting requests are ordered. `fifo` is the baseline for measurements: one bounded queue in order of
+/// arrival, without floors, shares or early refusal.
+enum class queue_discipline { fair, fifo };
+
+/// What a deployment weighs most: latency and small callers, or exposure to bad versions and dependable
+/// long drafts.
+enum class deployment_profile { low_latency, dependable_drafts };
+
+/// Settings of one node's admission queue. Arrays are indexed by `core::priority`.
+struct admission_settings {
+    queue_discipline discipline = queue_discipline::fair;
+    /// Least share of capacity of each priority while it has work waiting; the sum is at most 1.
+    std::array<double, core::priority_count> floors{0.70, 0.20, 0.10};
+    /// Greatest number of waiting requests of each priority.
+    std::array<std::size_t, core::priority_count> queue_limits{200, 200, 200};
+    /// Longest wait for a slot; requests that would wait longer are refused early.
+    std::array<std::chrono::milliseconds, core::priority_count> max_wait{
+        std::chrono::milliseconds(2000), std::chrono::milliseconds(10000), std::chrono::milliseconds(60000)};
+    /// Largest share of a priority's queue that one account may hold, 0 to 1.
+    double account_queue_share = 0.5;
+    /// Share of capacity that lower priorities leave free for urgent work, and heavy accounts for light ones.
+    double headroom = 0.03;
+    /// Time in which a priority makes up service that it has missed below its floor.
+    std::chrono::milliseconds floor_horizon{1000};
+    /// Work that an account of weight 1 may start in one round, in slot-seconds.
+    double quantum = 0.5;
+    /// Factor on the expected wait before it is compared with a deadline; over 1 refuses earlier.
+    double wait_margin = 1.0;
+};
+
+/// Returns the defaults of a deployment.
+admission_settings default_admission_settings(deployment_profile profile);
+
+/// Returns the defaults of a deployment with floors and queue limits from the configuration table. Floors
+/// that sum to more than 1 are scaled down to 1.
+admission_settings admission_settings_from(const core::config_snapshot& config, deployment_profile profile);
+
+} // namespace figspoke::policy
--- /dev/null
+++ b/test/correctness/policy_admission_queue_test.cpp
@@ -0,0 +1,139 @@
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+#include <rapidcheck.h>
+
+#include "policy/admission_queue.h"
+
+using namespace figspoke;
+using namespace figspoke::policy;
+using std::chrono::milliseconds;
+
+namespace {
+
+const core::steady_time start_time{std::chrono::hours(1)};
+
+admission_request make_request(std::uint64_t id, core::priority priority, const std::string& account,
+                               double work = 1) {
+    admission_request request;
+    request.id = id;
+    request.priority = priority;
+    request.account = account;
+    request.work = work;
+    return request;
+}
+
+/// Counts how often each request ended, for the property that each ends exactly once.
+struct ledger {
+    std::map<std::uint64_t, int> ends;
+    std::set<std::uint64_t> running;
+
+    void take(const std::vector<admission_event>& events) {
+        for (const auto& event : events) {
+            event.error ? static_cast<void>(++ends[event.id]) : static_cast<void>(running.insert(event.id));
+        }
+    }
+    void take(std::uint64_t id, const admission_decision& decision) {
+        ends[id] += decision.state == admission_state::refused ? 1 : 0;
+        if (decision.state == admission_state::admitted) {
+            running.insert(id);
+        }
+        if (decision.displaced) {
+            ++ends[decision.displaced->id];
+        }
+    }
+};
+
+admission_request any_request(std::uint64_t id, core::steady_time now) {
+    auto request = make_request(id, static_cast<core::priority>(*rc::gen::inRange(0, 3)),
+                                std::string(1, *rc::gen::inRange('a', 'f')), *rc::gen::inRange(1, 40) / 10.0);
+    request.weight = *rc::gen::inRange(1, 5);
+    request.worth = *rc::gen::inRange(1, 4);
+    if (*rc::gen::inRange(0, 2) == 1) {
+        request.deadline = now + milliseconds(*rc::gen::inRange(0, 20000));
+    }
+    return request;
+}
+
+void check_bounds(const admission_queue& queue) {
+    for (std::size_t i = 0; i < core::priority_count; ++i) {
+        RC_ASSERT(queue.waiting.at(i).size <= queue.settings.queue_limits.at(i));
+        for (const auto& [name, account] : queue.waiting.at(i).accounts) {
+            RC_ASSERT(static_cast<double>(account.entries.size()) <=
+                      std::max(1.0, queue.settings.account_queue_share *
+                                        static_cast<double>(queue.settings.queue_limits.at(i))));
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("every submitted request ends exactly once and bounds hold, whatever the order of calls") {
+    // Guards against lost, doubly started or unbounded requests when finish, cancel, expiry, displacement and
+    // capacity changes interleave.
+    CHECK(rc::check([] {
+        auto settings = default_admission_settings(static_cast<deployment_profile>(*rc::gen::inRange(0, 2)));
+        settings.discipline = static_cast<queue_discipline>(*rc::gen::inRange(0, 2));
+        settings.queue_limits = {5, 6, 7};
+        auto now = start_time;
+        auto queue = make_admission_queue(settings, *rc::gen::inRange(0, 8), now);
+        ledger seen;
+        const auto steps = *rc::gen::inRange(1, 150);
+        for (std::uint64_t id = 1; id <= static_cast<std::uint64_t>(steps); ++id) {
+            now += milliseconds(*rc::gen::inRange(0, 600));
+            seen.take(id, submit(queue, any_request(id, now), now));
+            const auto action = *rc::gen::inRange(0, 6);
+            const auto target = *rc::gen::inRange<std::uint64_t>(1, id + 1);
+            if (action == 0) {
+                set_capacity(queue, *rc::gen::inRange(0, 12), now);
+            } else if (action == 1 && cancel(queue, target, now)) {
+                ++seen.ends[target];
+            } else if (action < 5 && finish(queue, target, now)) {
+                RC_ASSERT(seen.running.erase(target) == 1);
+                ++seen.ends[target];
+            }
+            seen.take(next(queue, now));
+            check_bounds(queue);
+            RC_ASSERT(queue.running.size() == seen.running.size());
+        }
+        set_capacity(queue, 4, now);
+        for (int i = 0; i < 2 * steps && (!queue.running.empty() || waiting_count(queue) > 0); ++i) {
+            now += milliseconds(500);
+            while (!queue.running.empty()) {
+                const auto id = queue.running.begin()->first;
+                RC_ASSERT(finish(queue, id, now) && seen.running.erase(id) == 1);
+                ++seen.ends[id];
+            }
+            seen.take(next(queue, now));
+        }
+        RC_ASSERT(seen.ends.size() == static_cast<std::size_t>(steps));
+        for (const auto& [id, count] : seen.ends) {
+            RC_ASSERT(count == 1);
+        }
+    }));
+}
+
+TEST_CASE("a full queue makes room at the expense of the longest account") {
+    // Guards against one account keeping small callers out of a bounded queue.
+    auto settings = default_admission_settings(deployment_profile::low_latency);
+    settings.queue_limits = {4, 4, 4};
+    settings.account_queue_share = 0.75;
+    auto queue = make_admission_queue(settings, 1, start_time);
+    std::uint64_t id = 0;
+    const auto send = [&](const std::string& account) {
+        return submit(queue, make_request(++id, core::priority::normal, account, 0.1), start_time);
+    };
+    CHECK(send("large").state == admission_state::admitted);
+    CHECK(send("large").state == admission_state::queued);
+    CHECK(send("large").state == admission_state::queued);
+    CHECK(send("large").state == admission_state::queued);
+    CHECK(send("large").error->kind == core::error_kind::overloaded);
+    CHECK(send("small1").state == admission_state::queued);
+    const auto decision = send("small2");
+    CHECK(decision.state == admission_state::queued);
+    REQUIRE(decision.displaced);
+    CHECK(decision.displaced->id == 4);
+    CHECK(decision.displaced->error->kind == core::error_kind::overloaded);
+}
