--- /dev/null
+++ b/packages/policy/plan_choice.cpp
@@ -0,0 +1,246 @@
+#include "policy/plan_choice.h"
+
+#include <algorithm>
+#include <array>
+
+#include "policy/plan_candidates.h"
+
+namespace figspoke::policy {
+namespace {
+
+constexpr std::array<std::string_view, 4> policy_names = {"least_cost", "always_best", "always_cheapest",
+                                                          "fixed_cascade"};
+constexpr std::array<std::string_view, 12> pass_over_names = {
+    "chosen",        "not_requested", "not_allowed", "withdrawn", "retiring",   "no_upstream",
+    "other_version", "below_quality", "too_slow",    "dearer",    "not_pinned", "not_in_policy"};
+constexpr std::array<std::string_view, 5> reason_names = {"cheapest_at_target", "best_below_target", "pinned",
+                                                          "exploration", "baseline"};
+
+using candidates = std::vector<plan_candidate>;
+
+bool is_open(const plan_candidate& value) {
+    return value.reason == pass_over::chosen;
+}
+
+bool is_direct(const plan_candidate& value) {
+    return value.escalate_to.empty();
+}
+
+bool is_cheaper(const plan_candidate& a, const plan_candidate& b) {
+    return a.cost != b.cost ? a.cost < b.cost : a.quality.low > b.quality.low;
+}
+
+// Returns the best open candidate that `accept` admits under `better`; null where there is none.
+template <class Accept, class Better>
+plan_candidate* best_of(candidates& plans, Accept accept, Better better) {
+    plan_candidate* best = nullptr;
+    for (auto& plan : plans) {
+        if (is_open(plan) && accept(plan) && (best == nullptr || better(plan, *best))) {
+            best = &plan;
+        }
+    }
+    return best;
+}
+
+bool has_better_quality(const plan_candidate& a, const plan_candidate& b) {
+    return a.quality.low != b.quality.low ? a.quality.low > b.quality.low : a.cost < b.cost;
+}
+
+bool has_better_mean(const plan_candidate& a, const plan_candidate& b) {
+    return a.quality.mean != b.quality.mean ? a.quality.mean > b.quality.mean : a.cost < b.cost;
+}
+
+// The dearest version stands for the best one in the baselines that know no ratings.
+plan_candidate* choose_fixed_cascade(candidates& plans) {
+    auto* cheapest = best_of(plans, is_direct, is_cheaper);
+    auto* dearest = best_of(plans, is_direct, [](const auto& a, const auto& b) { return a.cost > b.cost; });
+    if (cheapest == nullptr) {
+        return nullptr;
+    }
+    const auto is_pair = [&](const plan_candidate& plan) {
+        return plan.version == cheapest->version && plan.escalate_to == dearest->version;
+    };
+    auto* cascade = best_of(plans, is_pair, is_cheaper);
+    return cascade != nullptr ? cascade : dearest;
+}
+
+struct choice {
+    plan_candidate* plan = nullptr;
+    plan_reason reason = plan_reason::baseline;
+};
+
+choice choose_least_cost(candidates& plans, double target) {
+    const auto meets = [&](const plan_candidate& plan) { return plan.quality.low >= target; };
+    if (auto* plan = best_of(plans, meets, is_cheaper)) {
+        return {plan, plan_reason::cheapest_at_target};
+    }
+    return {best_of(
+                plans, [](const auto&) { return true; }, has_better_quality),
+            plan_reason::best_below_target};
+}
+
+choice choose_by_policy(candidates& plans, const plan_settings& settings, const plan_request& request) {
+    if (request.pinned_version) {
+        return {best_of(plans, is_direct, is_cheaper), plan_reason::pinned};
+    }
+    switch (settings.policy) {
+    case plan_policy::always_best:
+        return {best_of(plans, is_direct, has_better_mean), plan_reason::baseline};
+    case plan_policy::always_cheapest:
+        return {best_of(plans, is_direct, is_cheaper), plan_reason::baseline};
+    case plan_policy::fixed_cascade:
+        return {choose_fixed_cascade(plans), plan_reason::baseline};
+    case plan_policy::least_cost:
+        break;
+    }
+    return choose_least_cost(plans, request.quality_target);
+}
+
+// A version is worth exploring where its ratings are too few or out of date, and where it would lower the
+// cost or, below the target, could raise the quality.
+bool is_worth_exploring(const plan_candidate& plan, const plan_settings& settings, const choice& current) {
+    if (!is_direct(plan) || &plan == current.plan) {
+        return false;
+    }
+    const bool useful = plan.cost < current.plan->cost || current.reason == plan_reason::best_below_target;
+    return useful && (plan.quality.ratings < settings.unrated_below || plan.quality.drifting);
+}
+
+choice explore(candidates& plans, const plan_settings& settings, const choice& current, double pick) {
+    std::vector<plan_candidate*> targets;
+    for (auto& plan : plans) {
+        if (is_open(plan) && is_worth_exploring(plan, settings, current)) {
+            targets.push_back(&plan);
+        }
+    }
+    if (targets.empty()) {
+        return current;
+    }
+    const auto index = static_cast<std::size_t>(pick * static_cast<double>(targets.size()));
+    return {targets[std::min(index, targets.size() - 1)], plan_reason::exploration};
+}
+
+void explain_others(candidates& plans, const choice& chosen, double target, bool is_baseline) {
+    for (auto& plan : plans) {
+        if (!is_open(plan) || &plan == chosen.plan) {
+            continue;
+        }
+        if (is_baseline) {
+            plan.reason = pass_over::not_in_policy;
+        } else if (plan.quality.low < target) {
+            plan.reason = pass_over::below_quality;
+        } else {
+            plan.reason = pass_over::dearer;
+        }
+    }
+}
+
+// Names the cause that the caller can act on: the narrowest rule that left no candidate.
+core::error no_plan(const candidates& plans, const plan_request& request) {
+    const auto any = [&](pass_over reason) {
+        return std::any_of(plans.begin(), plans.end(), [&](const auto& p) { return p.reason == reason; });
+    };
+    const std::string of = request.model.empty() ? "" : " of model \"" + request.model + "\"";
+    if (any(pass_over::too_slow)) {
+        return {core::error_kind::deadline_unreachable, "no version" + of + " can answer within the deadline",
+                std::nullopt};
+    }
+    if (any(pass_over::no_upstream)) {
+        return {core::error_kind::no_capacity, "no upstream serves a version" + of, std::nullopt};
+    }
+    if (any(pass_over::withdrawn) || any(pass_over::retiring) || any(pass_over::other_version)) {
+        return {core::error_kind::no_capacity, "every version" + of + " is withdrawn or retiring",
+                std::nullopt};
+    }
+    return {core::error_kind::not_allowed, "account \"" + request.account + "\" allows no version" + of,
+            std::nullopt};
+}
+
+bool exists(const plan_inputs& inputs, const std::string& model) {
+    const auto& versions = inputs.config.versions;
+    return std::any_of(versions.begin(), versions.end(), [&](const auto& entry) {
+        return entry.first == model || entry.second.model == model;
+    });
+}
+
+core::result<void> check_request(const plan_inputs& inputs, const plan_request& request) {
+    if (inputs.config.accounts.count(request.account) == 0) {
+        return core::fail(core::error_kind::not_found, "account \"" + request.account + "\" does not exist");
+    }
+    if (!request.pinned_version) {
+        if (!request.model.empty() && !exists(inputs, request.model)) {
+            return core::fail(core::error_kind::not_found, "model \"" + request.model + "\" does not exist");
+        }
+        return {};
+    }
+    const auto found = inputs.config.versions.find(*request.pinned_version);
+    if (found == inputs.config.versions.end() || found->second.state == core::version_state::withdrawn) {
+        return core::fail(core::error_kind::version_withdrawn,
+                          "version \"" + *request.pinned_version + "\" of this conversation is withdrawn");
+    }
+    return {};
+}
+
+plan_decision make_decision(const plan_inputs& inputs, const plan_settings& settings,
+                            const plan_request& request, const choice& chosen, candidates plans) {
+    plan_decision decision;
+    decision.policy = settings.policy;
+    decision.reason = chosen.reason;
+    decision.version = chosen.plan->version;
+    decision.escalate_to = chosen.plan->escalate_to;
+    decision.quality = chosen.plan->quality;
+    decision.quality_target = request.quality_target;
+    decision.cost = chosen.plan->cost;
+    decision.latency = chosen.plan->latency;
+    decision.table_revision = inputs.config.revision;
+    decision.candidates = std::move(plans);
+    return decision;
+}
+
+template <class Enum, std::size_t N>
+std::string_view name_of(const std::array<std::string_view, N>& names, Enum value) {
+    return names.at(static_cast<std::size_t>(value));
+}
+
+} // namespace
+
+core::result<plan_decision> choose_plan(const plan_inputs& inputs, const plan_settings& settings,
+                                        const plan_request& request, const plan_draws& draws) {
+    if (auto checked = check_request(inputs, request); !checked) {
+        return tl::make_unexpected(checked.error());
+    }
+    auto plans = list_candidates(inputs, settings, request);
+    auto chosen = choose_by_policy(plans, settings, request);
+    if (chosen.plan == nullptr) {
+        return tl::make_unexpected(no_plan(plans, request));
+    }
+    const bool is_baseline = chosen.reason == plan_reason::baseline;
+    if (!is_baseline && !request.pinned_version && request.may_explore &&
+        draws.explore < settings.exploration) {
+        chosen = explore(plans, settings, chosen, draws.pick);
+    }
+    explain_others(plans, chosen, request.quality_target, is_baseline);
+    return make_decision(inputs, settings, request, chosen, std::move(plans));
+}
+
+std::string_view to_string(plan_policy value) {
+    return name_of(policy_names, value);
+}
+
+std::string_view to_string(pass_over value) {
+    return name_of(pass_over_names, value);
+}
+
+std::string_view to_string(plan_reason value) {
+    return name_of(reason_names, value);
+}
+
+std::optional<plan_policy> parse_plan_policy(std::string_view name) {
+    const auto* const found = std::find(policy_names.begin(), policy_names.end(), name);
+    if (found == policy_names.end()) {
+        return std::nullopt;
+    }
+    return static_cast<plan_policy>(found - policy_names.begin());
+}
+
+} // namespace figspoke::policy
--- /dev/null
+++ b/packages/policy/quality_estimate.cpp
@@ -0,0 +1,121 @@
+#include "policy/quality_estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figspoke::policy {
+namespace {
+
+// Deviations between the short and the long memory that count as drift; 3 keeps chance alarms rare.
+constexpr double drift_deviations = 3;
+constexpr double min_drift_ratings = 5;
+
+struct beta {
+    double hits = 0;
+    double misses = 0;
+};
+
+beta posterior(double prior_mean, double strength, double hits, double misses) {
+    // Bounds of 0.01 keep a table entry of exactly 0 or 1 from becoming certainty.
+    const double mean = std::clamp(prior_mean, 0.01, 0.99);
+    return {mean * strength + hits, (1 - mean) * strength + misses};
+}
+
+double mean_of(const beta& value) {
+    return value.hits / (value.hits + value.misses);
+}
+
+double variance_of(const beta& value) {
+    const double mean = mean_of(value);
+    return mean * (1 - mean) / (value.hits + value.misses + 1);
+}
+
+double passed(const rating_counts& counts) {
+    return counts.accepted_passed + counts.flagged_passed;
+}
+
+double failed(const rating_counts& counts) {
+    return counts.accepted_failed + counts.flagged_failed;
+}
+
+bool is_drifting(const rating_cell& cell) {
+    const double recent = passed(cell.fast) + failed(cell.fast);
+    const double all = passed(cell.slow) + failed(cell.slow);
+    if (recent < min_drift_ratings || all < 2 * min_drift_ratings) {
+        return false;
+    }
+    const double long_term = std::clamp(passed(cell.slow) / all, 0.05, 0.95);
+    const double deviation = std::sqrt(long_term * (1 - long_term) / recent);
+    return std::abs(passed(cell.fast) / recent - long_term) > drift_deviations * deviation;
+}
+
+quality_estimate with_low(quality_estimate value, const quality_settings& settings) {
+    value.low = std::clamp(value.mean - settings.caution * value.deviation, 0.0, 1.0);
+    return value;
+}
+
+// Rates of the first step of a cascade: pass rate, and flagged share of failed and of passed answers.
+struct first_step {
+    beta pass;
+    beta detects;
+    beta false_alarm;
+};
+
+first_step first_step_of(const rating_counts& counts, const quality_settings& settings,
+                         const core::model_version& version) {
+    const double strength = settings.prior_strength;
+    return {posterior(version.quality, strength, passed(counts), failed(counts)),
+            posterior(settings.check_detects, strength, counts.flagged_failed, counts.accepted_failed),
+            posterior(settings.check_false_alarm, strength, counts.flagged_passed, counts.accepted_passed)};
+}
+
+// First-order error propagation: the four rates are estimated from disjoint counts.
+double cascade_variance(const first_step& step, const beta& escalated, double flagged) {
+    const double p = mean_of(step.pass);
+    const double d = mean_of(step.detects);
+    const double f = mean_of(step.false_alarm);
+    const double e = mean_of(escalated);
+    const double by_pass = (1 - f) + (f - d) * e;
+    const double by_detects = (1 - p) * e;
+    const double by_false_alarm = p * (e - 1);
+    return by_pass * by_pass * variance_of(step.pass) + by_detects * by_detects * variance_of(step.detects) +
+           by_false_alarm * by_false_alarm * variance_of(step.false_alarm) +
+           flagged * flagged * variance_of(escalated);
+}
+
+} // namespace
+
+quality_estimate estimate_direct(const quality_evidence& evidence, const quality_settings& settings,
+                                 const std::string& task, const core::model_version& version,
+                                 core::steady_time now) {
+    const auto cell = summed_counts(evidence, {task, version.id, ""}, now);
+    const auto pass =
+        posterior(version.quality, settings.prior_strength, passed(cell.slow), failed(cell.slow));
+    quality_estimate value;
+    value.mean = mean_of(pass);
+    value.deviation = std::sqrt(variance_of(pass));
+    value.ratings = passed(cell.slow) + failed(cell.slow);
+    value.drifting = is_drifting(cell);
+    return with_low(value, settings);
+}
+
+quality_estimate estimate_cascade(const quality_evidence& evidence, const quality_settings& settings,
+                                  const std::string& task, const core::model_version& first,
+                                  const core::model_version& second, core::steady_time now) {
+    const auto first_cell = summed_counts(evidence, {task, first.id, ""}, now);
+    const auto second_cell = summed_counts(evidence, {task, second.id, first.id}, now);
+    const auto direct = estimate_direct(evidence, settings, task, second, now);
+    const auto step = first_step_of(first_cell.slow, settings, first);
+    const auto escalated = posterior(direct.mean * settings.escalated_share, settings.prior_strength,
+                                     passed(second_cell.slow), failed(second_cell.slow));
+    const double p = mean_of(step.pass);
+    quality_estimate value;
+    value.escalated = p * mean_of(step.false_alarm) + (1 - p) * mean_of(step.detects);
+    value.mean = p * (1 - mean_of(step.false_alarm)) + value.escalated * mean_of(escalated);
+    value.deviation = std::sqrt(cascade_variance(step, escalated, value.escalated));
+    value.ratings = passed(first_cell.slow) + failed(first_cell.slow);
+    value.drifting = is_drifting(first_cell) || is_drifting(second_cell) || direct.drifting;
+    return with_low(value, settings);
+}
+
+} // namespace figspoke::policy
