--- a/packages/adapters/chat_upstream.cpp
+++ b/packages/adapters/chat_upstream.cpp
@@ -22,6 +22,7 @@
     json body = json::parse(call.body, nullptr, false);
     body["model"] = call.version;
     body["stream"] = true;
+    body["max_tokens"] = call.max_tokens;
     body["priority"] = call.priority;
     if (call.resume_from > 0) {
         body["resume_from"] = call.resume_from;
--- a/packages/adapters/chat_upstream.h
+++ b/packages/adapters/chat_upstream.h
@@ -20,6 +20,7 @@
     std::string body;
     /// `model@version`.
     std::string version;
+    std::int64_t max_tokens = 512;
     /// 0 is the most urgent.
     int priority = 0;
     /// Tokens that the caller already has; the engine continues after them.
--- a/packages/adapters/metrics.cpp
+++ b/packages/adapters/metrics.cpp
@@ -9,9 +9,8 @@
 namespace figspoke::adapters {
 namespace {
 
-const prometheus::Histogram::BucketBoundaries time_buckets = {0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1,
-                                                              0.25,  0.5,   1,     2.5,  5,     10,   30,
-                                                              60};
+const prometheus::Histogram::BucketBoundaries time_buckets = {
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60};
 
 } // namespace
 
--- /dev/null
+++ b/packages/node/admission_gate.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+#include <boost/asio/spawn.hpp>
+
+#include "core/error.h"
+#include "core/time.h"
+#include "policy/admission_queue.h"
+
+namespace figspoke::node {
+
+/// The admission queue of this node with the coroutines that wait in it.
+struct admission_gate {
+    using waiter = std::function<void(std::optional<core::error>)>;
+
+    std::mutex mutex;
+    policy::admission_queue queue;
+    std::unordered_map<std::uint64_t, waiter> waiters;
+    std::uint64_t next_id = 1;
+};
+
+/// The slot of an admitted request; freed at the end of its scope.
+class admission_slot {
+  public:
+    admission_slot() = default;
+    admission_slot(admission_gate& gate, std::uint64_t id) : gate_(&gate), id_(id) {}
+    ~admission_slot();
+    admission_slot(admission_slot&& other) noexcept;
+    admission_slot& operator=(admission_slot&& other) noexcept;
+
+  private:
+    void free();
+
+    admission_gate* gate_ = nullptr;
+    std::uint64_t id_ = 0;
+};
+
+/// Waits until the request is admitted. Fails with `overloaded` or `deadline_unreachable`; nothing ran then.
+core::result<admission_slot> await_admission(admission_gate& gate, policy::admission_request request,
+                                             const boost::asio::yield_context& yield);
+
+/// Sets the slots that this node may fill and starts or refuses waiting requests. Call it at least every 50
+/// ms.
+void update_admission(admission_gate& gate, double capacity, core::steady_time now);
+
+} // namespace figspoke::node
--- /dev/null
+++ b/packages/node/chat_run.cpp
@@ -0,0 +1,148 @@
+#include "node/chat_run.h"
+
+#include <algorithm>
+
+#include "core/hash.h"
+#include "node/random.h"
+
+namespace figspoke::node {
+namespace {
+
+using adapters::chat_end;
+using core::error_kind;
+using core::fail;
+
+// A stream that stays silent for longer is treated as broken.
+constexpr std::chrono::milliseconds max_silence{30000};
+
+// The state of one run over its attempts.
+struct version_run {
+    const core::model_version& version;
+    std::string prefix;
+    std::vector<std::string> tried;
+    std::int64_t tokens = 0;
+    std::int64_t prompt_tokens = 0;
+    bool reached_upstream = false;
+};
+
+std::string_view to_string(chat_end end) {
+    switch (end) {
+    case chat_end::complete:
+        return "complete";
+    case chat_end::not_run:
+        return "not_run";
+    case chat_end::cancelled:
+        return "cancelled";
+    case chat_end::broken:
+        break;
+    }
+    return "broken";
+}
+
+core::result<policy::upstream_decision> choose(node_state& node, const chat_session& session,
+                                               const version_run& run) {
+    policy::upstream_settings settings;
+    settings.policy = node.settings.policy.upstreams == "round_robin" ? policy::upstream_policy::round_robin
+                                                                      : policy::upstream_policy::affinity;
+    const policy::upstream_request request{run.prefix, node.settings.node.failure_domain, run.tried};
+    const policy::upstream_draws draws{random_unit(), random_unit(), next_turn(node.upstreams)};
+    return policy::choose_upstream(
+        candidates_for_version(node.upstreams, *session.config, run.version.id, run.prefix), settings,
+        request, draws);
+}
+
+adapters::chat_call make_call(const chat_session& session, const version_run& run,
+                              const std::string& address) {
+    const auto left = core::to_ms(session.caller.expires_at - std::chrono::steady_clock::now());
+    adapters::chat_call call;
+    call.address = address;
+    call.request_id = session.caller.request_id;
+    call.body = session.request.body;
+    call.version = run.version.id;
+    call.max_tokens = session.request.max_tokens;
+    call.priority = static_cast<int>(session.caller.priority);
+    call.resume_from = run.tokens;
+    call.idle_timeout = std::max(std::chrono::milliseconds(1), std::min(left, max_silence));
+    return call;
+}
+
+adapters::chat_outcome attempt(node_state& node, chat_session& session, version_run& run,
+                               const policy::upstream_decision& choice,
+                               const adapters::token_handler& on_token,
+                               const boost::asio::yield_context& yield) {
+    const auto& upstream = session.config->upstreams.at(choice.name);
+    record_start(node.upstreams, choice.name, std::chrono::steady_clock::now());
+    auto outcome =
+        adapters::run_chat(node.client, make_call(session, run, upstream.address), on_token, yield);
+    record_end(node.upstreams, choice.name, std::chrono::steady_clock::now());
+    run.tried.push_back(choice.name);
+    run.tokens += outcome.tokens;
+    run.prompt_tokens = std::max(run.prompt_tokens, outcome.prompt_tokens);
+    run.reached_upstream = run.reached_upstream || outcome.end != chat_end::not_run;
+    session.attempts.push_back({run.version.id, choice.name, std::string(policy::to_string(choice.reason)),
+                                std::string(to_string(outcome.end)), outcome.tokens});
+    return outcome;
+}
+
+// The error of a run that can't go on. It never says "not run" once an upstream may have worked.
+core::error final_error(const version_run& run, const core::error& cause) {
+    if (run.tokens > 0) {
+        return {error_kind::stream_interrupted, cause.message, std::nullopt};
+    }
+    if (run.reached_upstream) {
+        return {error_kind::upstream_failed, cause.message, std::nullopt};
+    }
+    return cause;
+}
+
+void settle_run(chat_session& session, const version_run& run) {
+    const std::int64_t prompt = run.prompt_tokens > 0 ? run.prompt_tokens : session.request.prompt_tokens;
+    const bool worked = run.reached_upstream && (run.prompt_tokens > 0 || run.tokens > 0);
+    session.version = run.version.id;
+    session.prompt_tokens = worked ? prompt : 0;
+    session.tokens = run.tokens;
+    session.billed_micros = price_of(run.version, session.prompt_tokens, run.tokens);
+    session.internal_micros += session.billed_micros;
+}
+
+core::result<void> run_attempts(node_state& node, chat_session& session, version_run& run,
+                                const adapters::token_handler& on_token,
+                                const boost::asio::yield_context& yield) {
+    core::error last{error_kind::no_capacity, "no upstream serves version " + run.version.id, std::nullopt};
+    for (;;) {
+        if (std::chrono::steady_clock::now() >= session.caller.expires_at) {
+            return tl::make_unexpected(
+                final_error(run, {error_kind::deadline_unreachable,
+                                  "the deadline passed before an upstream was free", std::nullopt}));
+        }
+        const auto choice = choose(node, session, run);
+        if (!choice) {
+            return tl::make_unexpected(final_error(run, run.tried.empty() ? choice.error() : last));
+        }
+        const auto outcome = attempt(node, session, run, *choice, on_token, yield);
+        if (outcome.end == chat_end::complete) {
+            return {};
+        }
+        if (outcome.end == chat_end::cancelled) {
+            session.cancelled = true;
+            return {};
+        }
+        last = {outcome.end == chat_end::not_run ? error_kind::upstream_refused : error_kind::upstream_failed,
+                "upstream " + choice->name + ": " + outcome.message, std::nullopt};
+    }
+}
+
+} // namespace
+
+core::result<void> run_on_version(node_state& node, chat_session& session, const std::string& version,
+                                  const adapters::token_handler& on_token,
+                                  const boost::asio::yield_context& yield) {
+    const auto& target = session.config->versions.at(version);
+    version_run run{target, core::sha256_hex(version + "\n" + session.request.prompt_prefix), {}, 0, 0,
+                    false};
+    auto done = run_attempts(node, session, run, on_token, yield);
+    settle_run(session, run);
+    return done;
+}
+
+} // namespace figspoke::node
--- /dev/null
+++ b/packages/node/chat_writer.cpp
@@ -0,0 +1,96 @@
+#include "node/chat_writer.h"
+
+#include <nlohmann/json.hpp>
+
+#include "adapters/sse.h"
+#include "node/error_reply.h"
+
+namespace figspoke::node {
+namespace {
+
+using adapters::render_sse;
+using nlohmann::json;
+
+std::string dump(const json& value) {
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+json usage_of(std::int64_t prompt_tokens, std::int64_t tokens, std::int64_t cost_micros) {
+    return {{"prompt_tokens", prompt_tokens},
+            {"completion_tokens", tokens},
+            {"total_tokens", prompt_tokens + tokens},
+            {"cost_micros", cost_micros}};
+}
+
+json chunk_of(const chat_answer_head& head, const json& choices) {
+    return {{"id", head.request_id},
+            {"object", "chat.completion.chunk"},
+            {"model", head.version},
+            {"choices", choices}};
+}
+
+json whole_answer(const chat_answer_head& head, const std::string& text, const std::string& finish_reason) {
+    const json message = {{"role", "assistant"}, {"content", text}};
+    return {
+        {"id", head.request_id},
+        {"object", "chat.completion"},
+        {"model", head.version},
+        {"choices", json::array({{{"index", 0}, {"message", message}, {"finish_reason", finish_reason}}})}};
+}
+
+adapters::http_headers headers_of(const chat_answer_head& head, const char* content_type) {
+    return {{"content-type", content_type},
+            {"x-figspoke-request-id", head.request_id},
+            {"x-figspoke-version", head.version},
+            {"x-figspoke-conversation", head.conversation_token}};
+}
+
+} // namespace
+
+bool chat_writer::begin() {
+    if (begun_) {
+        return true;
+    }
+    begun_ = true;
+    return exchange_.begin_stream({200, headers_of(head_, "text/event-stream"), {}});
+}
+
+bool chat_writer::add_token(std::string_view text) {
+    text_ += text;
+    if (!stream_) {
+        return true;
+    }
+    const json choice = {{"index", 0}, {"delta", {{"content", text}}}, {"finish_reason", nullptr}};
+    return begin() && exchange_.write(render_sse(dump(chunk_of(head_, json::array({choice})))));
+}
+
+bool chat_writer::finish(std::int64_t prompt_tokens, std::int64_t tokens, std::int64_t cost_micros,
+                         const std::string& finish_reason) {
+    const json usage = usage_of(prompt_tokens, tokens, cost_micros);
+    if (!stream_) {
+        json body = whole_answer(head_, text_, finish_reason);
+        body["usage"] = usage;
+        auto headers = headers_of(head_, "application/json");
+        headers["x-figspoke-cost-micros"] = std::to_string(cost_micros);
+        return exchange_.send({200, headers, dump(body)});
+    }
+    const json last = {{"index", 0}, {"delta", json::object()}, {"finish_reason", finish_reason}};
+    json with_usage = chunk_of(head_, json::array());
+    with_usage["usage"] = usage;
+    return begin() && exchange_.write(render_sse(dump(chunk_of(head_, json::array({last}))))) &&
+           exchange_.write(render_sse(dump(with_usage))) && exchange_.write(render_sse("[DONE]")) &&
+           exchange_.end_stream();
+}
+
+void chat_writer::fail(const core::error& cause) {
+    if (!begun_) {
+        auto reply = error_reply(cause);
+        reply.headers["x-figspoke-request-id"] = head_.request_id;
+        exchange_.send(reply);
+        return;
+    }
+    exchange_.write(render_sse(render_error(cause)));
+    exchange_.end_stream();
+}
+
+} // namespace figspoke::node
