--- a/packages/adapters/await.h
+++ b/packages/adapters/await.h
@@ -32,6 +32,9 @@
 /// Suspends the coroutine for a time.
 template <class Duration>
 void sleep_for(Duration duration, const boost::asio::yield_context& yield) {
+    if (duration <= Duration::zero()) {
+        return;
+    }
     boost::system::error_code code;
     boost::asio::steady_timer timer(yield.get_executor(), duration);
     timer.async_wait(yield[code]);
--- a/packages/standins/wakeup.cpp
+++ b/packages/adapters/wakeup.cpp
@@ -1,11 +1,9 @@
-#include "standins/wakeup.h"
+#include "adapters/wakeup.h"
 
-namespace figspoke::standins {
+namespace figspoke::adapters {
 
 namespace asio = boost::asio;
 
-wakeup::wakeup(const asio::yield_context& yield) : timer_(yield.get_executor()) {}
-
 bool wakeup::wait_until(core::steady_time deadline, const asio::yield_context& yield) {
     boost::system::error_code code;
     // A timer is not safe for concurrent use: the wait is started under the lock that `signal` takes.
@@ -28,13 +26,4 @@
     timer_.cancel();
 }
 
-void wait_for(std::chrono::milliseconds duration, const asio::yield_context& yield) {
-    if (duration.count() <= 0) {
-        return;
-    }
-    boost::system::error_code code;
-    asio::steady_timer timer(yield.get_executor(), duration);
-    timer.async_wait(yield[code]);
-}
-
-} // namespace figspoke::standins
+} // namespace figspoke::adapters
--- a/packages/standins/wakeup.h
+++ b/packages/adapters/wakeup.h
@@ -3,17 +3,18 @@
 #include <chrono>
 #include <mutex>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "core/time.h"
 
-namespace figspoke::standins {
+namespace figspoke::adapters {
 
 /// Suspends one coroutine until another thread signals it or a point in time is reached.
 class wakeup {
   public:
-    explicit wakeup(const boost::asio::yield_context& yield);
+    explicit wakeup(const boost::asio::any_io_executor& executor) : timer_(executor) {}
 
     /// Returns true where `signal` was called, before or during the wait, and consumes the signal.
     bool wait_until(core::steady_time deadline, const boost::asio::yield_context& yield);
@@ -27,7 +28,4 @@
     boost::asio::steady_timer timer_;
 };
 
-/// Suspends the coroutine for a duration.
-void wait_for(std::chrono::milliseconds duration, const boost::asio::yield_context& yield);
-
-} // namespace figspoke::standins
+} // namespace figspoke::adapters
--- /dev/null
+++ b/packages/node/journal_service.cpp
@@ -0,0 +1,200 @@
+#include "node/journal_service.h"
+
+#include <utility>
+
+#include <boost/asio/detached.hpp>
+
+#include "adapters/decision_log.h"
+
+namespace figspoke::node {
+namespace {
+
+using adapters::kv_error_kind;
+using state::writer_action;
+using state::writer_call;
+using clock = std::chrono::steady_clock;
+
+// The writer asks again at least this often, so that a change of membership is noticed while it is idle.
+constexpr std::chrono::milliseconds longest_wait{500};
+
+using notification = std::pair<append_callback, append_outcome>;
+
+std::vector<notification> take_notifications(shard_slot& slot) {
+    std::vector<notification> due;
+    for (auto& settled : state::take_settled(slot.writer)) {
+        const auto found = slot.waiting.find(settled.ticket);
+        if (found != slot.waiting.end()) {
+            due.emplace_back(std::move(found->second), append_outcome{settled.fate, std::move(settled.result)});
+            slot.waiting.erase(found);
+        }
+    }
+    return due;
+}
+
+void notify(std::vector<notification> due) {
+    for (auto& [callback, outcome] : due) {
+        callback(std::move(outcome));
+    }
+}
+
+template <class Change>
+auto change_writer(shard_slot& slot, Change change) {
+    std::vector<notification> due;
+    {
+        const std::lock_guard lock(slot.mutex);
+        change(slot.writer, clock::now());
+        due = take_notifications(slot);
+    }
+    notify(std::move(due));
+}
+
+std::string shard_key(const state::writer_settings& settings) {
+    return "figspoke/journal/" + std::to_string(settings.shard);
+}
+
+std::string page_key(const state::writer_settings& settings, std::uint64_t page) {
+    return "figspoke/ledger/" + std::to_string(settings.shard) + "/" + std::to_string(page);
+}
+
+void read_value(shard_slot& slot, const adapters::kv_store& kv, const std::string& key,
+                const boost::asio::yield_context& yield) {
+    const auto answer = kv.get(key, yield);
+    change_writer(slot, [&](state::journal_writer& writer, core::steady_time now) {
+        if (answer) {
+            state::on_value(writer, answer->text, answer->version, now);
+        } else if (answer.error().kind == kv_error_kind::not_found) {
+            state::on_value(writer, std::nullopt, 0, now);
+        } else {
+            state::on_lost(writer, now);
+        }
+    });
+}
+
+// A connection that could not be opened is treated as a lost reply too: the writer reads before it goes on.
+void write_value(shard_slot& slot, const adapters::kv_store& kv, const std::string& key,
+                 const writer_action& action, std::uint64_t expected, const boost::asio::yield_context& yield) {
+    const auto answer = kv.compare_and_swap(key, action.text, expected, "", yield);
+    change_writer(slot, [&](state::journal_writer& writer, core::steady_time now) {
+        if (answer) {
+            state::on_written(writer, *answer, now);
+        } else if (answer.error().kind == kv_error_kind::conflict) {
+            state::on_conflict(writer, now);
+        } else {
+            state::on_lost(writer, now);
+        }
+    });
+}
+
+void perform(shard_slot& slot, const adapters::kv_store& kv, const writer_action& action,
+             const boost::asio::yield_context& yield) {
+    const auto& settings = slot.writer.settings;
+    switch (action.call) {
+    case writer_call::read_shard:
+        return read_value(slot, kv, shard_key(settings), yield);
+    case writer_call::write_shard:
+        return write_value(slot, kv, shard_key(settings), action, action.expected, yield);
+    case writer_call::read_page:
+        return read_value(slot, kv, page_key(settings, action.page), yield);
+    case writer_call::create_page:
+        return write_value(slot, kv, page_key(settings, action.page), action, 0, yield);
+    case writer_call::wait:
+        break;
+    }
+    const auto latest = clock::now() + longest_wait;
+    slot.wake.wait_until(action.until ? std::min(*action.until, latest) : latest, yield);
+}
+
+void drive_shard(shard_slot& slot, const adapters::kv_store& kv, const boost::asio::yield_context& yield) {
+    for (;;) {
+        writer_action action;
+        change_writer(slot, [&](state::journal_writer& writer, core::steady_time now) {
+            action = state::next_action(writer, now);
+        });
+        perform(slot, kv, action, yield);
+    }
+}
+
+state::journal_writer make_writer(const journal_service& journal, const core::journal_section& settings,
+                                  const std::string& incarnation, std::uint32_t shard) {
+    state::writer_settings options;
+    options.shard = shard;
+    options.owner = incarnation;
+    options.limits.max_open_entries = static_cast<std::size_t>(settings.backlog_limit);
+    options.seal_above = std::min(options.seal_above, options.limits.max_open_entries / 2);
+    options.idempotency_window = settings.idempotency_window;
+    options.charge_delay = settings.charge_flush;
+    return state::make_journal_writer(options, journal.is_gone);
+}
+
+std::size_t count_phase(journal_service& journal, bool (*counts)(state::writer_phase)) {
+    std::size_t count = 0;
+    for (const auto& slot : journal.shards) {
+        const std::lock_guard lock(slot->mutex);
+        count += counts(slot->writer.phase) ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+void start_journal(journal_service& journal, boost::asio::io_context& context, const adapters::kv_store& kv,
+                   const core::journal_section& settings, const std::string& incarnation) {
+    for (std::uint32_t shard = 0; shard < static_cast<std::uint32_t>(settings.shards); ++shard) {
+        journal.shards.push_back(std::make_unique<shard_slot>(
+            context.get_executor(), make_writer(journal, settings, incarnation, shard)));
+        auto& slot = *journal.shards.back();
+        boost::asio::spawn(
+            context,
+            [&slot, &kv](const boost::asio::yield_context& yield) { drive_shard(slot, kv, yield); },
+            boost::asio::detached);
+    }
+}
+
+void set_owned_shards(journal_service& journal, const std::set<std::uint32_t>& owned) {
+    for (std::uint32_t shard = 0; shard < journal.shards.size(); ++shard) {
+        auto& slot = *journal.shards[shard];
+        const bool wanted = owned.count(shard) > 0;
+        change_writer(slot, [&](state::journal_writer& writer, core::steady_time) {
+            if (wanted && writer.phase == state::writer_phase::idle) {
+                state::acquire_shard(writer);
+            } else if (!wanted && writer.phase != state::writer_phase::idle) {
+                state::release_shard(writer);
+            }
+        });
+        slot.wake.signal();
+    }
+}
+
+void append_local(journal_service& journal, std::uint32_t shard, state::journal_entry entry,
+                  append_callback callback) {
+    auto& slot = *journal.shards.at(shard);
+    append_outcome refused;
+    bool accepted = false;
+    {
+        const std::lock_guard lock(slot.mutex);
+        const std::uint64_t ticket = slot.next_ticket++;
+        const auto submitted = state::submit_entry(slot.writer, ticket, std::move(entry), clock::now());
+        accepted = submitted == state::submit_result::accepted;
+        if (accepted) {
+            slot.waiting.emplace(ticket, std::move(callback));
+        } else if (submitted == state::submit_result::full) {
+            refused.fate = state::entry_fate::settled;
+            refused.result.outcome = state::entry_outcome::backlog_full;
+        }
+    }
+    if (accepted) {
+        slot.wake.signal();
+    } else {
+        callback(std::move(refused));
+    }
+}
+
+std::size_t owned_shard_count(journal_service& journal) {
+    return count_phase(journal, [](state::writer_phase phase) { return phase != state::writer_phase::idle; });
+}
+
+std::size_t held_shard_count(journal_service& journal) {
+    return count_phase(journal, [](state::writer_phase phase) { return phase == state::writer_phase::owner; });
+}
+
+} // namespace figspoke::node
--- a/packages/standins/batch.h
+++ b/packages/standins/batch.h
@@ -9,19 +9,19 @@
 
 #include <boost/asio/spawn.hpp>
 
-#include "standins/wakeup.h"
+#include "adapters/wakeup.h"
 
 namespace figspoke::standins {
 
 /// One request in the batch or in its queue.
 struct batch_job {
-    explicit batch_job(const boost::asio::yield_context& yield) : wake(yield) {}
+    explicit batch_job(const boost::asio::yield_context& yield) : wake(yield.get_executor()) {}
     int priority = 1;
     bool alone = false;
     std::uint64_t order = 0;
     bool started = false;
     bool lost = false;
-    wakeup wake;
+    adapters::wakeup wake;
 };
 
 using batch_job_ptr = std::shared_ptr<batch_job>;
--- a/packages/standins/control.h
+++ b/packages/standins/control.h
@@ -5,9 +5,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include "adapters/await.h"
 #include "adapters/http_server.h"
 #include "standins/guarded.h"
-#include "standins/wakeup.h"
+#include "adapters/await.h"
 
 namespace figspoke::standins {
 
@@ -58,7 +59,7 @@
         return std::pair{std::chrono::milliseconds(fields.delay_ms),
                          changed && take_one(fields.drop_replies)};
     });
-    wait_for(delay, exchange.yield());
+    adapters::sleep_for(delay, exchange.yield());
     const bool down = control.with([](const Control& fields) { return fields.down; });
     if (!down && !dropped) {
         exchange.send(reply);
--- a/packages/standins/kv_service.cpp
+++ b/packages/standins/kv_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <memory>
 
+#include "adapters/wakeup.h"
 #include "standins/control.h"
 #include "standins/kv_store.h"
 
@@ -38,7 +39,7 @@
 struct kv_data {
     kv_store store;
     kv_counts counts;
-    std::vector<std::shared_ptr<wakeup>> watchers;
+    std::vector<std::shared_ptr<adapters::wakeup>> watchers;
 };
 
 struct kv_service {
@@ -168,7 +169,7 @@
 
 struct watch_step {
     std::optional<kv_entry> entry;
-    std::shared_ptr<wakeup> watcher;
+    std::shared_ptr<adapters::wakeup> watcher;
 };
 
 // The check and the registration share one lock, so that no write falls between them.
@@ -179,12 +180,12 @@
     if (entry && entry->version > after) {
         return {std::move(entry), nullptr};
     }
-    auto watcher = std::make_shared<wakeup>(yield);
+    auto watcher = std::make_shared<adapters::wakeup>(yield.get_executor());
     data.watchers.push_back(watcher);
     return {std::nullopt, watcher};
 }
 
-void remove_watcher(kv_data& data, const std::shared_ptr<wakeup>& watcher) {
+void remove_watcher(kv_data& data, const std::shared_ptr<adapters::wakeup>& watcher) {
     auto& list = data.watchers;
     list.erase(std::remove(list.begin(), list.end(), watcher), list.end());
 }
--- a/packages/standins/run.cpp
+++ b/packages/standins/run.cpp
@@ -61,7 +61,7 @@
     server.stop_accepting();
     const auto deadline = std::chrono::steady_clock::now() + role.stop_grace;
     while (server.running_requests() > 0 && std::chrono::steady_clock::now() < deadline) {
-        wait_for(std::chrono::milliseconds(5), yield);
+        adapters::sleep_for(std::chrono::milliseconds(5), yield);
     }
     context.stop();
 }
