--- /dev/null
+++ b/packages/state/journal_expiry.cpp
@@ -0,0 +1,100 @@
+#include "state/journal_expiry.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "state/shard_size.h"
+
+namespace figspoke::state {
+namespace {
+
+using std::chrono::milliseconds;
+
+template <class Map, class Condition>
+void erase_where(Map& entries, Condition condition) {
+    for (auto it = entries.begin(); it != entries.end();) {
+        it = condition(it->second, it->first) ? entries.erase(it) : std::next(it);
+    }
+}
+
+bool is_gone(const expiry_rules& rules, const std::string& incarnation) {
+    return rules.is_gone && rules.is_gone(incarnation);
+}
+
+void mark_abandoned(journal_shard& shard, const expiry_rules& rules) {
+    for (auto& [id, record] : shard.orders) {
+        if (record.state == order_state::claimed && is_gone(rules, record.claimant)) {
+            record.state = order_state::unknown;
+            record.changed_at = shard.clock;
+        }
+    }
+}
+
+void remove_expired(journal_shard& shard, const expiry_rules& rules) {
+    const milliseconds before = shard.clock - rules.window;
+    erase_where(shard.orders, [&](const order_record& record, const std::string&) {
+        return record.state != order_state::claimed && record.changed_at <= before;
+    });
+    erase_where(shard.charged_keys, [&](milliseconds at, const std::string&) { return at <= before; });
+    // A writer that may still be alive keeps its progress however long it was idle: without it a late repeat
+    // of a charge would be recorded again.
+    erase_where(shard.writers, [&](const writer_progress& progress, const std::string& writer) {
+        return progress.changed_at <= before && is_gone(rules, writer);
+    });
+}
+
+void limit_charged_keys(journal_shard& shard, std::size_t limit) {
+    if (shard.charged_keys.size() <= limit) {
+        return;
+    }
+    std::vector<milliseconds> ages;
+    ages.reserve(shard.charged_keys.size());
+    for (const auto& [id, at] : shard.charged_keys) {
+        ages.push_back(at);
+    }
+    std::size_t excess = ages.size() - limit;
+    std::nth_element(ages.begin(), ages.begin() + static_cast<std::ptrdiff_t>(excess - 1), ages.end());
+    const milliseconds last = ages[excess - 1];
+    erase_where(shard.charged_keys, [&](milliseconds at, const std::string&) {
+        return at <= last && excess > 0 && excess-- > 0;
+    });
+}
+
+// Half of the room for claims is left to new records.
+void drop_oldest_answers(journal_shard& shard, const shard_limits& limits) {
+    std::size_t bytes = estimate_bytes(shard);
+    if (bytes <= limits.claim_bytes) {
+        return;
+    }
+    std::vector<std::pair<milliseconds, order_record*>> answers;
+    for (auto& [id, record] : shard.orders) {
+        if (record.state == order_state::completed && !record.body.empty()) {
+            answers.emplace_back(record.changed_at, &record);
+        }
+    }
+    std::sort(answers.begin(), answers.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (const auto& [at, record] : answers) {
+        if (bytes <= limits.claim_bytes / 2) {
+            break;
+        }
+        bytes -= encoded_size(record->body) - 2;
+        record->body.clear();
+        record->body_dropped = true;
+    }
+}
+
+} // namespace
+
+void advance_shard_clock(journal_shard& shard, milliseconds elapsed) {
+    shard.clock += std::max(elapsed, milliseconds(0));
+}
+
+void expire_records(journal_shard& shard, const expiry_rules& rules) {
+    mark_abandoned(shard, rules);
+    remove_expired(shard, rules);
+    limit_charged_keys(shard, rules.limits.max_charged_keys);
+    drop_oldest_answers(shard, rules.limits);
+}
+
+} // namespace figspoke::state
--- /dev/null
+++ b/packages/state/journal_writer.cpp
@@ -0,0 +1,229 @@
+#include "state/journal_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "state/journal_batch.h"
+#include "state/journal_fate.h"
+
+namespace figspoke::state {
+namespace {
+
+using core::steady_time;
+
+writer_action start_call(journal_writer& writer, writer_call call) {
+    writer.in_progress = call;
+    writer_action action;
+    action.call = call;
+    return action;
+}
+
+writer_action wait_until(std::optional<steady_time> until) {
+    writer_action action;
+    action.until = until;
+    return action;
+}
+
+writer_action write_attempt(journal_writer& writer, steady_time now) {
+    writer.last_write = now;
+    writer_action action = start_call(writer, writer_call::write_shard);
+    action.text = writer.attempt->text;
+    action.expected = writer.attempt->expected;
+    return action;
+}
+
+// Pages are built only from a written value: charges of a batch in progress may not be recorded.
+std::optional<writer_action> seal_page(journal_writer& writer) {
+    if (writer.sealed || writer.releasing) {
+        return std::nullopt;
+    }
+    if (!writer.page && writer.value.charges.size() > writer.settings.seal_above) {
+        writer.page = make_ledger_page(writer.settings.shard, writer.value, writer.settings.page_charges);
+    }
+    if (!writer.page) {
+        return std::nullopt;
+    }
+    writer_action action =
+        start_call(writer, writer.must_read_page ? writer_call::read_page : writer_call::create_page);
+    action.page = writer.page->page;
+    if (action.call == writer_call::create_page) {
+        action.text = encode_ledger_page(*writer.page);
+    }
+    return action;
+}
+
+std::optional<steady_time> flush_time(const journal_writer& writer, steady_time now) {
+    std::optional<steady_time> at = writer.flush_at;
+    if (writer.sealed || writer.waiting.size() >= writer.settings.max_batch) {
+        at = now;
+    }
+    if (at && writer.last_write) {
+        at = std::max(*at, *writer.last_write + writer.settings.min_write_interval);
+    }
+    return at;
+}
+
+writer_action act_as_owner(journal_writer& writer, steady_time now) {
+    if (auto sealing = seal_page(writer)) {
+        return *std::move(sealing);
+    }
+    while (true) {
+        const auto at = flush_time(writer, now);
+        if (!at || *at > now) {
+            return wait_until(at);
+        }
+        if (build_batch(writer, false, now)) {
+            return write_attempt(writer, now);
+        }
+    }
+}
+
+void on_page_value(journal_writer& writer, const std::optional<std::string>& text) {
+    writer.must_read_page = false;
+    if (!text) {
+        return;
+    }
+    auto decoded = decode_ledger_page(*text);
+    if (decoded && decoded->page == writer.page->page && decoded->shard == writer.settings.shard) {
+        writer.sealed = *std::move(decoded);
+    } else {
+        // Nothing of ours is under this key: skip its number and leave the charges open.
+        writer.sealed = ledger_page{writer.settings.shard, writer.page->page, {}};
+    }
+    writer.page.reset();
+}
+
+} // namespace
+
+journal_writer make_journal_writer(writer_settings settings,
+                                   std::function<bool(std::string_view incarnation)> is_gone) {
+    journal_writer writer;
+    writer.settings = std::move(settings);
+    writer.is_gone = std::move(is_gone);
+    return writer;
+}
+
+void acquire_shard(journal_writer& writer) {
+    if (writer.phase != writer_phase::idle) {
+        return;
+    }
+    writer.phase = writer_phase::taking_over;
+    writer.must_read = true;
+    writer.observed_epoch.reset();
+    writer.error.clear();
+}
+
+void release_shard(journal_writer& writer) {
+    if (writer.attempt) {
+        writer.releasing = true;
+    } else if (writer.phase != writer_phase::idle) {
+        const journal_shard* known = writer.phase == writer_phase::owner ? &writer.value : nullptr;
+        lose_shard(writer, entry_fate::unclear, known);
+    }
+}
+
+submit_result submit_entry(journal_writer& writer, std::uint64_t ticket, journal_entry entry,
+                           steady_time now) {
+    if (writer.phase == writer_phase::idle || writer.releasing) {
+        return submit_result::not_owner;
+    }
+    if (writer.waiting.size() >= writer.settings.max_waiting) {
+        return submit_result::full;
+    }
+    const bool is_charge = std::holds_alternative<charge>(entry);
+    const steady_time due = is_charge ? now + writer.settings.charge_delay : now;
+    writer.flush_at = writer.flush_at ? std::min(*writer.flush_at, due) : due;
+    writer.waiting.push_back({ticket, std::move(entry), now});
+    return submit_result::accepted;
+}
+
+bool withdraw_entry(journal_writer& writer, std::uint64_t ticket) {
+    const auto found = std::find_if(writer.waiting.begin(), writer.waiting.end(),
+                                    [&](const waiting_entry& waiting) { return waiting.ticket == ticket; });
+    if (found == writer.waiting.end()) {
+        return false;
+    }
+    writer.waiting.erase(found);
+    update_flush_time(writer);
+    return true;
+}
+
+writer_action next_action(journal_writer& writer, steady_time now) {
+    if (writer.in_progress != writer_call::wait || writer.phase == writer_phase::idle) {
+        return wait_until(std::nullopt);
+    }
+    if (writer.retry_at && now < *writer.retry_at) {
+        return wait_until(writer.retry_at);
+    }
+    if (writer.must_read) {
+        return start_call(writer, writer_call::read_shard);
+    }
+    if (writer.attempt) {
+        return write_attempt(writer, now);
+    }
+    if (writer.releasing) {
+        release_shard(writer);
+        return wait_until(std::nullopt);
+    }
+    if (writer.phase == writer_phase::taking_over) {
+        build_batch(writer, true, now);
+        return write_attempt(writer, now);
+    }
+    return act_as_owner(writer, now);
+}
+
+void on_written(journal_writer& writer, std::uint64_t version, steady_time now) {
+    (void)now;
+    const writer_call call = std::exchange(writer.in_progress, writer_call::wait);
+    writer.backoff = core::milliseconds(0);
+    writer.retry_at.reset();
+    if (call == writer_call::write_shard && writer.attempt) {
+        settle_written(writer, version);
+    } else if (call == writer_call::create_page && writer.page) {
+        writer.sealed = std::exchange(writer.page, std::nullopt);
+    }
+}
+
+void on_conflict(journal_writer& writer, steady_time now) {
+    (void)now;
+    const writer_call call = std::exchange(writer.in_progress, writer_call::wait);
+    if (call == writer_call::write_shard && writer.attempt) {
+        // Not even a conflict proves that the batch was not written: an earlier copy may have been.
+        writer.must_read = true;
+    } else if (call == writer_call::create_page && writer.page) {
+        writer.must_read_page = true;
+    }
+}
+
+void on_lost(journal_writer& writer, steady_time now) {
+    const auto& settings = writer.settings;
+    writer.backoff = std::clamp(writer.backoff * 2, settings.first_retry, settings.max_retry);
+    writer.retry_at = now + writer.backoff;
+    on_conflict(writer, now);
+}
+
+void on_value(journal_writer& writer, const std::optional<std::string>& text, std::uint64_t version,
+              steady_time now) {
+    const writer_call call = std::exchange(writer.in_progress, writer_call::wait);
+    writer.retry_at.reset();
+    if (call == writer_call::read_page && writer.page) {
+        on_page_value(writer, text);
+    }
+    if (call != writer_call::read_shard || writer.phase == writer_phase::idle) {
+        return;
+    }
+    writer.must_read = false;
+    auto decoded = text ? decode_shard(*text) : core::result<journal_shard>(journal_shard{});
+    if (!decoded) {
+        writer.error = decoded.error().message;
+        lose_shard(writer, entry_fate::unclear, nullptr);
+        return;
+    }
+    adopt_value(writer, *std::move(decoded), version, now);
+}
+
+std::vector<settled_entry> take_settled(journal_writer& writer) {
+    return std::exchange(writer.settled, {});
+}
+
+} // namespace figspoke::state
