--- /dev/null
+++ b/packages/policy/crash_suspects.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core/time.h"
+
+namespace figspoke::policy {
+
+/// What an event says: the request was running on an upstream that crashed, was running there alone, or
+/// finished alone.
+enum class crash_event_kind { companion, alone, passed_alone };
+
+/// One observation of one node. Events form a grow-only set that expires, so that merging them in any order
+/// and any number of times gives the same result.
+struct crash_event {
+    /// Node id and incarnation, and the event's number there.
+    std::string source;
+    std::uint64_t sequence = 0;
+    crash_event_kind kind = crash_event_kind::companion;
+    std::string fingerprint;
+    std::string upstream;
+    /// Time since the event, as known to the sender; used between nodes only.
+    core::nanoseconds age{0};
+};
+
+struct crash_settings {
+    /// Attributed crashes that refuse a fingerprint.
+    int refuse_after = 2;
+    std::chrono::seconds expiry{600};
+    std::size_t max_events = 4096;
+    /// Events of one upstream within this time belong to one crash. It covers the spread of connection
+    /// errors at several nodes and the delay of the mesh.
+    std::chrono::milliseconds same_crash{2000};
+};
+
+/// The events that a node knows.
+struct crash_suspects {
+    using event_id = std::pair<std::string, std::uint64_t>;
+    struct stored_event {
+        crash_event event;
+        core::steady_time at;
+    };
+    crash_settings settings;
+    std::uint64_t last_sequence = 0;
+    std::map<event_id, stored_event> events;
+    std::multimap<std::string, event_id> by_fingerprint;
+};
+
+/// A request that was running on a crashed upstream.
+struct running_request {
+    std::string fingerprint;
+    bool alone = false;
+};
+
+/// How a request may run.
+enum class run_mode { normal, alone, refused };
+
+/// Returns the fingerprint of a request: the SHA-256 of account and body.
+std::string crash_fingerprint(std::string_view account, std::string_view body);
+
+/// Records that an upstream crashed while these requests of this node were running on it.
+void record_crash(crash_suspects& suspects, const std::string& source, const std::string& upstream,
+                  const std::vector<running_request>& running, core::steady_time now);
+
+/// Records that a suspect finished alone, which clears it.
+void record_passed_alone(crash_suspects& suspects, const std::string& source, const std::string& fingerprint,
+                         core::steady_time now);
+
+/// Tells how a request with this fingerprint may run. A crash is attributed to a request that ran alone
+/// where no other request, not cleared since, claims to have run alone in the same crash.
+run_mode run_mode_of(const crash_suspects& suspects, const std::string& fingerprint, core::steady_time now);
+
+/// Returns the number of crashes that are attributed to the fingerprint.
+int attributed_crashes(const crash_suspects& suspects, const std::string& fingerprint, core::steady_time now);
+
+/// Returns the events for other nodes, with their ages.
+std::vector<crash_event> export_events(const crash_suspects& suspects, core::steady_time now);
+
+/// Adds the events of another node; known and expired ones change nothing.
+void merge_events(crash_suspects& suspects, const std::vector<crash_event>& events, core::steady_time now);
+
+/// Drops expired events.
+void expire_events(crash_suspects& suspects, core::steady_time now);
+
+} // namespace figspoke::policy
--- /dev/null
+++ b/packages/policy/upstream_health.cpp
@@ -0,0 +1,96 @@
+#include "policy/upstream_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figspoke::policy {
+namespace {
+
+// The exponent is bounded so that the doubling can't overflow; `max_ejection` applies well before.
+constexpr int max_doublings = 10;
+
+bool may_eject_one_more(const health_table& table) {
+    const auto ejected = std::count_if(table.upstreams.begin(), table.upstreams.end(), [](const auto& entry) {
+        return entry.second.state != health_state::healthy;
+    });
+    const auto limit = table.settings.max_ejected_share * static_cast<double>(table.upstreams.size());
+    return static_cast<double>(ejected + 1) <= limit;
+}
+
+void eject(const health_settings& settings, upstream_health& health, core::steady_time now) {
+    const int doublings = std::min(health.ejections, max_doublings);
+    const auto time = std::min(settings.ejection * (1 << doublings), settings.max_ejection);
+    ++health.ejections;
+    health.state = health_state::ejected;
+    health.ejected_until = now + time;
+    health.probes_in_flight = 0;
+    health.probes_passed = 0;
+}
+
+void count(const health_settings& settings, upstream_health& health, bool succeeded, core::steady_time now) {
+    const double kept =
+        std::exp2(-core::to_seconds(now - health.counted_at) / core::to_seconds(settings.half_life));
+    health.successes *= kept;
+    health.failures *= kept;
+    health.counted_at = now;
+    (succeeded ? health.successes : health.failures) += 1;
+    health.consecutive = succeeded ? 0 : health.consecutive + 1;
+}
+
+bool is_outlier(const health_settings& settings, const upstream_health& health) {
+    const double all = health.successes + health.failures;
+    return health.consecutive >= settings.consecutive_failures ||
+           (all >= settings.min_requests && health.failures >= settings.failure_share * all);
+}
+
+void record_probe(const health_settings& settings, upstream_health& health, bool succeeded,
+                  core::steady_time now) {
+    health.probes_in_flight = std::max(0, health.probes_in_flight - 1);
+    if (!succeeded) {
+        eject(settings, health, now);
+        return;
+    }
+    if (++health.probes_passed >= settings.probes) {
+        health = upstream_health{};
+        health.counted_at = now;
+    }
+}
+
+} // namespace
+
+bool is_usable(const health_table& table, const std::string& name, core::steady_time now) {
+    const auto found = table.upstreams.find(name);
+    if (found == table.upstreams.end() || found->second.state == health_state::healthy) {
+        return true;
+    }
+    const auto& health = found->second;
+    const bool probe_lost = now - health.probed_at >= table.settings.probe_timeout;
+    return now >= health.ejected_until && (health.probes_in_flight == 0 || probe_lost);
+}
+
+void record_dispatch(health_table& table, const std::string& name, core::steady_time now) {
+    auto& health = table.upstreams[name];
+    if (health.state != health_state::healthy && now >= health.ejected_until) {
+        health.state = health_state::half_open;
+        health.probes_in_flight = 1;
+        health.probed_at = now;
+    }
+}
+
+void record_outcome(health_table& table, const std::string& name, bool succeeded, core::steady_time now) {
+    auto& health = table.upstreams[name];
+    if (health.state == health_state::half_open) {
+        record_probe(table.settings, health, succeeded, now);
+        return;
+    }
+    // Requests that were sent before the ejection say nothing new.
+    if (health.state == health_state::ejected) {
+        return;
+    }
+    count(table.settings, health, succeeded, now);
+    if (!succeeded && is_outlier(table.settings, health) && may_eject_one_more(table)) {
+        eject(table.settings, health, now);
+    }
+}
+
+} // namespace figspoke::policy
--- /dev/null
+++ b/packages/policy/upstream_subset.cpp
@@ -0,0 +1,55 @@
+#include "policy/upstream_subset.h"
+
+#include <algorithm>
+
+#include "core/hash.h"
+
+namespace figspoke::policy {
+namespace {
+
+// A power of two, so that the number of slices rarely changes as upstreams come and go.
+std::size_t slice_count(std::size_t upstreams, std::size_t members, std::size_t least) {
+    std::size_t slices = 1;
+    // Every slice needs a member: a slice without one would leave its upstreams idle.
+    while (slices * 2 * least <= upstreams && slices * 2 <= members) {
+        slices *= 2;
+    }
+    return slices;
+}
+
+void sort_by_hash(std::vector<std::string>& names, const std::string& salt) {
+    std::sort(names.begin(), names.end(), [&](const std::string& a, const std::string& b) {
+        const auto hash_a = core::stable_hash(salt + a);
+        const auto hash_b = core::stable_hash(salt + b);
+        return hash_a != hash_b ? hash_a < hash_b : a < b;
+    });
+}
+
+} // namespace
+
+std::vector<std::string> upstream_subset(const core::config_snapshot& config, const std::string& version,
+                                         const std::string& node, const std::vector<std::string>& members,
+                                         const subset_settings& settings) {
+    std::vector<std::string> names;
+    for (const auto& [name, upstream] : config.upstreams) {
+        if (std::find(upstream.versions.begin(), upstream.versions.end(), version) !=
+            upstream.versions.end()) {
+            names.push_back(name);
+        }
+    }
+    auto nodes = members;
+    if (std::find(nodes.begin(), nodes.end(), node) == nodes.end()) {
+        nodes.push_back(node);
+    }
+    const auto slices = slice_count(names.size(), nodes.size(), std::max<std::size_t>(settings.least, 1));
+    sort_by_hash(names, version + '\n');
+    sort_by_hash(nodes, version + '\n');
+    const auto rank = static_cast<std::size_t>(std::find(nodes.begin(), nodes.end(), node) - nodes.begin());
+    const auto slice = rank * slices / nodes.size();
+    const auto at = [&](std::size_t index) {
+        return names.begin() + static_cast<std::ptrdiff_t>(index * names.size() / slices);
+    };
+    return {at(slice), at(slice + 1)};
+}
+
+} // namespace figspoke::policy
