--- a/packages/state/link_choice.h
+++ b/packages/state/link_choice.h
@@ -20,4 +20,8 @@
 std::vector<std::string> choose_links(const membership& known, const health_timeouts& timeouts,
                                       core::steady_time now);
 
+/// Returns a failed member to dial besides the chosen links, so that two sides of a healed partition find
+/// each other again. Another one every five seconds; empty where none failed.
+std::string choose_probe(const membership& known, const health_timeouts& timeouts, core::steady_time now);
+
 } // namespace figspoke::state
--- a/packages/state/member_digest.h
+++ b/packages/state/member_digest.h
@@ -36,7 +36,7 @@
     std::uint64_t echo = 0;
     std::uint64_t roster_version = 0;
     std::vector<digest_member> members;
-    /// Packed short entries, see `member_digest.cpp`.
+    /// Short entries, packed by `pack_beats`.
     std::string beats;
 };
 
@@ -65,6 +65,8 @@
     std::vector<member_entry> received;
     std::optional<std::uint64_t> expected_sequence;
     bool needs_resync = false;
+    /// Digests to send before the peer is asked again for all members.
+    int resync_wait = 0;
     age_asks asks;
     std::uint64_t last_peer_ask = 0;
 };
@@ -87,14 +89,4 @@
 std::optional<digest_news> receive_digest(digest_link& link, const member_digest& digest, membership& known,
                                           table_freshness& freshness, core::steady_time now);
 
-/// How often a node raises its heartbeat and sends digests, and the timeouts that follow.
-struct gossip_plan {
-    core::milliseconds heartbeat_period{200};
-    core::milliseconds send_period{200};
-    health_timeouts timeouts;
-};
-
-/// Plans for a number of members and links so that digests take at most `bytes_per_s`.
-gossip_plan plan_gossip(std::size_t members, std::size_t links, std::size_t bytes_per_s = 10000);
-
 } // namespace figspoke::state
--- a/packages/state/membership.h
+++ b/packages/state/membership.h
@@ -71,7 +71,8 @@
 struct health_timeouts {
     core::milliseconds suspect{1000};
     core::milliseconds failed{5000};
-    core::milliseconds forget{60000};
+    /// Long, so that after a partition of an hour the other side's addresses are still known.
+    core::milliseconds forget{2 * 3600 * 1000};
 };
 
 /// The number of tombstones kept; the oldest are dropped first.
--- /dev/null
+++ b/packages/state/pause_detector.cpp
@@ -0,0 +1,24 @@
+#include "state/pause_detector.h"
+
+namespace figspoke::state {
+
+std::optional<core::milliseconds> note_tick(pause_detector& detector, core::steady_time now) {
+    const auto since_last = now - detector.last_tick.value_or(now);
+    detector.last_tick = now;
+    if (since_last <= long_pause) {
+        return std::nullopt;
+    }
+    detector.woke_at = now;
+    return core::to_ms(since_last);
+}
+
+core::steady_time reliable_since(const pause_detector& detector, core::steady_time now) {
+    const bool unnoted = detector.last_tick && now - *detector.last_tick > long_pause;
+    return unnoted ? now : detector.woke_at;
+}
+
+core::milliseconds usable_lease(core::milliseconds duration) {
+    return duration * 2 / 3;
+}
+
+} // namespace figspoke::state
--- a/packages/state/table_freshness.h
+++ b/packages/state/table_freshness.h
@@ -39,9 +39,6 @@
 /// An upper bound of the table's age; empty where it was never known to be current.
 std::optional<core::milliseconds> table_age(const table_freshness& freshness, core::steady_time now);
 
-/// Forgets the age, for example after a pause: the node doesn't serve until it is known again.
-void forget_age(table_freshness& freshness);
-
 enum class service_decision {
     /// The table is fresh.
     serve_fresh,
@@ -51,22 +48,13 @@
     isolated,
 };
 
-/// What `decide_service` looks at. `recheck` is set after a pause until the table was read or confirmed.
-struct service_view {
-    const membership& known;
-    const table_freshness& freshness;
-    const roster& recorded;
-    const gone_ids& gone;
-    health_timeouts timeouts;
-    bool recheck = false;
-};
-
-/// Decides whether this node serves.
-service_decision decide_service(const service_view& view, core::steady_time now);
+/// Decides whether this node serves. What was learned before `view.since` doesn't count.
+service_decision decide_service(const table_freshness& freshness, const majority_view& view,
+                                core::steady_time now);
 
-/// Tells whether an edit that was stored at `stored_at` (on this node's clock, when the CAS returned) is
-/// accepted: each member has confirmed its revision, or is unreachable from this majority side.
-bool is_edit_accepted(const service_view& view, std::uint64_t revision, core::steady_time stored_at,
+/// Tells whether the edit that made `revision` and was stored at `stored_at` (on this node's clock, when the
+/// CAS returned) is accepted: each member has confirmed it, or is unreachable from this majority side.
+bool is_edit_accepted(std::uint64_t revision, core::steady_time stored_at, const majority_view& view,
                       core::steady_time now);
 
 /// The numbered questions for a peer's table age on one link.
@@ -79,7 +67,7 @@
 /// Numbers a question that is sent now.
 std::uint64_t ask_age(age_asks& asks, core::steady_time now);
 
-/// Returns when question `number` was sent and forgets it and older ones; empty where it isn't known.
+/// Returns when question `number` was sent and forgets older ones; empty where it is not known.
 std::optional<core::steady_time> asked_at(age_asks& asks, std::uint64_t number);
 
 } // namespace figspoke::state
