--- a/packages/standins/engine_role.cpp
+++ b/packages/standins/engine_role.cpp
@@ -32,8 +32,7 @@
 }
 
 std::optional<std::string> apply(engine& state, const json& patch) {
-    const auto problem =
-        state.control.with([&](engine_control& fields) { return apply_patch(fields, patch); });
+    auto problem = state.control.with([&](engine_control& fields) { return apply_patch(fields, patch); });
     const auto limits = state.control.with([](const engine_control& fields) {
         return batch_limits{fields.slots, fields.queue_limit};
     });
--- a/packages/standins/kv_service.cpp
+++ b/packages/standins/kv_service.cpp
@@ -222,7 +222,7 @@
 }
 
 std::optional<std::string> apply(kv_service& service, const json& patch) {
-    const auto problem = service.control.with([&](kv_control& fields) { return apply_patch(fields, patch); });
+    auto problem = service.control.with([&](kv_control& fields) { return apply_patch(fields, patch); });
     const bool paused = service.control.with([](const kv_control& fields) { return fields.lease_pause; });
     service.data.with([paused](kv_data& data) {
         kv_pause_leases(data.store, paused, now());
--- a/packages/standins/platform_service.cpp
+++ b/packages/standins/platform_service.cpp
@@ -162,8 +162,7 @@
 }
 
 std::optional<std::string> apply(platform& state, const json& patch) {
-    const auto problem =
-        state.control.with([&](platform_control& fields) { return apply_patch(fields, patch); });
+    auto problem = state.control.with([&](platform_control& fields) { return apply_patch(fields, patch); });
     if (!problem && patch.contains("vms")) {
         const auto control = state.control.copy();
         state.data.with([&](platform_data& data) {
--- a/packages/standins/prefix_cache.cpp
+++ b/packages/standins/prefix_cache.cpp
@@ -45,8 +45,8 @@
     std::vector<std::string> hashes;
     std::string last;
     for (std::size_t i = 0; i < count; ++i) {
-        last = core::sha256_hex(last + prompt.substr(i * prefix_block_bytes, prefix_block_bytes))
-                   .substr(0, hash_digits);
+        last.append(prompt, i * prefix_block_bytes, prefix_block_bytes);
+        last = core::sha256_hex(last).substr(0, hash_digits);
         hashes.push_back(last);
     }
     return hashes;
--- a/test/support/process/process.cpp
+++ b/test/support/process/process.cpp
@@ -24,6 +24,7 @@
 
 std::vector<char*> argument_pointers(std::vector<std::string>& arguments) {
     std::vector<char*> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (auto& argument : arguments) {
         pointers.push_back(argument.data());
     }
@@ -147,6 +148,7 @@
 std::vector<int> pick_free_ports(int count) {
     std::vector<int> ports(static_cast<std::size_t>(count));
     std::vector<int> sockets;
+    sockets.reserve(ports.size());
     for (auto& port : ports) {
         sockets.push_back(bind_any_port(port));
     }
