--- a/packages/core/table.cpp
+++ b/packages/core/table.cpp
@@ -26,11 +26,8 @@
 }
 
 json encode_change(const table_change& value) {
-    return {{"revision", value.revision},
-            {"kind", value.key.kind},
-            {"name", value.key.name},
-            {"action", value.action},
-            {"author", value.author}};
+    return {{"revision", value.revision}, {"kind", value.key.kind}, {"name", value.key.name},
+            {"action", value.action},     {"author", value.author}, {"edit_id", value.edit_id}};
 }
 
 table_change decode_change(const json& value) {
@@ -40,6 +37,7 @@
     decoded.key.name = value.at("name").get<std::string>();
     decoded.action = value.at("action").get<std::string>();
     decoded.author = value.at("author").get<std::string>();
+    decoded.edit_id = value.value("edit_id", std::string());
     return decoded;
 }
 
--- a/packages/core/table.h
+++ b/packages/core/table.h
@@ -34,6 +34,8 @@
     /// `set` or `rm`.
     std::string action;
     std::string author;
+    /// Unique for each edit.
+    std::string edit_id;
 };
 
 /// The operators' configuration table: one value of the key-value service.
--- /dev/null
+++ b/packages/node/chat_flow.cpp
@@ -0,0 +1,176 @@
+#include "node/chat_flow.h"
+
+#include "adapters/decision_log.h"
+#include "node/chat_plan.h"
+#include "node/chat_run.h"
+#include "node/chat_writer.h"
+#include "node/route_log.h"
+#include "policy/answer_check.h"
+#include "state/conversation_token.h"
+#include "state/journal_key.h"
+
+namespace figspoke::node {
+namespace {
+
+using core::error_kind;
+using clock = std::chrono::steady_clock;
+
+// A share of the allowed tokens is rarely used; half is the prior until answers of the account are known.
+constexpr double expected_answer_share = 0.5;
+
+policy::admission_request make_admission(const chat_session& session) {
+    const auto& version = session.config->versions.at(session.plan.version);
+    const double tokens = static_cast<double>(session.request.max_tokens) * expected_answer_share;
+    policy::admission_request request;
+    request.priority = session.caller.priority;
+    request.account = session.caller.account.name;
+    request.weight = session.caller.account.weight;
+    request.work = core::to_seconds(version.first_token) + tokens / version.tokens_per_s;
+    request.deadline = session.caller.expires_at;
+    return request;
+}
+
+bool is_flagged(const chat_session& session, const std::string& text, const std::string& finish_reason) {
+    policy::answer_facts facts;
+    facts.text = text;
+    facts.cut_short = finish_reason == "length" && session.tokens < session.request.max_tokens;
+    return policy::is_flagged(facts);
+}
+
+void set_head(const node_state& node, const chat_session& session, const std::string& version,
+              chat_writer& writer) {
+    const auto token = state::sign_conversation_token(
+        node.secrets.token_key, {session.caller.account.name, session.conversation, version});
+    writer.set_head({session.caller.request_id, version, token});
+}
+
+// Runs the first step of a cascade without showing it to the caller. Returns whether its answer is good
+// enough, which is then passed on.
+core::result<bool> run_first_step(node_state& node, chat_session& session, chat_writer& writer,
+                                  const boost::asio::yield_context& yield) {
+    std::vector<std::string> tokens;
+    std::string text;
+    const auto keep = [&](std::string_view token) {
+        tokens.emplace_back(token);
+        text += token;
+        return true;
+    };
+    auto done = run_on_version(node, session, session.plan.version, keep, yield);
+    if (!done) {
+        return tl::make_unexpected(done.error());
+    }
+    const bool flagged = is_flagged(session, text, session.finish_reason);
+    record_version_outcome(node.evidence, node.incarnation, {session.plan.version, session.caller.task}, true,
+                           flagged);
+    if (flagged) {
+        return false;
+    }
+    set_head(node, session, session.version, writer);
+    for (const auto& token : tokens) {
+        writer.add_token(token);
+    }
+    return true;
+}
+
+core::result<void> run_visible_step(node_state& node, chat_session& session, const std::string& version,
+                                    chat_writer& writer, const boost::asio::yield_context& yield) {
+    set_head(node, session, version, writer);
+    const auto pass_on = [&](std::string_view token) {
+        if (!session.first_token_at) {
+            session.first_token_at = clock::now();
+        }
+        return writer.add_token(token);
+    };
+    auto done = run_on_version(node, session, version, pass_on, yield);
+    if (done && !session.cancelled) {
+        record_version_outcome(node.evidence, node.incarnation, {version, session.caller.task}, true,
+                               is_flagged(session, writer.text(), session.finish_reason));
+    }
+    return done;
+}
+
+core::result<void> run_plan(node_state& node, chat_session& session, chat_writer& writer,
+                            const boost::asio::yield_context& yield) {
+    if (session.plan.escalate_to.empty()) {
+        return run_visible_step(node, session, session.plan.version, writer, yield);
+    }
+    const auto good = run_first_step(node, session, writer, yield);
+    if (good && *good) {
+        return {};
+    }
+    return run_visible_step(node, session, session.plan.escalate_to, writer, yield);
+}
+
+state::charge make_charge(const chat_session& session) {
+    state::charge value;
+    value.id = session.caller.request_id;
+    value.account = session.caller.account.name;
+    if (!session.caller.idempotency_key.empty()) {
+        value.key_id = state::idempotency_id(session.caller.account.name, session.caller.idempotency_key);
+    }
+    value.version = session.version;
+    value.prompt_tokens = session.prompt_tokens;
+    value.generated_tokens = session.tokens;
+    value.micros = session.billed_micros;
+    value.internal_micros = session.internal_micros;
+    value.cancelled = session.cancelled;
+    return value;
+}
+
+core::result<void> admit_and_run(node_state& node, chat_session& session, chat_writer& writer,
+                                 const boost::asio::yield_context& yield) {
+    auto room = reserve_charge(node.charges);
+    if (!room) {
+        return tl::make_unexpected(room.error());
+    }
+    auto slot = await_admission(node.admission, make_admission(session), yield);
+    if (!slot) {
+        return tl::make_unexpected(slot.error());
+    }
+    {
+        const std::lock_guard lock(node.evidence.mutex);
+        policy::record_request(node.evidence.retries, node.evidence.retry_limits);
+    }
+    auto done = run_plan(node, session, writer, yield);
+    // What was generated is charged, also where the answer broke off; a request that did not run is free.
+    if (session.billed_micros > 0 || session.internal_micros > 0) {
+        book_charge(node, std::move(*room), make_charge(session), yield);
+    }
+    return done;
+}
+
+void count_request(node_state& node, const chat_session& session, const std::optional<core::error>& failure) {
+    const std::string outcome =
+        failure ? std::string(core::error_answer_for(failure->kind).name) : "answered";
+    const std::string priority(core::to_string(session.caller.priority));
+    node.metrics.add("figspoke_requests_total", {{"outcome", outcome}, {"priority", priority}});
+    node.metrics.observe("figspoke_request_seconds", {{"priority", priority}},
+                         clock::now() - session.started);
+    if (session.first_token_at) {
+        node.metrics.observe("figspoke_first_token_seconds", {{"priority", priority}},
+                             *session.first_token_at - session.started);
+    }
+}
+
+} // namespace
+
+void serve_chat(node_state& node, adapters::http_exchange& exchange) {
+    chat_session session;
+    session.started = clock::now();
+    const auto prepared = prepare_chat(node, exchange.request(), session);
+    chat_writer writer(exchange, session.request.stream);
+    writer.set_head({session.caller.request_id, "", ""});
+    auto done = prepared ? admit_and_run(node, session, writer, exchange.yield()) : prepared;
+    std::optional<core::error> failure;
+    if (!done) {
+        failure = done.error();
+        writer.fail(*failure);
+    } else if (!session.cancelled) {
+        session.cancelled = !writer.finish(session.prompt_tokens, session.tokens, session.billed_micros,
+                                           session.finish_reason);
+    }
+    adapters::log_decision(render_route_line(session, failure, clock::now()));
+    count_request(node, session, failure);
+}
+
+} // namespace figspoke::node
--- a/packages/node/chat_run.cpp
+++ b/packages/node/chat_run.cpp
@@ -46,9 +46,9 @@
                                                                       : policy::upstream_policy::affinity;
     const policy::upstream_request request{run.prefix, node.settings.node.failure_domain, run.tried};
     const policy::upstream_draws draws{random_unit(), random_unit(), next_turn(node.upstreams)};
-    return policy::choose_upstream(
-        candidates_for_version(node.upstreams, *session.config, run.version.id, run.prefix), settings,
-        request, draws);
+    return policy::choose_upstream(candidates_for_version(node.upstreams, *session.config, run.version.id,
+                                                          run.prefix, std::chrono::steady_clock::now()),
+                                   settings, request, draws);
 }
 
 adapters::chat_call make_call(const chat_session& session, const version_run& run,
@@ -62,28 +62,74 @@
     call.max_tokens = session.request.max_tokens;
     call.priority = static_cast<int>(session.caller.priority);
     call.resume_from = run.tokens;
+    call.alone = session.runs_alone;
     call.idle_timeout = std::max(std::chrono::milliseconds(1), std::min(left, max_silence));
     return call;
 }
 
+upstream_result result_of(const adapters::chat_outcome& outcome) {
+    if (outcome.end == chat_end::complete) {
+        return upstream_result::succeeded;
+    }
+    // A refusal with a status is the upstream's own protection and says nothing about its health.
+    const bool refused = outcome.end == chat_end::not_run && outcome.status != 0;
+    return refused || outcome.end == chat_end::cancelled ? upstream_result::not_counted
+                                                         : upstream_result::failed;
+}
+
+void record_attempt(node_state& node, chat_session& session, version_run& run, const std::string& upstream,
+                    const adapters::chat_outcome& outcome) {
+    const auto now = std::chrono::steady_clock::now();
+    const auto running =
+        record_end(node.upstreams, upstream, session.caller.request_id, result_of(outcome), now);
+    if (outcome.connection_lost) {
+        record_upstream_crash(node.evidence, node.incarnation, upstream, running, now);
+    } else if (outcome.end == chat_end::complete && session.runs_alone) {
+        node::record_passed_alone(node.evidence, node.incarnation, session.fingerprint, now);
+    }
+    if (outcome.end == chat_end::broken) {
+        record_version_outcome(node.evidence, node.incarnation, {run.version.id, session.caller.task}, false,
+                               false);
+    }
+    run.tried.push_back(upstream);
+    run.tokens += outcome.tokens;
+    run.prompt_tokens = std::max(run.prompt_tokens, outcome.prompt_tokens);
+    run.reached_upstream = run.reached_upstream || outcome.end != chat_end::not_run;
+}
+
 adapters::chat_outcome attempt(node_state& node, chat_session& session, version_run& run,
                                const policy::upstream_decision& choice,
                                const adapters::token_handler& on_token,
                                const boost::asio::yield_context& yield) {
     const auto& upstream = session.config->upstreams.at(choice.name);
-    record_start(node.upstreams, choice.name, std::chrono::steady_clock::now());
+    record_start(node.upstreams, choice.name, session.caller.request_id,
+                 {session.fingerprint, session.runs_alone}, std::chrono::steady_clock::now());
     auto outcome =
         adapters::run_chat(node.client, make_call(session, run, upstream.address), on_token, yield);
-    record_end(node.upstreams, choice.name, std::chrono::steady_clock::now());
-    run.tried.push_back(choice.name);
-    run.tokens += outcome.tokens;
-    run.prompt_tokens = std::max(run.prompt_tokens, outcome.prompt_tokens);
-    run.reached_upstream = run.reached_upstream || outcome.end != chat_end::not_run;
+    record_attempt(node, session, run, choice.name, outcome);
     session.attempts.push_back({run.version.id, choice.name, std::string(policy::to_string(choice.reason)),
                                 std::string(to_string(outcome.end)), outcome.tokens});
     return outcome;
 }
 
+// Chat is idempotent: a repeat yields the same answer and is charged once. A request that must run alone is
+// not repeated, since a second crash would be attributed to it.
+bool retry_allowed(node_state& node, const chat_session& session, const adapters::chat_outcome& outcome) {
+    if (session.runs_alone && outcome.connection_lost) {
+        return false;
+    }
+    policy::retry_question question;
+    question.failure =
+        outcome.end == chat_end::not_run ? error_kind::upstream_refused : error_kind::upstream_failed;
+    question.idempotent = true;
+    question.attempts = static_cast<int>(session.attempts.size());
+    question.time_left = core::to_ms(session.caller.expires_at - std::chrono::steady_clock::now());
+    question.expected = session.plan.latency;
+    const std::lock_guard lock(node.evidence.mutex);
+    return policy::may_retry(node.evidence.retries, node.evidence.retry_limits, question) ==
+           policy::retry_verdict::retry;
+}
+
 // The error of a run that can't go on. It never says "not run" once an upstream may have worked.
 core::error final_error(const version_run& run, const core::error& cause) {
     if (run.tokens > 0) {
@@ -121,6 +167,7 @@
         }
         const auto outcome = attempt(node, session, run, *choice, on_token, yield);
         if (outcome.end == chat_end::complete) {
+            session.finish_reason = outcome.finish_reason;
             return {};
         }
         if (outcome.end == chat_end::cancelled) {
@@ -129,6 +176,12 @@
         }
         last = {outcome.end == chat_end::not_run ? error_kind::upstream_refused : error_kind::upstream_failed,
                 "upstream " + choice->name + ": " + outcome.message, std::nullopt};
+        if (!retry_allowed(node, session, outcome)) {
+            return tl::make_unexpected(final_error(run, last));
+        }
+        if (outcome.connection_lost) {
+            session.runs_alone = true;
+        }
     }
 }
 
--- a/packages/node/chat_session.h
+++ b/packages/node/chat_session.h
@@ -36,6 +36,8 @@
     std::optional<std::string> pinned_version;
     /// SHA-256 of client account and body.
     std::string fingerprint;
+    /// Whether the request is suspected to have crashed an upstream and must run without companions.
+    bool runs_alone = false;
     policy::plan_decision plan;
     core::steady_time started;
 
@@ -44,6 +46,8 @@
     std::string version;
     std::int64_t prompt_tokens = 0;
     std::int64_t tokens = 0;
+    /// `stop` or `length`.
+    std::string finish_reason = "stop";
     /// Whether the caller closed the connection or stopped reading.
     bool cancelled = false;
     /// What the account is billed and what all attempts cost, in millionths of the currency unit.
--- /dev/null
+++ b/packages/node/journal_routing.cpp
@@ -0,0 +1,119 @@
+#include "node/journal_routing.h"
+
+#include <nlohmann/json.hpp>
+
+#include "adapters/await.h"
+#include "node/node_state.h"
+#include "state/entry_codec.h"
+#include "state/shard_owner.h"
+
+namespace figspoke::node {
+namespace {
+
+using nlohmann::json;
+using clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds forward_timeout{1500};
+constexpr std::chrono::milliseconds repeat_delay{20};
+
+std::optional<state::member_entry> find_owner(node_state& node, std::uint32_t shard) {
+    const auto members = serving_members(node.nodes, clock::now());
+    std::vector<const state::member_entry*> pointers;
+    for (const auto& member : members) {
+        pointers.push_back(&member);
+    }
+    const std::string owner = state::choose_shard_owner(shard, pointers);
+    for (const auto& member : members) {
+        if (member.id == owner) {
+            return member;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string encode_request(std::uint32_t shard, const state::journal_entry& entry) {
+    return json{{"shard", shard}, {"entry", state::encode_entry(entry)}}.dump();
+}
+
+std::string encode_outcome(const append_outcome& outcome) {
+    return json{{"fate", static_cast<int>(outcome.fate)},
+                {"result", state::encode_apply_result(outcome.result)}}
+        .dump();
+}
+
+append_outcome unclear_outcome() {
+    append_outcome outcome;
+    outcome.fate = state::entry_fate::unclear;
+    return outcome;
+}
+
+append_outcome decode_outcome(const std::string& text) {
+    const json parsed = json::parse(text, nullptr, false);
+    if (!parsed.is_object()) {
+        return unclear_outcome();
+    }
+    const auto result = state::decode_apply_result(parsed.value("result", std::string()));
+    const int fate = parsed.value("fate", static_cast<int>(state::entry_fate::unclear));
+    if (!result || fate < 0 || fate > static_cast<int>(state::entry_fate::unclear)) {
+        return unclear_outcome();
+    }
+    return {static_cast<state::entry_fate>(fate), *result};
+}
+
+} // namespace
+
+void append_at_owner(node_state& node, std::uint32_t shard, state::journal_entry entry,
+                     append_callback callback) {
+    const auto owner = find_owner(node, shard);
+    if (!owner) {
+        callback({state::entry_fate::not_owner, {}});
+        return;
+    }
+    if (owner->id == node.settings.node.id) {
+        append_local(node.journal, shard, std::move(entry), std::move(callback));
+        return;
+    }
+    node.nodes.mesh->call({owner->id, owner->mesh_address}, "append", encode_request(shard, entry),
+                          forward_timeout,
+                          [callback = std::move(callback)](const adapters::mesh_result& answer) {
+                              callback(answer ? decode_outcome(*answer) : unclear_outcome());
+                          });
+}
+
+append_outcome await_append(node_state& node, std::uint32_t shard, const state::journal_entry& entry,
+                            std::chrono::milliseconds timeout, const boost::asio::yield_context& yield) {
+    const auto deadline = clock::now() + timeout;
+    for (;;) {
+        auto outcome = adapters::await_value<append_outcome>(
+            yield, [&](append_callback done) { append_at_owner(node, shard, entry, std::move(done)); });
+        if (outcome.fate == state::entry_fate::settled || clock::now() + repeat_delay >= deadline) {
+            return outcome;
+        }
+        adapters::sleep_for(repeat_delay, yield);
+    }
+}
+
+void serve_append(node_state& node, const std::string& body, const std::function<void(std::string)>& reply) {
+    const json parsed = json::parse(body, nullptr, false);
+    const auto entry = state::decode_entry(parsed.is_object() ? parsed.value("entry", std::string()) : "");
+    const std::uint32_t shard = parsed.is_object() ? parsed.value("shard", std::uint32_t{0}) : 0;
+    if (!entry || shard >= node.journal.shards.size()) {
+        reply(encode_outcome(unclear_outcome()));
+        return;
+    }
+    append_local(node.journal, shard, *entry,
+                 [reply](const append_outcome& outcome) { reply(encode_outcome(outcome)); });
+}
+
+void update_owned_shards(node_state& node) {
+    std::set<std::uint32_t> owned;
+    for (std::uint32_t shard = 0; shard < node.journal.shards.size(); ++shard) {
+        const auto owner = find_owner(node, shard);
+        if (owner && owner->id == node.settings.node.id) {
+            owned.insert(shard);
+        }
+    }
+    set_owned_shards(node.journal, owned);
+}
+
+} // namespace figspoke::node
--- a/packages/node/journal_service.cpp
+++ b/packages/node/journal_service.cpp
@@ -24,7 +24,8 @@
     for (auto& settled : state::take_settled(slot.writer)) {
         const auto found = slot.waiting.find(settled.ticket);
         if (found != slot.waiting.end()) {
-            due.emplace_back(std::move(found->second), append_outcome{settled.fate, std::move(settled.result)});
+            due.emplace_back(std::move(found->second),
+                             append_outcome{settled.fate, std::move(settled.result)});
             slot.waiting.erase(found);
         }
     }
@@ -72,7 +73,8 @@
 
 // A connection that could not be opened is treated as a lost reply too: the writer reads before it goes on.
 void write_value(shard_slot& slot, const adapters::kv_store& kv, const std::string& key,
-                 const writer_action& action, std::uint64_t expected, const boost::asio::yield_context& yield) {
+                 const writer_action& action, std::uint64_t expected,
+                 const boost::asio::yield_context& yield) {
     const auto answer = kv.compare_and_swap(key, action.text, expected, "", yield);
     change_writer(slot, [&](state::journal_writer& writer, core::steady_time now) {
         if (answer) {
@@ -144,8 +146,7 @@
             context.get_executor(), make_writer(journal, settings, incarnation, shard)));
         auto& slot = *journal.shards.back();
         boost::asio::spawn(
-            context,
-            [&slot, &kv](const boost::asio::yield_context& yield) { drive_shard(slot, kv, yield); },
+            context, [&slot, &kv](const boost::asio::yield_context& yield) { drive_shard(slot, kv, yield); },
             boost::asio::detached);
     }
 }
@@ -194,7 +195,8 @@
 }
 
 std::size_t held_shard_count(journal_service& journal) {
-    return count_phase(journal, [](state::writer_phase phase) { return phase == state::writer_phase::owner; });
+    return count_phase(journal,
+                       [](state::writer_phase phase) { return phase == state::writer_phase::owner; });
 }
 
 } // namespace figspoke::node
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -10,10 +10,15 @@
 #include "adapters/http_client.h"
 #include "adapters/kv_client.h"
 #include "adapters/metrics.h"
+#include "core/hash.h"
 #include "core/settings.h"
 #include "core/time.h"
 #include "node/admission_gate.h"
+#include "node/charge_service.h"
+#include "node/cluster.h"
 #include "node/config_table.h"
+#include "node/evidence_table.h"
+#include "node/journal_service.h"
 #include "node/upstream_table.h"
 
 namespace figspoke::node {
@@ -33,18 +38,28 @@
     boost::asio::io_context& context;
     const core::settings settings;
     const node_secrets secrets;
-    /// Differs for each start of the node.
+    /// `node id/run`; differs for each start of the node.
     std::string incarnation;
+    /// `IP:port` that callers are told.
+    std::string advertised_address;
     adapters::http_client client;
     adapters::kv_store kv;
     adapters::metrics metrics;
 
     config_table config;
+    cluster nodes;
     admission_gate admission;
     upstream_table upstreams;
+    journal_service journal;
+    charge_service charges;
+    evidence_table evidence;
 
     /// Set when the node is to stop: it refuses new work and finishes what runs.
     std::atomic<bool> draining{false};
+    /// Set a few seconds after `draining`, when callers have stopped using this address.
+    std::atomic<bool> refuses_new_work{false};
+    /// Set when nothing runs any more and the node is about to end.
+    std::atomic<bool> stopped{false};
 };
 
 } // namespace figspoke::node
--- a/packages/node/upstream_table.cpp
+++ b/packages/node/upstream_table.cpp
@@ -15,28 +15,29 @@
 }
 
 policy::upstream_candidate make_candidate(const upstream_table& upstreams, const core::upstream& upstream,
-                                          const std::string& prefix) {
+                                          const std::string& prefix, core::steady_time now) {
     policy::upstream_candidate candidate;
     candidate.name = upstream.name;
     candidate.failure_domain = upstream.failure_domain;
     candidate.slots = upstream.slots;
     candidate.queue_limit = upstream.slots;
+    candidate.usable = policy::is_usable(upstreams.health, upstream.name, now);
+    candidate.prefix_hint = policy::has_prefix(upstreams.hints, upstream.name, prefix, now);
     if (const auto* entry = find_entry(upstreams, upstream.name)) {
         candidate.load = policy::estimate_load(entry->report, entry->own);
-        candidate.prefix_hint = entry->cached_prefixes.count(prefix) > 0;
     }
     return candidate;
 }
 
 template <class Serves>
-std::vector<policy::upstream_candidate> collect(const upstream_table& upstreams,
-                                                const core::config_snapshot& config,
-                                                const std::string& prefix, Serves serves) {
+std::vector<policy::upstream_candidate>
+collect(const upstream_table& upstreams, const core::config_snapshot& config, const std::string& prefix,
+        core::steady_time now, Serves serves) {
     std::vector<policy::upstream_candidate> candidates;
     const std::lock_guard lock(upstreams.mutex);
     for (const auto& [name, upstream] : config.upstreams) {
         if (serves(upstream)) {
-            candidates.push_back(make_candidate(upstreams, upstream, prefix));
+            candidates.push_back(make_candidate(upstreams, upstream, prefix, now));
         }
     }
     return candidates;
@@ -45,10 +46,14 @@
 } // namespace
 
 std::map<std::string, policy::version_capacity> version_capacities(const upstream_table& upstreams,
-                                                                   const core::config_snapshot& config) {
+                                                                   const core::config_snapshot& config,
+                                                                   core::steady_time now) {
     std::map<std::string, policy::version_capacity> capacities;
     const std::lock_guard lock(upstreams.mutex);
     for (const auto& [name, upstream] : config.upstreams) {
+        if (!policy::is_usable(upstreams.health, name, now)) {
+            continue;
+        }
         for (const auto& version : upstream.versions) {
             ++capacities[version].usable_upstreams;
         }
@@ -56,18 +61,18 @@
     return capacities;
 }
 
-std::vector<policy::upstream_candidate> candidates_for_version(const upstream_table& upstreams,
-                                                               const core::config_snapshot& config,
-                                                               const std::string& version,
-                                                               const std::string& prefix) {
-    return collect(upstreams, config, prefix,
+std::vector<policy::upstream_candidate>
+candidates_for_version(const upstream_table& upstreams, const core::config_snapshot& config,
+                       const std::string& version, const std::string& prefix, core::steady_time now) {
+    return collect(upstreams, config, prefix, now,
                    [&](const core::upstream& upstream) { return contains(upstream.versions, version); });
 }
 
 std::vector<policy::upstream_candidate> candidates_for_service(const upstream_table& upstreams,
                                                                const core::config_snapshot& config,
-                                                               const std::string& service) {
-    return collect(upstreams, config, "",
+                                                               const std::string& service,
+                                                               core::steady_time now) {
+    return collect(upstreams, config, "", now,
                    [&](const core::upstream& upstream) { return contains(upstream.services, service); });
 }
 
@@ -76,14 +81,30 @@
     return upstreams.turn++;
 }
 
-void record_start(upstream_table& upstreams, const std::string& name, core::steady_time now) {
+void record_start(upstream_table& upstreams, const std::string& name, const std::string& request_id,
+                  const policy::exposed_request& request, core::steady_time now) {
     const std::lock_guard lock(upstreams.mutex);
-    policy::record_own_work(upstreams.entries[name].own, 1, now);
+    auto& entry = upstreams.entries[name];
+    policy::record_own_work(entry.own, 1, now);
+    policy::record_dispatch(upstreams.health, name, now);
+    entry.running[request_id] = request;
 }
 
-void record_end(upstream_table& upstreams, const std::string& name, core::steady_time now) {
+std::vector<policy::exposed_request> record_end(upstream_table& upstreams, const std::string& name,
+                                                const std::string& request_id, upstream_result result,
+                                                core::steady_time now) {
     const std::lock_guard lock(upstreams.mutex);
-    policy::record_own_work(upstreams.entries[name].own, -1, now);
+    auto& entry = upstreams.entries[name];
+    policy::record_own_work(entry.own, -1, now);
+    if (result != upstream_result::not_counted) {
+        policy::record_outcome(upstreams.health, name, result == upstream_result::succeeded, now);
+    }
+    std::vector<policy::exposed_request> running;
+    for (const auto& [id, request] : entry.running) {
+        running.push_back(request);
+    }
+    entry.running.erase(request_id);
+    return running;
 }
 
 } // namespace figspoke::node
--- a/packages/node/upstream_table.h
+++ b/packages/node/upstream_table.h
@@ -3,14 +3,16 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "core/config.h"
 #include "core/time.h"
+#include "policy/crash_suspects.h"
 #include "policy/plan_choice.h"
+#include "policy/prefix_hints.h"
 #include "policy/upstream_choice.h"
+#include "policy/upstream_health.h"
 #include "policy/upstream_load.h"
 
 namespace figspoke::node {
@@ -19,8 +21,9 @@
 struct upstream_entry {
     policy::load_report report;
     policy::own_work own;
-    /// Hashes of prompt prefixes that its cache events named.
-    std::set<std::string> cached_prefixes;
+    /// This node's requests that run on it, by request id.
+    std::map<std::string, policy::exposed_request> running;
+    /// Number of the last cache event that was read.
     std::uint64_t next_event = 0;
 };
 
@@ -28,32 +31,42 @@
 struct upstream_table {
     mutable std::mutex mutex;
     std::map<std::string, upstream_entry> entries;
+    policy::health_table health;
+    policy::prefix_hints hints;
     std::size_t turn = 0;
 };
 
 /// Returns the capacity of every version, for plan choice.
 std::map<std::string, policy::version_capacity> version_capacities(const upstream_table& upstreams,
-                                                                   const core::config_snapshot& config);
+                                                                   const core::config_snapshot& config,
+                                                                   core::steady_time now);
 
 /// Returns the upstreams that serve a version, with their estimated load. `prefix` is the hash of version
 /// and prompt prefix.
-std::vector<policy::upstream_candidate> candidates_for_version(const upstream_table& upstreams,
-                                                               const core::config_snapshot& config,
-                                                               const std::string& version,
-                                                               const std::string& prefix);
+std::vector<policy::upstream_candidate>
+candidates_for_version(const upstream_table& upstreams, const core::config_snapshot& config,
+                       const std::string& version, const std::string& prefix, core::steady_time now);
 
 /// Returns the upstreams that serve a plain service.
 std::vector<policy::upstream_candidate> candidates_for_service(const upstream_table& upstreams,
                                                                const core::config_snapshot& config,
-                                                               const std::string& service);
+                                                               const std::string& service,
+                                                               core::steady_time now);
 
 /// Returns and advances the counter of the round-robin baseline.
 std::size_t next_turn(upstream_table& upstreams);
 
 /// Records that a request starts on an upstream.
-void record_start(upstream_table& upstreams, const std::string& name, core::steady_time now);
+void record_start(upstream_table& upstreams, const std::string& name, const std::string& request_id,
+                  const policy::exposed_request& request, core::steady_time now);
+
+/// How a request on an upstream ended, for its health.
+enum class upstream_result { succeeded, failed, not_counted };
 
-/// Records that a request on an upstream ended.
-void record_end(upstream_table& upstreams, const std::string& name, core::steady_time now);
+/// Records that a request on an upstream ended. Returns the requests of this node that were running on it,
+/// the ended one included.
+std::vector<policy::exposed_request> record_end(upstream_table& upstreams, const std::string& name,
+                                                const std::string& request_id, upstream_result result,
+                                                core::steady_time now);
 
 } // namespace figspoke::node
--- a/packages/policy/crash_suspects.cpp
+++ b/packages/policy/crash_suspects.cpp
@@ -88,7 +88,7 @@
 }
 
 void record_crash(crash_suspects& suspects, const std::string& source, const std::string& upstream,
-                  const std::vector<running_request>& running, core::steady_time now) {
+                  const std::vector<exposed_request>& running, core::steady_time now) {
     for (const auto& request : running) {
         const auto kind = request.alone ? crash_event_kind::alone : crash_event_kind::companion;
         add(suspects,
--- a/packages/policy/crash_suspects.h
+++ b/packages/policy/crash_suspects.h
@@ -53,7 +53,7 @@
 };
 
 /// A request that was running on a crashed upstream.
-struct running_request {
+struct exposed_request {
     std::string fingerprint;
     bool alone = false;
 };
@@ -66,7 +66,7 @@
 
 /// Records that an upstream crashed while these requests of this node were running on it.
 void record_crash(crash_suspects& suspects, const std::string& source, const std::string& upstream,
-                  const std::vector<running_request>& running, core::steady_time now);
+                  const std::vector<exposed_request>& running, core::steady_time now);
 
 /// Records that a suspect finished alone, which clears it.
 void record_passed_alone(crash_suspects& suspects, const std::string& source, const std::string& fingerprint,
--- a/test/error/core_schema_test.cpp
+++ b/test/error/core_schema_test.cpp
@@ -44,7 +44,7 @@
     table source;
     source.revision = 7;
     source.rows[{"account", "acme"}] = account_row();
-    source.log.push_back({7, {"account", "acme"}, "set", "ann"});
+    source.log.push_back({7, {"account", "acme"}, "set", "ann", "e1"});
     const auto decoded = decode_table(encode_table(source));
     REQUIRE(decoded);
     CHECK(encode_table(*decoded) == encode_table(source));
