--- a/packages/standins/engine.cpp
+++ b/packages/standins/engine.cpp
@@ -22,7 +22,7 @@
 
 prefix_cache initial_cache(const engine_options& options) {
     prefix_cache cache;
-    cache.capacity_blocks = static_cast<std::size_t>(options.cache_blocks);
+    cache.capacity_bytes = static_cast<std::size_t>(options.cache_tokens) * bytes_per_token;
     return cache;
 }
 
@@ -41,7 +41,8 @@
     load_sample sample;
     sample.at = std::chrono::steady_clock::now();
     sample.size = state.jobs.size();
-    sample.cached_blocks = state.cache.with([](const prefix_cache& cache) { return cache.recent.size(); });
+    sample.cached_tokens =
+        state.cache.with([](const prefix_cache& cache) { return cache.used_bytes / bytes_per_token; });
     const auto lag = std::chrono::milliseconds(
         state.control.with([](const engine_control& fields) { return fields.load_lag_ms; }));
     state.loads.with([&](std::deque<load_sample>& samples) {
--- a/packages/standins/engine.h
+++ b/packages/standins/engine.h
@@ -23,7 +23,7 @@
     int token_ms = 2;
     int load_lag_ms = 100;
     bool check_fencing = true;
-    int cache_blocks = 1024;
+    int cache_tokens = 65536;
     answer_length length;
 };
 
@@ -72,11 +72,11 @@
 struct engine_counts {
     std::vector<execution_record> executions;
     std::uint64_t refused = 0;
-    std::uint64_t prefix_blocks_wanted = 0;
-    std::uint64_t prefix_blocks_hit = 0;
+    /// Tokens of all prompts, and those of them that were found in the prefix cache.
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t cached_prompt_tokens = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(engine_counts, executions, refused, prefix_blocks_wanted,
-                                   prefix_blocks_hit)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(engine_counts, executions, refused, prompt_tokens, cached_prompt_tokens)
 
 /// What the last placement command asked for.
 struct engine_placement {
@@ -90,7 +90,7 @@
 struct load_sample {
     core::steady_time at{};
     batch_size size;
-    std::size_t cached_blocks = 0;
+    std::size_t cached_tokens = 0;
 };
 
 /// The state of one engine. No two of its locks are held at once.
--- a/packages/standins/engine_answer.cpp
+++ b/packages/standins/engine_answer.cpp
@@ -3,14 +3,13 @@
 #include <algorithm>
 
 #include "core/hash.h"
+#include "standins/prefix_cache.h"
 
 namespace figspoke::standins {
 namespace {
 
 using nlohmann::json;
 
-constexpr std::size_t bytes_per_token = 4;
-
 std::string answer_key_of(json body) {
     for (const auto* field : {"resume_from", "alone", "priority", "stream", "stream_options", "max_tokens"}) {
         body.erase(field);
@@ -91,11 +90,11 @@
     return answer;
 }
 
-std::string token_event(const chat_request& request, int index, bool wrong) {
+std::string token_event(const chat_request& request, int index, bool wrong, const char* finish_reason) {
     json event = envelope(request, "chat.completion.chunk");
     event["choices"] = {{{"index", 0},
                          {"delta", {{"content", token_text(request, index, wrong)}}},
-                         {"finish_reason", nullptr}}};
+                         {"finish_reason", finish_reason == nullptr ? json() : json(finish_reason)}}};
     return "data: " + event.dump() + "\n\n";
 }
 
--- a/packages/standins/engine_answer.h
+++ b/packages/standins/engine_answer.h
@@ -42,8 +42,8 @@
 /// Returns the body of a whole answer whose tokens are [first, last).
 nlohmann::json whole_answer(const chat_request& request, int first, int last, bool wrong, bool cut);
 
-/// Returns a server-sent event with one token of an answer.
-std::string token_event(const chat_request& request, int index, bool wrong);
+/// Returns a server-sent event with one token of an answer. `finish_reason` is null but for the last token.
+std::string token_event(const chat_request& request, int index, bool wrong, const char* finish_reason);
 
 /// Returns the last events of a stream: usage and the end mark.
 std::string closing_events(const chat_request& request, int generated);
--- a/packages/standins/engine_chat.cpp
+++ b/packages/standins/engine_chat.cpp
@@ -36,17 +36,16 @@
 // A prefix that is cached saves its part of four fifths of the time to the first token.
 std::chrono::milliseconds first_token_time(engine& state, const chat_request& request,
                                            std::chrono::milliseconds uncached) {
-    const auto hashes = prefix_hashes(request.prompt);
+    const auto prefixes = prompt_prefixes(request.version, request.prompt);
     const auto now = std::chrono::steady_clock::now();
-    const auto hits = state.cache.with(
-        [&](prefix_cache& cache) { return use_prefixes(cache, request.version, hashes, now); });
+    const auto found = state.cache.with(
+        [&](prefix_cache& cache) { return use_prefixes(cache, request.version, prefixes, now); });
     state.counts.with([&](engine_counts& counts) {
-        counts.prefix_blocks_wanted += hashes.size();
-        counts.prefix_blocks_hit += hits;
+        counts.prompt_tokens += static_cast<std::uint64_t>(prompt_tokens(request));
+        counts.cached_prompt_tokens += found / bytes_per_token;
     });
-    const double cached_bytes = static_cast<double>(hits * prefix_block_bytes);
     const double fraction =
-        cached_bytes / static_cast<double>(std::max<std::size_t>(1, request.prompt.size()));
+        static_cast<double>(found) / static_cast<double>(std::max<std::size_t>(1, request.prompt.size()));
     return std::chrono::milliseconds(
         static_cast<std::int64_t>(static_cast<double>(uncached.count()) * (1 - 0.8 * fraction)));
 }
@@ -74,7 +73,8 @@
             return "lost";
         }
         record_progress(work, sent + 1, "");
-        if (!work.exchange.write(token_event(request, i, work.faults.wrong))) {
+        const char* finish = i + 1 < range.last ? nullptr : range.cut ? "length" : "stop";
+        if (!work.exchange.write(token_event(request, i, work.faults.wrong, finish))) {
             return "cancelled";
         }
     }
--- a/packages/standins/engine_report.cpp
+++ b/packages/standins/engine_report.cpp
@@ -5,7 +5,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t tokens_per_block = 64;
 constexpr std::size_t max_reported_events = 1000;
 
 load_sample lagged_sample(engine& state, std::chrono::milliseconds lag) {
@@ -60,7 +59,7 @@
                             {"waiting", sample.size.waiting},
                             {"slots", slots},
                             {"versions", versions},
-                            {"cached_tokens", sample.cached_blocks * tokens_per_block},
+                            {"cached_tokens", sample.cached_tokens},
                             {"age_ms", lag}});
 }
 
--- a/packages/standins/prefix_cache.h
+++ b/packages/standins/prefix_cache.h
@@ -20,28 +20,42 @@
     std::string prefix;
 };
 
-/// Recently used prompt prefixes, by blocks. The key of a block is the version and the prefix's hash.
+/// A prefix of a prompt. The hash covers the version too, as docs/platform.md says.
+struct prompt_prefix {
+    std::string hash;
+    std::size_t bytes = 0;
+};
+
+/// One cached prefix. It takes the room of the part that the next shorter prefix doesn't cover.
+struct cached_prefix {
+    std::string hash;
+    std::string version;
+    std::size_t room_bytes = 0;
+};
+
+/// Recently used prompt prefixes.
 struct prefix_cache {
-    using block_key = std::pair<std::string, std::string>;
-    std::size_t capacity_blocks = 1024;
+    std::size_t capacity_bytes = 256 * 1024;
+    std::size_t used_bytes = 0;
     /// Most recently used first.
-    std::list<block_key> recent;
-    std::map<block_key, std::list<block_key>::iterator> blocks;
+    std::list<cached_prefix> recent;
+    std::map<std::string, std::list<cached_prefix>::iterator> by_hash;
     std::deque<cache_event> events;
     std::uint64_t next_seq = 1;
 };
 
-/// Bytes of prompt text in one block, about 64 tokens.
-inline constexpr std::size_t prefix_block_bytes = 256;
+/// Bytes of prompt text that count as one token.
+inline constexpr std::size_t bytes_per_token = 4;
 
-/// Returns the hashes of the prompt's prefixes of one block, two blocks and so on, at most 128.
-std::vector<std::string> prefix_hashes(const std::string& prompt);
+/// Returns the prompt's prefixes of 256, 512, 1,024 bytes and so on up to 64 KB, shortest first. A prompt of
+/// less than 1,024 bytes is a prefix as a whole.
+std::vector<prompt_prefix> prompt_prefixes(const std::string& version, const std::string& prompt);
 
-/// Looks up the prompt's prefixes, adds those that are missing and returns the number that were found.
+/// Looks up the prompt's prefixes, adds those that are missing and returns the bytes that were found.
 std::size_t use_prefixes(prefix_cache& cache, const std::string& version,
-                         const std::vector<std::string>& hashes, core::steady_time now);
+                         const std::vector<prompt_prefix>& prefixes, core::steady_time now);
 
-/// Removes all blocks without an event, as a crash does.
+/// Removes all prefixes without an event, as a crash does.
 void forget_prefixes(prefix_cache& cache);
 
 } // namespace figspoke::standins
--- a/packages/standins/standin_upstream_main.cpp
+++ b/packages/standins/standin_upstream_main.cpp
@@ -11,7 +11,7 @@
 DEFINE_int32(token_ms, 2, "time between two tokens");
 DEFINE_int32(load_lag_ms, 100, "lag of load reports and cache events");
 DEFINE_bool(check_fencing, true, "refuse an old fencing number");
-DEFINE_int32(cache_blocks, 1024, "capacity of the prefix cache in blocks of 256 bytes");
+DEFINE_int32(cache_tokens, 65536, "capacity of the prefix cache in tokens");
 DEFINE_int32(answer_tokens_min, 16, "shortest answer in tokens");
 DEFINE_int32(answer_tokens_max, 64, "longest answer in tokens");
 
@@ -27,7 +27,7 @@
     options.token_ms = FLAGS_token_ms;
     options.load_lag_ms = FLAGS_load_lag_ms;
     options.check_fencing = FLAGS_check_fencing;
-    options.cache_blocks = FLAGS_cache_blocks;
+    options.cache_tokens = FLAGS_cache_tokens;
     options.length = {FLAGS_answer_tokens_min, FLAGS_answer_tokens_max};
     return standins::run_standin(listen, standins::make_engine(options));
 }
