Add the adapters of the platform's smaller services and of upstream reports

The router needs the VM list, weight store, rating service, load reports and cache events. Malformed answers become failures that name the field, and numbers are range-checked before they are narrowed.

--- /dev/null
+++ b/packages/adapters/json_read.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace figspoke::adapters {
+
+// These functions read answers of other processes. They throw `std::invalid_argument` that names the field
+// where it is absent, has another type or is out of range.
+
+/// Parses a text as a JSON object.
+nlohmann::json parse_object(const std::string& text);
+
+/// Reads a text.
+std::string read_text(const nlohmann::json& object, const char* field);
+
+/// Reads a whole number from 0 to `most`.
+std::uint64_t read_number(const nlohmann::json& object, const char* field, std::uint64_t most);
+
+/// Reads a boolean.
+bool read_flag(const nlohmann::json& object, const char* field);
+
+/// Reads an array.
+const nlohmann::json& read_array(const nlohmann::json& object, const char* field);
+
+/// Reads an array of texts.
+std::vector<std::string> read_texts(const nlohmann::json& object, const char* field);
+
+} // namespace figspoke::adapters
--- a/test/correctness/process/standins_test.cpp
+++ b/test/correctness/process/standins_test.cpp
@@ -5,6 +5,7 @@
 
 #include "support/process/http.h"
 #include "support/process/process.h"
+#include "support/process/standin.h"
 
 using namespace figspoke;
 using namespace figspoke::test;
@@ -12,22 +13,6 @@
 
 namespace {
 
-/// One stand-in in a directory of its own.
-struct running_standin {
-    explicit running_standin(const std::string& role, std::vector<std::string> flags = {})
-        : process(program_path("standins/standin_" + role), with_port_file(flags), directory.path(), role),
-          address(wait_for_address(process, directory.path() + "/port")) {}
-
-    std::vector<std::string> with_port_file(std::vector<std::string>& flags) const {
-        flags.push_back("--port_file=" + directory.path() + "/port");
-        return flags;
-    }
-
-    temporary_directory directory;
-    child_process process;
-    std::string address;
-};
-
 http_answer send(const std::string& address, const std::string& method, const std::string& target,
                  const std::string& body = "") {
     adapters::http_call call;
