Hand entries back as unclear where no value is known

Properties over generated schedules found that a writer that released the shard during a takeover, before its first read, handed entries back as not written although an earlier copy of them was recorded. Without a value the fate is now unclear.

--- a/packages/state/journal_fate.cpp
+++ b/packages/state/journal_fate.cpp
@@ -70,6 +70,8 @@
 // The batch itself was not found in the value, but its entries may be: a repeated entry can have been
 // written before.
 void hand_back_all(journal_writer& writer, entry_fate fate_of_batch, const journal_shard* newest) {
+    // Without a value even an entry that was in no batch can be recorded: by an earlier copy of it.
+    const entry_fate fate_of_waiting = newest != nullptr ? entry_fate::not_owner : entry_fate::unclear;
     apply_context context;
     context.is_gone = writer.is_gone;
     if (writer.attempt) {
@@ -78,7 +80,7 @@
         }
     }
     for (const auto& entry : writer.waiting) {
-        hand_back_one(writer, entry, entry_fate::not_owner, newest, context);
+        hand_back_one(writer, entry, fate_of_waiting, newest, context);
     }
     writer.attempt.reset();
     writer.waiting.clear();
--- a/packages/state/journal_writer.cpp
+++ b/packages/state/journal_writer.cpp
@@ -117,7 +117,7 @@
     if (writer.attempt) {
         writer.releasing = true;
     } else if (writer.phase != writer_phase::idle) {
-        const journal_shard* known = writer.phase == writer_phase::owner ? &writer.value : nullptr;
+        const journal_shard* known = writer.must_read ? nullptr : &writer.value;
         lose_shard(writer, entry_fate::unclear, known);
     }
 }
