--- a/test/support/share_fleet.h
+++ b/test/support/share_fleet.h
@@ -57,6 +57,8 @@
     std::size_t owner = 0;
     bool store_up = true;
     bool partitioned = false;
+    /// Whether a partition cuts nodes of side 1 off from the key-value service too.
+    bool store_on_one_side = false;
     int restarts = 0;
     /// Returns a number from 0 to below its argument; the source of all faults.
     std::function<int(int)> pick;
@@ -92,7 +94,8 @@
 
 inline void swap_epoch(share_fleet& fleet, std::size_t index, bool takeover) {
     share_node& node = fleet.nodes[index];
-    if (!fleet.store_up || (!takeover && node.allocator->epoch != fleet.epoch)) {
+    const bool cut_off = fleet.partitioned && fleet.store_on_one_side && node.side != 0;
+    if (!fleet.store_up || cut_off || (!takeover && node.allocator->epoch != fleet.epoch)) {
         return;
     }
     fleet.epoch += takeover ? 1 : 0;
