--- /dev/null
+++ b/test/performance/routing_measure.cpp
@@ -0,0 +1,148 @@
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "performance/routing/cost_trial.h"
+#include "performance/routing/prefix_trial.h"
+#include "performance/routing/retry_trial.h"
+#include "performance/routing/rollout_trial.h"
+
+using namespace figspoke;
+using namespace figspoke::trials;
+
+namespace {
+
+void print(const char* measure, double baseline, double value, double limit, const char* unit) {
+    std::printf("measure=%s baseline=%.4g figspoke=%.4g limit=%.4g unit=%s\n", measure, baseline, value,
+                limit, unit);
+}
+
+cost_result cost_of(cost_settings settings, policy::plan_policy policy) {
+    settings.plan.policy = policy;
+    return run_cost_trial(settings);
+}
+
+void measure_cost(std::uint64_t seed, int requests) {
+    cost_settings settings;
+    settings.seed = seed;
+    settings.requests = requests;
+    const auto own = cost_of(settings, policy::plan_policy::least_cost);
+    const auto best = cost_of(settings, policy::plan_policy::always_best);
+    const auto cheapest = cost_of(settings, policy::plan_policy::always_cheapest);
+    const auto cascade = cost_of(settings, policy::plan_policy::fixed_cascade);
+    settings.knows_rates = true;
+    const auto limit = run_cost_trial(settings);
+    print("cost_at_quality", best.cost, own.cost, limit.cost, "micros_per_answer");
+    print("cost_at_quality_fixed_cascade", cascade.cost, own.cost, limit.cost, "micros_per_answer");
+    print("cost_quality_margin", best.margin, own.margin, limit.margin, "pass_rate_over_target");
+    print("cost_quality_margin_fixed_cascade", cascade.margin, own.margin, limit.margin,
+          "pass_rate_over_target");
+    print("cost_quality_margin_always_cheapest", cheapest.margin, own.margin, limit.margin,
+          "pass_rate_over_target");
+    print("cost_late_share", best.late, own.late, limit.late, "share");
+    print("cost_explored_share", 0, own.explored, 0, "share");
+    print("cost_escalated_share", cascade.escalated, own.escalated, limit.escalated, "share");
+}
+
+struct exposure {
+    double mean = 0;
+    double p95 = 0;
+    double stopped = 0;
+};
+
+exposure exposure_of(rollout_settings settings, int trials) {
+    std::vector<int> exposed;
+    exposure result;
+    const auto first = settings.seed * 100000;
+    for (int i = 0; i < trials; ++i) {
+        settings.seed = first + static_cast<std::uint64_t>(i);
+        const auto trial = run_rollout_trial(settings);
+        exposed.push_back(trial.exposed);
+        result.mean += static_cast<double>(trial.exposed) / trials;
+        result.stopped += trial.stopped ? 1.0 / trials : 0;
+    }
+    std::sort(exposed.begin(), exposed.end());
+    result.p95 = exposed[exposed.size() * 95 / 100];
+    return result;
+}
+
+void measure_exposure(const std::string& name, bad_kind kind, std::uint64_t seed, int trials) {
+    rollout_settings settings;
+    settings.seed = seed;
+    settings.kind = kind;
+    const auto own = exposure_of(settings, trials);
+    settings.knows_bad = true;
+    const auto limit = exposure_of(settings, trials);
+    settings.knows_bad = false;
+    settings.test.threshold = 1e9;
+    const auto baseline = exposure_of(settings, 3);
+    print(("bad_version_exposure_" + name).c_str(), baseline.mean, own.mean, limit.mean, "requests_mean");
+    print(("bad_version_exposure_" + name + "_p95").c_str(), baseline.p95, own.p95, limit.p95,
+          "requests_p95");
+    print(("bad_version_stopped_" + name).c_str(), 0, own.stopped, 1, "share");
+}
+
+// The steps are coarser than those of the exposure trials: the evidence is the same, in larger portions.
+void measure_good_stops(std::uint64_t seed, int trials) {
+    rollout_settings settings;
+    settings.seed = seed;
+    settings.step_s = 0.5;
+    settings.gossip_s = 0.5;
+    print("good_version_stopped", 0, exposure_of(settings, trials).stopped, 0, "share");
+}
+
+void measure_prefix(std::uint64_t seed) {
+    prefix_settings settings;
+    settings.seed = seed;
+    const auto own = run_prefix_trial(settings);
+    settings.knows_state = true;
+    const auto limit = run_prefix_trial(settings);
+    settings.knows_state = false;
+    settings.choice.policy = policy::upstream_policy::round_robin;
+    const auto baseline = run_prefix_trial(settings);
+    print("prefix_hit_share", baseline.hit_share, own.hit_share, limit.hit_share, "share");
+    print("prefix_peak_load", baseline.peak_load, own.peak_load, limit.peak_load, "of_mean");
+    print("prefix_wait", 1000 * baseline.mean_wait_s, 1000 * own.mean_wait_s, 1000 * limit.mean_wait_s, "ms");
+    print("prefix_refused", baseline.refused, own.refused, limit.refused, "share");
+}
+
+void measure_retries(std::uint64_t seed) {
+    retry_trial_settings settings;
+    settings.seed = seed;
+    const auto own = run_retry_trial(settings);
+    settings.knows_failures = true;
+    const auto limit = run_retry_trial(settings);
+    settings.knows_failures = false;
+    settings.unbounded = true;
+    const auto baseline = run_retry_trial(settings);
+    print("retry_amplification", baseline.amplification, own.amplification, limit.amplification,
+          "calls_per_request");
+    print("retry_answered_share", baseline.answered, own.answered, limit.answered, "share");
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    const std::string only = argc > 1 ? argv[1] : "all";
+    const std::uint64_t seed = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
+    if (only == "all" || only == "cost") {
+        measure_cost(seed, 60000);
+    }
+    if (only == "all" || only == "exposure") {
+        measure_exposure("fails_all", bad_kind::fails_all, seed, 200);
+        measure_exposure("fails_half", bad_kind::fails_half, seed, 200);
+        measure_exposure("wrong_answers", bad_kind::wrong_answers, seed, 200);
+    }
+    if (only == "all" || only == "good") {
+        measure_good_stops(seed, 1000);
+    }
+    if (only == "all" || only == "prefix") {
+        measure_prefix(seed);
+    }
+    if (only == "all" || only == "retry") {
+        measure_retries(seed);
+    }
+    return 0;
+}
