--- a/packages/policy/quality_estimate.cpp
+++ b/packages/policy/quality_estimate.cpp
@@ -38,15 +38,16 @@
     return counts.accepted_failed + counts.flagged_failed;
 }
 
+// The long-term rate leaves the recent ratings out: counted on both sides, they would hide the difference.
 bool is_drifting(const rating_cell& cell) {
     const double recent = passed(cell.fast) + failed(cell.fast);
-    const double all = passed(cell.slow) + failed(cell.slow);
-    if (recent < min_drift_ratings || all < 2 * min_drift_ratings) {
+    const double older = passed(cell.slow) + failed(cell.slow) - recent;
+    if (recent < min_drift_ratings || older < min_drift_ratings) {
         return false;
     }
-    const double long_term = std::clamp(passed(cell.slow) / all, 0.05, 0.95);
-    const double deviation = std::sqrt(long_term * (1 - long_term) / recent);
-    return std::abs(passed(cell.fast) / recent - long_term) > drift_deviations * deviation;
+    const double older_rate = std::clamp((passed(cell.slow) - passed(cell.fast)) / older, 0.05, 0.95);
+    const double deviation = std::sqrt(older_rate * (1 - older_rate) * (1 / recent + 1 / older));
+    return std::abs(passed(cell.fast) / recent - older_rate) > drift_deviations * deviation;
 }
 
 quality_estimate with_low(quality_estimate value, const quality_settings& settings) {
--- a/packages/policy/quality_evidence.cpp
+++ b/packages/policy/quality_evidence.cpp
@@ -46,6 +46,16 @@
     }
 }
 
+// Rounding leaves sums just above zero where all sources of a key are gone.
+void remove_unused_totals(quality_evidence& evidence) {
+    for (auto it = evidence.totals.begin(); it != evidence.totals.end();) {
+        const bool used =
+            std::any_of(evidence.sources.begin(), evidence.sources.end(),
+                        [&](const auto& source) { return source.second.cells.count(it->first) > 0; });
+        it = used ? std::next(it) : evidence.totals.erase(it);
+    }
+}
+
 void count(rating_counts& counts, const rating& value) {
     auto& passed = value.flagged ? counts.flagged_passed : counts.accepted_passed;
     auto& failed = value.flagged ? counts.flagged_failed : counts.accepted_failed;
@@ -112,6 +122,7 @@
 }
 
 void expire_sources(quality_evidence& evidence, core::steady_time now) {
+    const auto before = evidence.sources.size();
     for (auto it = evidence.sources.begin(); it != evidence.sources.end();) {
         if (now - it->second.at < evidence.settings.source_expiry) {
             ++it;
@@ -120,6 +131,9 @@
         remove_from_totals(evidence, it->second, now);
         it = evidence.sources.erase(it);
     }
+    if (evidence.sources.size() < before) {
+        remove_unused_totals(evidence);
+    }
 }
 
 } // namespace figspoke::policy
