Measure the quality margin of the worst task kind

Cause: the margin over all task kinds hides one that stays below its target. Change: cost_task_margin, the least margin over task kinds and targets.

--- a/test/performance/routing/cost_trial.cpp
+++ b/test/performance/routing/cost_trial.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numeric>
 #include <queue>
 #include <vector>
 
@@ -48,8 +49,9 @@
     std::priority_queue<pending_rating> ratings;
     true_quality truth;
     double next_gossip_s = 0;
-    std::array<double, 2> passed{};
-    std::array<double, 2> counted{};
+    /// By quality target, then by task kind.
+    std::array<std::array<double, 5>, 2> passed{};
+    std::array<std::array<double, 5>, 2> counted{};
     cost_result sums;
 };
 
@@ -201,7 +203,7 @@
     const auto node = static_cast<std::size_t>(uniform_of(sim.settings.seed, from.id, "node") *
                                                static_cast<double>(sim.evidence.size()));
     const std::size_t group = from.target > 0.85 ? 1 : 0;
-    sim.counted.at(group) += 1;
+    sim.counted.at(group).at(from.task) += 1;
     const auto plan = choose(sim, from, node);
     // A refusal counts as an answer that did not pass.
     if (plan.version.empty()) {
@@ -216,7 +218,26 @@
     const bool late = result.end_s - from.at_s > from.deadline_s;
     sim.sums.late += late ? 1 : 0;
     sim.sums.explored += plan.explored ? 1 : 0;
-    sim.passed.at(group) += result.passed && !late ? 1 : 0;
+    sim.passed.at(group).at(from.task) += result.passed && !late ? 1 : 0;
+}
+
+constexpr std::array<double, 2> targets = {0.8, 0.9};
+
+void set_margins(const simulation& sim, cost_result& result) {
+    result.margin = 1;
+    result.task_margin = 1;
+    for (std::size_t group = 0; group < targets.size(); ++group) {
+        const auto& passed = sim.passed.at(group);
+        const auto& counted = sim.counted.at(group);
+        const double all = std::accumulate(counted.begin(), counted.end(), 0.0);
+        const double good = std::accumulate(passed.begin(), passed.end(), 0.0);
+        result.quality += good / sim.settings.requests;
+        result.margin = std::min(result.margin, good / all - targets.at(group));
+        for (std::size_t task = 0; task < counted.size(); ++task) {
+            result.task_margin =
+                std::min(result.task_margin, passed.at(task) / counted.at(task) - targets.at(group));
+        }
+    }
 }
 
 } // namespace
@@ -236,8 +257,7 @@
     result.late /= all;
     result.explored /= all;
     result.escalated /= all;
-    result.quality = (sim.passed[0] + sim.passed[1]) / all;
-    result.margin = std::min(sim.passed[0] / sim.counted[0] - 0.8, sim.passed[1] / sim.counted[1] - 0.9);
+    set_margins(sim, result);
     return result;
 }
 
--- a/test/performance/routing/cost_trial.h
+++ b/test/performance/routing/cost_trial.h
@@ -28,6 +28,8 @@
     double quality = 0;
     /// Least of (quality - target) over the two quality targets of the trace.
     double margin = 0;
+    /// The same for the worst task kind and target.
+    double task_margin = 0;
     double late = 0;
     double explored = 0;
     double escalated = 0;
--- a/test/performance/routing_measure.cpp
+++ b/test/performance/routing_measure.cpp
@@ -41,6 +41,7 @@
           "pass_rate_over_target");
     print("cost_quality_margin_always_cheapest", cheapest.margin, own.margin, limit.margin,
           "pass_rate_over_target");
+    print("cost_task_margin", best.task_margin, own.task_margin, limit.task_margin, "pass_rate_over_target");
     print("cost_late_share", best.late, own.late, limit.late, "share");
     print("cost_explored_share", 0, own.explored, 0, "share");
     print("cost_escalated_share", cascade.escalated, own.escalated, limit.escalated, "share");
