--- a/packages/adapters/mesh.h
+++ b/packages/adapters/mesh.h
@@ -102,7 +102,7 @@
 };
 
 /// Authenticated links between nodes. All methods may be called from any thread; handlers run on the
-/// io_context, one at a time, and must not block.
+/// io_context, one at a time, and must neither block nor throw.
 class mesh {
   public:
     ~mesh();
