--- a/packages/adapters/mesh_codec.cpp
+++ b/packages/adapters/mesh_codec.cpp
@@ -229,60 +229,20 @@
     message.body = bytes_of(map.at("body"));
 }
 
-void encode(json& map, const evidence_message& message) {
-    json& totals = map["totals"] = json::array();
-    for (const auto& item : message.totals) {
-        totals.push_back({item.node, item.incarnation, item.version, item.successes, item.failures,
-                          item.ratings, item.ratings_passed});
-    }
-}
-
-void decode(const json& map, evidence_message& message) {
-    for (const auto& item : map.at("totals")) {
-        message.totals.push_back({item.at(0).get<std::string>(), item.at(1).get<std::uint64_t>(),
-                                  item.at(2).get<std::string>(), item.at(3).get<std::uint64_t>(),
-                                  item.at(4).get<std::uint64_t>(), item.at(5).get<std::uint64_t>(),
-                                  item.at(6).get<std::uint64_t>()});
-    }
-}
-
-void encode(json& map, const suspects_message& message) {
-    json& suspects = map["suspects"] = json::array();
-    for (const auto& item : message.suspects) {
-        suspects.push_back({item.node, item.fingerprint, item.crashes});
-    }
-}
-
-void decode(const json& map, suspects_message& message) {
-    for (const auto& item : map.at("suspects")) {
-        message.suspects.push_back(
-            {item.at(0).get<std::string>(), item.at(1).get<std::string>(), item.at(2).get<std::uint64_t>()});
-    }
-}
-
-void encode(json& map, const shares_message& message) {
-    json& shares = map["shares"] = json::array();
-    for (const auto& item : message.shares) {
-        shares.push_back({item.account, item.node, item.incarnation, item.sequence, item.demand, item.grant,
-                          duration_to_json(item.valid)});
-    }
+void encode(json& map, const report_message& message) {
+    map["body"] = binary(message.body);
 }
 
-void decode(const json& map, shares_message& message) {
-    for (const auto& item : map.at("shares")) {
-        message.shares.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(),
-                                  item.at(2).get<std::uint64_t>(), item.at(3).get<std::uint64_t>(),
-                                  item.at(4).get<double>(), item.at(5).get<double>(),
-                                  duration_of(item.at(6))});
-    }
+void decode(const json& map, report_message& message) {
+    message.body = bytes_of(map.at("body"));
 }
 
 void encode(json& /*map*/, std::monostate /*message*/) {}
 
 // The names of the message types, in the order of `mesh_message`.
 constexpr std::array<std::string_view, std::variant_size_v<mesh_message>> type_names{
-    "none",       "hello", "proof",     "digest",   "table",    "table_get", "roster",
-    "roster_get", "rpc",   "rpc_reply", "evidence", "suspects", "shares"};
+    "none",   "hello",      "proof", "digest",    "table", "table_get",
+    "roster", "roster_get", "rpc",   "rpc_reply", "report"};
 
 template <std::size_t Index = 1>
 mesh_message decode_body(std::string_view type, const json& map) {
--- a/packages/adapters/mesh_messages.h
+++ b/packages/adapters/mesh_messages.h
@@ -63,51 +63,15 @@
     std::string body;
 };
 
-/// Running totals of one node for one version. Totals of a higher incarnation or count replace earlier ones.
-struct version_evidence {
-    std::string node;
-    std::uint64_t incarnation = 0;
-    std::string version;
-    std::uint64_t successes = 0;
-    std::uint64_t failures = 0;
-    std::uint64_t ratings = 0;
-    std::uint64_t ratings_passed = 0;
-};
-
-struct evidence_message {
-    std::vector<version_evidence> totals;
-};
-
-/// Crashes attributed to a request by one node.
-struct crash_suspect {
-    std::string node;
-    std::string fingerprint;
-    std::uint64_t crashes = 0;
-};
-
-struct suspects_message {
-    std::vector<crash_suspect> suspects;
-};
-
-/// What a node needs and may use of an account's fleet-wide limit. A grant runs on the receiver's steady
-/// clock from its arrival, for `valid`.
-struct rate_share {
-    std::string account;
-    std::string node;
-    std::uint64_t incarnation = 0;
-    std::uint64_t sequence = 0;
-    double demand = 0;
-    double grant = 0;
-    core::milliseconds valid{0};
-};
-
-struct shares_message {
-    std::vector<rate_share> shares;
+/// Evidence that nodes pass on to each other: counts of versions, ratings and crashes. The body is opaque to
+/// the mesh.
+struct report_message {
+    std::string body;
 };
 
 /// Every message of the mesh. `std::monostate` stands for one of an unknown type, which is ignored.
 using mesh_message = std::variant<std::monostate, hello_message, proof_message, digest_message, table_message,
                                   table_get_message, roster_message, roster_get_message, rpc_message,
-                                  rpc_reply_message, evidence_message, suspects_message, shares_message>;
+                                  rpc_reply_message, report_message>;
 
 } // namespace figspoke::adapters
--- a/packages/node/chat_flow.cpp
+++ b/packages/node/chat_flow.cpp
@@ -4,6 +4,7 @@
 #include "node/chat_plan.h"
 #include "node/chat_run.h"
 #include "node/chat_writer.h"
+#include "node/evidence_loops.h"
 #include "node/route_log.h"
 #include "policy/answer_check.h"
 #include "state/conversation_token.h"
@@ -44,6 +45,14 @@
     writer.set_head({session.caller.request_id, version, token});
 }
 
+void record_answer(node_state& node, const chat_session& session, const std::string& version,
+                   const std::string& after, bool flagged, const std::string& text) {
+    record_version_outcome(node.evidence, node.incarnation, {version, session.caller.task}, true, flagged);
+    // A cascade's steps are rated apart.
+    const std::string id = session.caller.request_id + (after.empty() ? "" : "-2");
+    submit_for_rating(node, id, version, session.caller.task, after, flagged, text);
+}
+
 // Runs the first step of a cascade without showing it to the caller. Returns whether its answer is good
 // enough, which is then passed on.
 core::result<bool> run_first_step(node_state& node, chat_session& session, chat_writer& writer,
@@ -60,8 +69,7 @@
         return tl::make_unexpected(done.error());
     }
     const bool flagged = is_flagged(session, text, session.finish_reason);
-    record_version_outcome(node.evidence, node.incarnation, {session.plan.version, session.caller.task}, true,
-                           flagged);
+    record_answer(node, session, session.plan.version, "", flagged, text);
     if (flagged) {
         return false;
     }
@@ -83,8 +91,9 @@
     };
     auto done = run_on_version(node, session, version, pass_on, yield);
     if (done && !session.cancelled) {
-        record_version_outcome(node.evidence, node.incarnation, {version, session.caller.task}, true,
-                               is_flagged(session, writer.text(), session.finish_reason));
+        const bool escalated = version != session.plan.version;
+        record_answer(node, session, version, escalated ? session.plan.version : "",
+                      is_flagged(session, writer.text(), session.finish_reason), writer.text());
     }
     return done;
 }
--- a/packages/node/cluster_loops.cpp
+++ b/packages/node/cluster_loops.cpp
@@ -8,6 +8,7 @@
 
 #include "adapters/await.h"
 #include "adapters/decision_log.h"
+#include "node/evidence_loops.h"
 #include "node/journal_routing.h"
 #include "node/node_state.h"
 #include "node/table_watch.h"
@@ -57,6 +58,8 @@
         apply_roster(node.nodes, roster->text);
     } else if (std::holds_alternative<adapters::roster_get_message>(delivery.message)) {
         serve_roster_get(node, delivery.from);
+    } else if (const auto* report = std::get_if<adapters::report_message>(&delivery.message)) {
+        receive_evidence(node, report->body);
     }
 }
 
--- a/packages/node/evidence_table.cpp
+++ b/packages/node/evidence_table.cpp
@@ -23,6 +23,7 @@
     counts.answered += answered ? 1 : 0;
     counts.failed += answered ? 0 : 1;
     counts.flagged += answered && flagged ? 1 : 0;
+    evidence.changed = true;
 }
 
 policy::run_mode run_mode_of(evidence_table& evidence, const std::string& fingerprint,
--- a/packages/node/evidence_table.h
+++ b/packages/node/evidence_table.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <mutex>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/time.h"
@@ -13,6 +15,12 @@
 
 namespace figspoke::node {
 
+/// An answer that was sent to the rating service.
+struct pending_rating {
+    policy::quality_key key;
+    bool flagged = false;
+};
+
 /// What this node has seen of versions and requests, merged with what its peers have seen.
 struct evidence_table {
     std::mutex mutex;
@@ -22,8 +30,12 @@
     policy::crash_suspects suspects;
     policy::retry_budget retries;
     policy::retry_settings retry_limits;
-    /// Set by a change that peers should hear of.
+    /// Set by a change of this node's own counts.
     bool changed = false;
+    /// Sources of which the peers should hear.
+    std::set<std::string> to_send;
+    /// By request id.
+    std::unordered_map<std::string, pending_rating> pending_ratings;
 };
 
 /// Records that an upstream's connection broke while these requests of this node ran there.
--- a/packages/node/node.cpp
+++ b/packages/node/node.cpp
@@ -15,9 +15,11 @@
 #include "adapters/decision_log.h"
 #include "node/cluster_loops.h"
 #include "node/error_reply.h"
+#include "node/evidence_loops.h"
 #include "node/node_state.h"
 #include "node/routes.h"
 #include "node/shutdown.h"
+#include "node/upstream_loops.h"
 
 namespace figspoke::node {
 namespace {
@@ -119,6 +121,8 @@
 void start_work(node_state& node) {
     start_cluster(node);
     start_journal(node.journal, node.context, node.kv, node.settings.journal, node.incarnation);
+    start_evidence(node);
+    start_upstream_reports(node);
     boost::asio::spawn(
         node.context, [&node](const yield_context& yield) { upkeep_loop(node, yield); },
         boost::asio::detached);
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -10,6 +10,7 @@
 #include "adapters/http_client.h"
 #include "adapters/kv_client.h"
 #include "adapters/metrics.h"
+#include "adapters/ports.h"
 #include "core/hash.h"
 #include "core/settings.h"
 #include "core/time.h"
@@ -44,6 +45,8 @@
     std::string advertised_address;
     adapters::http_client client;
     adapters::kv_store kv;
+    adapters::rating_service ratings;
+    adapters::upstream_reports reports;
     adapters::metrics metrics;
 
     config_table config;
--- a/packages/node/upstream_table.cpp
+++ b/packages/node/upstream_table.cpp
@@ -36,7 +36,7 @@
     std::vector<policy::upstream_candidate> candidates;
     const std::lock_guard lock(upstreams.mutex);
     for (const auto& [name, upstream] : config.upstreams) {
-        if (serves(upstream)) {
+        if (serves(upstream) && (upstreams.used.empty() || upstreams.used.count(name) > 0)) {
             candidates.push_back(make_candidate(upstreams, upstream, prefix, now));
         }
     }
--- a/packages/node/upstream_table.h
+++ b/packages/node/upstream_table.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
     policy::health_table health;
     policy::prefix_hints hints;
     std::size_t turn = 0;
+    /// The upstreams that this node uses; empty until they are first chosen, which stands for all.
+    std::set<std::string> used;
 };
 
 /// Returns the capacity of every version, for plan choice.
