Let priorities below their floor use every slot

Accounts that were heavy through their urgent requests had to leave headroom free for their normal requests too, floor or not. Change: a lower priority below its floor leaves no headroom.

--- a/packages/policy/admission_queue.cpp
+++ b/packages/policy/admission_queue.cpp
@@ -75,13 +75,12 @@
 // that has its share already, so that urgent requests and light accounts needn't wait for one.
 double slots_left_free(const admission_queue& queue, core::priority priority, const std::string& account,
                        double weight) {
-    const double headroom = std::round(queue.settings.headroom * queue.capacity);
-    double slots = is_heavy(queue, account, weight) ? headroom : 0;
-    if (priority != core::priority::urgent &&
-        !is_below_floor(queue.shares, queue.settings, queue.capacity, priority)) {
-        slots += headroom;
+    const bool urgent = priority == core::priority::urgent;
+    if (!urgent && is_below_floor(queue.shares, queue.settings, queue.capacity, priority)) {
+        return 0;
     }
-    return slots;
+    const double headroom = std::round(queue.settings.headroom * queue.capacity);
+    return (is_heavy(queue, account, weight) ? headroom : 0) + (urgent ? 0 : headroom);
 }
 
 bool can_start(const admission_queue& queue, core::priority priority, const std::string& account,
