Size the headroom by measured arrivals and completions

With 14 slots one free slot is taken in most cases before a long batch request returns another; the former fixed part rounded to one slot or none. An account is heavy by the work that it offers, per priority, and no longer by what it has running.

--- a/packages/policy/admission_fair_queue.cpp
+++ b/packages/policy/admission_fair_queue.cpp
@@ -56,7 +56,7 @@
     double rounds = std::numeric_limits<double>::infinity();
     for (const auto& name : queue.round) {
         const account_queue& account = queue.accounts.at(name);
-        if (allowed(name, account.weight)) {
+        if (allowed(name)) {
             rounds = std::min(rounds, std::floor(-account.deficit / (queue.quantum * account.weight)) + 1);
         }
     }
@@ -76,13 +76,13 @@
 
 std::optional<std::string> first_ready(const fair_queue& queue, const account_predicate& allowed) {
     for (const auto& name : queue.fresh) {
-        if (allowed(name, queue.accounts.at(name).weight)) {
+        if (allowed(name)) {
             return name;
         }
     }
     for (const auto& name : queue.round) {
         const account_queue& account = queue.accounts.at(name);
-        if (account.deficit > 0 && allowed(name, account.weight)) {
+        if (account.deficit > 0 && allowed(name)) {
             return name;
         }
     }
--- a/packages/policy/admission_fair_queue.h
+++ b/packages/policy/admission_fair_queue.h
@@ -60,7 +60,7 @@
 };
 
 /// Tells whether an account may start a request now.
-using account_predicate = std::function<bool(const std::string& account, double weight)>;
+using account_predicate = std::function<bool(const std::string& account)>;
 
 /// Appends a request to its account's queue.
 void push(fair_queue& queue, waiting_request entry);
--- a/packages/policy/admission_queue.cpp
+++ b/packages/policy/admission_queue.cpp
@@ -25,6 +25,7 @@
         sizes.at(i) = queue.waiting.at(i).size;
     }
     advance(queue.shares, queue.settings, queue.capacity, sizes, now);
+    queue.updated = std::max(queue.updated, now);
 }
 
 // The baseline is one queue in order of arrival: all requests share one account and one priority.
@@ -41,60 +42,75 @@
     return result;
 }
 
-void update_active_weight(admission_queue& queue, core::steady_time now) {
-    queue.active_weight = 0;
-    for (auto it = queue.accounts.begin(); it != queue.accounts.end();) {
-        const bool active = it->second.running > 0 || now - it->second.last_seen < activity_window;
-        queue.active_weight += active ? it->second.weight : 0;
-        it = active ? std::next(it) : queue.accounts.erase(it);
+void update_weight(account_activities& activities, core::steady_time now) {
+    activities.weight = 0;
+    for (auto it = activities.accounts.begin(); it != activities.accounts.end();) {
+        const bool active = now - it->second.last_seen < activity_window;
+        activities.weight += active ? it->second.weight : 0;
+        it = active ? std::next(it) : activities.accounts.erase(it);
     }
-    queue.weight_updated = now;
+    activities.weight_updated = now;
 }
 
-void note_account(admission_queue& queue, const admission_request& request, core::steady_time now) {
-    const auto [found, is_new] = queue.accounts.try_emplace(request.account);
-    found->second.weight = request.weight;
-    found->second.last_seen = now;
-    if (is_new || now - queue.weight_updated > std::chrono::seconds(1)) {
-        update_active_weight(queue, now);
+// An account is heavy where it asks for more than its share of the slots. What it has running says less: an
+// account that floods the queue has few requests running as long as it is held back.
+bool is_heavy(const admission_queue& queue, core::priority priority, const std::string& account) {
+    const account_activities& activities = queue.activities.at(index_of(priority));
+    const auto found = activities.accounts.find(account);
+    if (found == activities.accounts.end()) {
+        return false;
     }
+    const double share = found->second.weight / std::max(activities.weight, found->second.weight);
+    return found->second.offered > std::max(1.0, share * queue.capacity);
 }
 
-// An account is heavy where one more request would take it past its share of the slots.
-bool is_heavy(const admission_queue& queue, const std::string& account, double weight) {
-    const auto found = queue.accounts.find(account);
-    if (found == queue.accounts.end()) {
-        return false;
+void note_arrival(admission_queue& queue, const admission_request& request, core::steady_time now) {
+    account_activities& activities = queue.activities.at(index_of(request.priority));
+    const auto [found, is_new] = activities.accounts.try_emplace(request.account);
+    account_activity& activity = found->second;
+    const double window_s = core::to_seconds(activity_window);
+    const double elapsed_s = is_new ? 0 : core::to_seconds(now - activity.last_seen);
+    activity.offered = activity.offered * std::exp(-elapsed_s / window_s) + request.work / window_s;
+    activity.weight = request.weight;
+    activity.last_seen = now;
+    if (is_new || now - activities.weight_updated > std::chrono::seconds(1)) {
+        update_weight(activities, now);
+    }
+    if (!is_heavy(queue, request.priority, request.account)) {
+        note_event(activities.light_arrivals, now);
+    }
+    if (request.priority == core::priority::urgent) {
+        note_event(queue.urgent_arrivals, now);
     }
-    const double share = weight / std::max(queue.active_weight, weight);
-    const double slots = std::max(1.0, share * queue.capacity);
-    return static_cast<double>(found->second.running) + 1 > slots;
 }
 
 // A slot that is taken can't be given back before its request ends. A few are therefore left free by work
 // that has its share already, so that urgent requests and light accounts needn't wait for one.
-double slots_left_free(const admission_queue& queue, core::priority priority, const std::string& account,
-                       double weight) {
+double slots_left_free(const admission_queue& queue, core::priority priority, const std::string& account) {
     const bool urgent = priority == core::priority::urgent;
     if (!urgent && is_below_floor(queue.shares, queue.settings, queue.capacity, priority)) {
         return 0;
     }
-    const double headroom = std::round(queue.settings.headroom * queue.capacity);
-    return (is_heavy(queue, account, weight) ? headroom : 0) + (urgent ? 0 : headroom);
+    const core::steady_time now = queue.updated;
+    double protected_rate = urgent ? 0 : rate_at(queue.urgent_arrivals, now);
+    if (is_heavy(queue, priority, account)) {
+        protected_rate += rate_at(queue.activities.at(index_of(priority)).light_arrivals, now);
+    }
+    const auto most = static_cast<std::size_t>(std::lround(queue.settings.headroom * queue.capacity));
+    return static_cast<double>(slots_for_arrivals(protected_rate, rate_at(queue.completions, now),
+                                                  queue.settings.tolerated_wait, most));
 }
 
-bool can_start(const admission_queue& queue, core::priority priority, const std::string& account,
-               double weight) {
+bool can_start(const admission_queue& queue, core::priority priority, const std::string& account) {
     // A node whose share of the fleet is less than one slot still runs one request at a time.
     const double capacity = queue.capacity > 0 ? std::max(1.0, queue.capacity) : 0;
     const auto running = static_cast<double>(queue.running.size());
-    return running + 1 + slots_left_free(queue, priority, account, weight) <= capacity;
+    return running + 1 + slots_left_free(queue, priority, account) <= capacity;
 }
 
 void start(admission_queue& queue, const admission_request& request, core::steady_time now) {
     queue.running[request.id] = {request.priority, request.account, request.work, now};
     ++queue.shares.priorities.at(index_of(request.priority)).running;
-    ++queue.accounts[request.account].running;
 }
 
 std::optional<waiting_request> pop_startable(admission_queue& queue, core::priority priority) {
@@ -102,9 +118,8 @@
     if (waiting.size == 0) {
         return std::nullopt;
     }
-    auto entry = pop(waiting, [&](const std::string& account, double weight) {
-        return can_start(queue, priority, account, weight);
-    });
+    auto entry =
+        pop(waiting, [&](const std::string& account) { return can_start(queue, priority, account); });
     return entry;
 }
 
@@ -241,12 +256,12 @@
 admission_decision submit(admission_queue& queue, const admission_request& original, core::steady_time now) {
     advance_to(queue, now);
     const admission_request request = normalised(queue, original);
-    note_account(queue, request, now);
+    note_arrival(queue, request, now);
     const auto latest = latest_start(queue, request, now);
     if (latest < now) {
         return {admission_state::refused, refusal(error_kind::deadline_unreachable, queue, request), {}};
     }
-    if (!has_waiting(queue, request) && can_start(queue, request.priority, request.account, request.weight)) {
+    if (!has_waiting(queue, request) && can_start(queue, request.priority, request.account)) {
         start(queue, request, now);
         return {admission_state::admitted, std::nullopt, std::nullopt};
     }
@@ -297,8 +312,8 @@
     queue.slowdown = keep * queue.slowdown + (1 - keep) * std::clamp(ratio, 0.1, 10.0);
     settle(queue.waiting.at(index_of(request.priority)), request.account, actual - request.work);
     --queue.shares.priorities.at(index_of(request.priority)).running;
-    --queue.accounts[request.account].running;
     queue.running.erase(found);
+    note_event(queue.completions, now);
     return true;
 }
 
--- a/packages/policy/admission_queue.h
+++ b/packages/policy/admission_queue.h
@@ -12,6 +12,7 @@
 #include "core/error.h"
 #include "core/time.h"
 #include "policy/admission_fair_queue.h"
+#include "policy/admission_headroom.h"
 #include "policy/admission_shares.h"
 #include "policy/overload_defaults.h"
 
@@ -31,13 +32,23 @@
     std::string account;
 };
 
-/// What an account has done recently on this node.
+/// What an account asks of this node in one priority.
 struct account_activity {
-    std::size_t running = 0;
     double weight = 1;
+    /// Work that arrives in a second, in slots, over the last 30 s or so.
+    double offered = 0;
     core::steady_time last_seen;
 };
 
+/// The accounts of one priority that were seen recently.
+struct account_activities {
+    std::map<std::string, account_activity> accounts;
+    double weight = 0;
+    core::steady_time weight_updated{};
+    /// Arrivals of accounts that ask for no more than their share.
+    event_rate light_arrivals;
+};
+
 /// Admission state of one node. Build it with `make_admission_queue` and change it only through the functions
 /// below. It isn't synchronised; time must not run backwards.
 struct admission_queue {
@@ -48,10 +59,11 @@
     admission_shares shares;
     std::unordered_map<std::uint64_t, waiting_place> waiting_places;
     std::unordered_map<std::uint64_t, running_request> running;
-    std::map<std::string, account_activity> accounts;
-    /// Sum of the weights of the accounts seen recently.
-    double active_weight = 0;
-    core::steady_time weight_updated{};
+    std::array<account_activities, core::priority_count> activities;
+    event_rate urgent_arrivals;
+    event_rate completions;
+    /// The time up to which the rates and shares above are brought.
+    core::steady_time updated{};
     core::steady_time swept{};
     /// Measured slot time divided by expected work.
     double slowdown = 1;
--- a/packages/policy/overload_defaults.cpp
+++ b/packages/policy/overload_defaults.cpp
@@ -8,7 +8,7 @@
 admission_settings low_latency_settings() {
     admission_settings settings;
     settings.account_queue_share = 0.25;
-    settings.headroom = 0.04;
+    settings.headroom = 0.4;
     settings.max_wait = {milliseconds(1500), milliseconds(5000), milliseconds(30000)};
     return settings;
 }
@@ -19,7 +19,7 @@
     settings.floors = {0.60, 0.30, 0.10};
     settings.queue_limits = {200, 400, 400};
     settings.account_queue_share = 0.5;
-    settings.headroom = 0.02;
+    settings.headroom = 0.3;
     settings.max_wait = {milliseconds(3000), milliseconds(30000), milliseconds(120000)};
     settings.wait_margin = 1.2;
     return settings;
--- a/packages/policy/overload_defaults.h
+++ b/packages/policy/overload_defaults.h
@@ -28,8 +28,11 @@
         std::chrono::milliseconds(2000), std::chrono::milliseconds(10000), std::chrono::milliseconds(60000)};
     /// Largest share of a priority's queue that one account may hold, 0 to 1.
     double account_queue_share = 0.5;
-    /// Share of capacity that lower priorities leave free for urgent work, and heavy accounts for light ones.
-    double headroom = 0.03;
+    /// Greatest share of capacity that lower priorities leave free for urgent work, and heavy accounts for
+    /// light ones. How much of it is used follows from the measured rates of arrivals and completions.
+    double headroom = 0.25;
+    /// Wait for a slot that urgent requests and light accounts are spared.
+    std::chrono::milliseconds tolerated_wait{40};
     /// Time in which a priority makes up service that it has missed below its floor.
     std::chrono::milliseconds floor_horizon{1000};
     /// Work that an account of weight 1 may start in one round, in slot-seconds.
