Correct the offered load of accounts that were first seen recently

Cause: in a flood over all priorities urgent work used 0.63 of capacity instead of 0.70. The mean of offered work starts at zero, so flooding accounts counted as light for 20 s, and heavy ones left slots free for them. Ruled out: late completions (0.004 of capacity for urgent work). Change: the mean is divided by how much of its window has passed, with 8 s at least.

--- a/packages/policy/admission_queue.cpp
+++ b/packages/policy/admission_queue.cpp
@@ -60,8 +60,14 @@
     if (found == activities.accounts.end()) {
         return false;
     }
-    const double share = found->second.weight / std::max(activities.weight, found->second.weight);
-    return found->second.offered > std::max(1.0, share * queue.capacity);
+    const account_activity& activity = found->second;
+    const double share = activity.weight / std::max(activities.weight, activity.weight);
+    // The mean of an account that was first seen a moment ago holds too little; a few seconds are needed lest
+    // one large request makes an account heavy.
+    constexpr std::chrono::nanoseconds least_age = std::chrono::seconds(8);
+    const double age_s = core::to_seconds(std::max(least_age, queue.updated - activity.first_seen));
+    const double filled = 1 - std::exp(-age_s / core::to_seconds(activity_window));
+    return activity.offered / filled > std::max(1.0, share * queue.capacity);
 }
 
 void note_arrival(admission_queue& queue, const admission_request& request, core::steady_time now) {
@@ -72,6 +78,7 @@
     const double elapsed_s = is_new ? 0 : core::to_seconds(now - activity.last_seen);
     activity.offered = activity.offered * std::exp(-elapsed_s / window_s) + request.work / window_s;
     activity.weight = request.weight;
+    activity.first_seen = is_new ? now : activity.first_seen;
     activity.last_seen = now;
     if (is_new || now - activities.weight_updated > std::chrono::seconds(1)) {
         update_weight(activities, now);
--- a/packages/policy/admission_queue.h
+++ b/packages/policy/admission_queue.h
@@ -37,6 +37,7 @@
     double weight = 1;
     /// Work that arrives in a second, in slots, over the last 30 s or so.
     double offered = 0;
+    core::steady_time first_seen;
     core::steady_time last_seen;
 };
 
