--- a/packages/policy/admission_wait.cpp
+++ b/packages/policy/admission_wait.cpp
@@ -52,7 +52,7 @@
     if (!request.deadline) {
         return longest_wait;
     }
-    const auto run_time = to_duration(request.work * std::max(1.0, queue.slowdown));
+    const auto run_time = to_duration(request.work * std::max(1.0, queue.slowdown) * queue.settings.run_margin);
     return std::min(longest_wait, *request.deadline - run_time);
 }
 
--- a/packages/policy/overload_defaults.h
+++ b/packages/policy/overload_defaults.h
@@ -39,6 +39,8 @@
     double quantum = 0.5;
     /// Factor on the expected wait before it is compared with a deadline; over 1 refuses earlier.
     double wait_margin = 1.0;
+    /// Factor on the expected run time that must be left before the deadline when a request starts.
+    double run_margin = 2.0;
 };
 
 /// Returns the defaults of a deployment.
