Count checks of unrated answers as indirect ratings

Change: the flagged share of all answers, with the check's rates pooled over versions, counts as ratings of the same variance, at most 50. Counts are decayed cell by cell, as checks are far more frequent than ratings.

--- a/packages/policy/quality_estimate.cpp
+++ b/packages/policy/quality_estimate.cpp
@@ -10,6 +10,9 @@
 constexpr double drift_deviations = 3;
 constexpr double min_drift_ratings = 5;
 
+// A check that hardly tells good answers from bad ones says nothing about the pass rate.
+constexpr double min_check_gap = 0.2;
+
 struct beta {
     double hits = 0;
     double misses = 0;
@@ -50,6 +53,28 @@
     return std::abs(passed(cell.fast) / recent - older_rate) > drift_deviations * deviation;
 }
 
+// The flagged share q of all answers tells their pass rate p where the check's rates are known:
+// q = p * false_alarm + (1 - p) * detects. Returns it as a number of ratings of the same variance.
+beta ratings_from_checks(const rating_counts& counts, const rating_counts& of_task,
+                         const quality_settings& settings) {
+    const auto detects = posterior(settings.check_detects, settings.prior_strength, of_task.flagged_failed,
+                                   of_task.accepted_failed);
+    const auto false_alarm = posterior(settings.check_false_alarm, settings.prior_strength,
+                                       of_task.flagged_passed, of_task.accepted_passed);
+    const double gap = mean_of(detects) - mean_of(false_alarm);
+    if (counts.checked < 1 || gap < min_check_gap) {
+        return {};
+    }
+    const double flagged = std::clamp(counts.checked_flagged / counts.checked, 0.01, 0.99);
+    const double pass = std::clamp((mean_of(detects) - flagged) / gap, 0.02, 0.98);
+    const double variance =
+        (flagged * (1 - flagged) / counts.checked + (1 - pass) * (1 - pass) * variance_of(detects) +
+         pass * pass * variance_of(false_alarm)) /
+        (gap * gap);
+    const double ratings = std::min(settings.max_check_ratings, pass * (1 - pass) / variance);
+    return {pass * ratings, (1 - pass) * ratings};
+}
+
 quality_estimate with_low(quality_estimate value, const quality_settings& settings) {
     value.low = std::clamp(value.mean - settings.caution * value.deviation, 0.0, 1.0);
     return value;
@@ -62,10 +87,18 @@
     beta false_alarm;
 };
 
-first_step first_step_of(const rating_counts& counts, const quality_settings& settings,
-                         const core::model_version& version) {
+// Posterior of a version's pass rate from its ratings and from the checks of its unrated answers.
+beta pass_posterior(const rating_counts& counts, const rating_counts& of_task,
+                    const quality_settings& settings, const core::model_version& version) {
+    const auto checks = ratings_from_checks(counts, of_task, settings);
+    return posterior(version.quality, settings.prior_strength, passed(counts) + checks.hits,
+                     failed(counts) + checks.misses);
+}
+
+first_step first_step_of(const rating_counts& counts, const rating_counts& of_task,
+                         const quality_settings& settings, const core::model_version& version) {
     const double strength = settings.prior_strength;
-    return {posterior(version.quality, strength, passed(counts), failed(counts)),
+    return {pass_posterior(counts, of_task, settings, version),
             posterior(settings.check_detects, strength, counts.flagged_failed, counts.accepted_failed),
             posterior(settings.check_false_alarm, strength, counts.flagged_passed, counts.accepted_passed)};
 }
@@ -90,8 +123,8 @@
                                  const std::string& task, const core::model_version& version,
                                  core::steady_time now) {
     const auto cell = summed_counts(evidence, {task, version.id, ""}, now);
-    const auto pass =
-        posterior(version.quality, settings.prior_strength, passed(cell.slow), failed(cell.slow));
+    const auto of_task = summed_counts(evidence, check_key(task), now);
+    const auto pass = pass_posterior(cell.slow, of_task.slow, settings, version);
     quality_estimate value;
     value.mean = mean_of(pass);
     value.deviation = std::sqrt(variance_of(pass));
@@ -106,7 +139,8 @@
     const auto first_cell = summed_counts(evidence, {task, first.id, ""}, now);
     const auto second_cell = summed_counts(evidence, {task, second.id, first.id}, now);
     const auto direct = estimate_direct(evidence, settings, task, second, now);
-    const auto step = first_step_of(first_cell.slow, settings, first);
+    const auto of_task = summed_counts(evidence, check_key(task), now);
+    const auto step = first_step_of(first_cell.slow, of_task.slow, settings, first);
     const auto escalated = posterior(direct.mean * settings.escalated_share, settings.prior_strength,
                                      passed(second_cell.slow), failed(second_cell.slow));
     const double p = mean_of(step.pass);
--- a/packages/policy/quality_estimate.h
+++ b/packages/policy/quality_estimate.h
@@ -17,6 +17,9 @@
     double check_false_alarm = 0.05;
     /// Prior of an escalated answer's pass rate, as a share of the direct one.
     double escalated_share = 0.9;
+    /// Most ratings that the flagged share of unrated answers may count for. It is indirect evidence: it
+    /// assumes that the check works alike for all versions, and real ratings must outweigh it.
+    double max_check_ratings = 50;
 };
 
 /// The pass rate of a plan: its mean, standard deviation and cautious estimate.
--- a/packages/policy/quality_evidence.cpp
+++ b/packages/policy/quality_evidence.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 rating_counts scaled(const rating_counts& counts, double factor) {
-    return {counts.accepted_passed * factor, counts.accepted_failed * factor, counts.flagged_passed * factor,
-            counts.flagged_failed * factor};
+    return {counts.accepted_passed * factor, counts.accepted_failed * factor,
+            counts.flagged_passed * factor,  counts.flagged_failed * factor,
+            counts.checked * factor,         counts.checked_flagged * factor};
 }
 
 // Subtraction may leave a rounding error below zero, which a Beta posterior can't take.
@@ -17,7 +18,9 @@
     return {std::max(0.0, a.accepted_passed + sign * b.accepted_passed),
             std::max(0.0, a.accepted_failed + sign * b.accepted_failed),
             std::max(0.0, a.flagged_passed + sign * b.flagged_passed),
-            std::max(0.0, a.flagged_failed + sign * b.flagged_failed)};
+            std::max(0.0, a.flagged_failed + sign * b.flagged_failed),
+            std::max(0.0, a.checked + sign * b.checked),
+            std::max(0.0, a.checked_flagged + sign * b.checked_flagged)};
 }
 
 double decay(core::nanoseconds elapsed, core::nanoseconds half_life) {
@@ -31,18 +34,17 @@
             scaled(cell.fast, decay(elapsed, settings.fast_half_life))};
 }
 
-void add_to_total(quality_evidence& evidence, const quality_key& key, const rating_cell& cell, double sign,
-                  core::steady_time now) {
-    auto& total = evidence.totals[key];
-    const auto current = decayed(total.cell, now - total.at, evidence.settings);
-    total.cell = {sum(current.slow, cell.slow, sign), sum(current.fast, cell.fast, sign)};
-    total.at = now;
+void add(quality_evidence::timed_cell& into, const rating_cell& cell, double sign, core::steady_time now,
+         const quality_evidence_settings& settings) {
+    const auto current = decayed(into.cell, now - into.at, settings);
+    into = {{sum(current.slow, cell.slow, sign), sum(current.fast, cell.fast, sign)}, now};
 }
 
 void remove_from_totals(quality_evidence& evidence, const quality_evidence::source_counts& source,
                         core::steady_time now) {
-    for (const auto& [key, cell] : source.cells) {
-        add_to_total(evidence, key, decayed(cell, now - source.at, evidence.settings), -1, now);
+    for (const auto& [key, timed] : source.cells) {
+        const auto cell = decayed(timed.cell, now - timed.at, evidence.settings);
+        add(evidence.totals[key], cell, -1, now, evidence.settings);
     }
 }
 
@@ -56,10 +58,21 @@
     }
 }
 
-void count(rating_counts& counts, const rating& value) {
+rating_counts one_rating(const rating& value) {
+    rating_counts counts;
     auto& passed = value.flagged ? counts.flagged_passed : counts.accepted_passed;
     auto& failed = value.flagged ? counts.flagged_failed : counts.accepted_failed;
-    (value.passed ? passed : failed) += 1;
+    (value.passed ? passed : failed) = 1;
+    return counts;
+}
+
+void add_own(quality_evidence& evidence, const std::string& source, const quality_key& key,
+             const rating_counts& counts, core::steady_time now) {
+    auto& own = evidence.sources[source];
+    own.at = now;
+    ++own.sequence;
+    add(own.cells[key], {counts, counts}, 1, now, evidence.settings);
+    add(evidence.totals[key], {counts, counts}, 1, now, evidence.settings);
 }
 
 } // namespace
@@ -68,20 +81,23 @@
     return std::tie(a.task, a.version, a.after) < std::tie(b.task, b.version, b.after);
 }
 
+quality_key check_key(const std::string& task) {
+    return {task, "", ""};
+}
+
 void record_rating(quality_evidence& evidence, const std::string& source, const rating& value,
                    core::steady_time now) {
-    auto& own = evidence.sources[source];
-    for (auto& entry : own.cells) {
-        entry.second = decayed(entry.second, now - own.at, evidence.settings);
-    }
-    own.at = now;
-    ++own.sequence;
-    rating_cell one;
-    count(one.slow, value);
-    count(one.fast, value);
-    auto& cell = own.cells[value.key];
-    cell = {sum(cell.slow, one.slow, 1), sum(cell.fast, one.fast, 1)};
-    add_to_total(evidence, value.key, one, 1, now);
+    const auto counts = one_rating(value);
+    add_own(evidence, source, value.key, counts, now);
+    add_own(evidence, source, check_key(value.key.task), counts, now);
+}
+
+void record_check(quality_evidence& evidence, const std::string& source, const quality_key& key, bool flagged,
+                  core::steady_time now) {
+    rating_counts counts;
+    counts.checked = 1;
+    counts.checked_flagged = flagged ? 1 : 0;
+    add_own(evidence, source, key, counts, now);
 }
 
 bool merge_report(quality_evidence& evidence, const quality_report& report, core::steady_time now) {
@@ -97,20 +113,29 @@
         remove_from_totals(evidence, found->second, now);
     }
     const auto at = now - report.age;
+    auto& source = evidence.sources[report.source];
+    source = {report.sequence, at, {}};
     for (const auto& [key, cell] : report.cells) {
-        add_to_total(evidence, key, decayed(cell, report.age, evidence.settings), 1, now);
+        source.cells[key] = {cell, at};
+        add(evidence.totals[key], decayed(cell, report.age, evidence.settings), 1, now, evidence.settings);
     }
-    evidence.sources[report.source] = {report.sequence, at, report.cells};
     return true;
 }
 
 quality_report make_report(const quality_evidence& evidence, const std::string& source,
                            core::steady_time now) {
+    quality_report report;
+    report.source = source;
     const auto found = evidence.sources.find(source);
     if (found == evidence.sources.end()) {
-        return {source, 0, core::nanoseconds(0), {}};
+        return report;
+    }
+    report.sequence = found->second.sequence;
+    report.age = now - found->second.at;
+    for (const auto& [key, timed] : found->second.cells) {
+        report.cells[key] = decayed(timed.cell, found->second.at - timed.at, evidence.settings);
     }
-    return {source, found->second.sequence, now - found->second.at, found->second.cells};
+    return report;
 }
 
 rating_cell summed_counts(const quality_evidence& evidence, const quality_key& key, core::steady_time now) {
--- a/packages/policy/quality_evidence.h
+++ b/packages/policy/quality_evidence.h
@@ -19,12 +19,15 @@
 
 bool operator<(const quality_key& a, const quality_key& b);
 
-/// Decayed counts of rated answers. An answer is flagged when the answer check asked for escalation.
+/// Decayed counts of answers. An answer is flagged when the answer check asked for escalation.
 struct rating_counts {
     double accepted_passed = 0;
     double accepted_failed = 0;
     double flagged_passed = 0;
     double flagged_failed = 0;
+    /// Answers that went through the answer check, rated or not, and those that it flagged.
+    double checked = 0;
+    double checked_flagged = 0;
 };
 
 /// Counts with a long memory for the estimate and with a short one that shows drift.
@@ -53,18 +56,20 @@
 
 /// All sources' counts and their sum.
 struct quality_evidence {
-    struct source_counts {
-        std::uint64_t sequence = 0;
+    /// Counts as decayed to a time.
+    struct timed_cell {
+        rating_cell cell;
         core::steady_time at;
-        std::map<quality_key, rating_cell> cells;
     };
-    struct total {
-        rating_cell cell;
+    struct source_counts {
+        std::uint64_t sequence = 0;
+        /// Time of the newest counts.
         core::steady_time at;
+        std::map<quality_key, timed_cell> cells;
     };
     quality_evidence_settings settings;
     std::map<std::string, source_counts> sources;
-    std::map<quality_key, total> totals;
+    std::map<quality_key, timed_cell> totals;
 };
 
 /// One rated answer.
@@ -74,10 +79,17 @@
     bool passed = false;
 };
 
-/// Adds a rated answer to the node's own counts (`source`).
+/// The key under which the rated answers of all versions to one task kind are counted together.
+quality_key check_key(const std::string& task);
+
+/// Adds a rated answer to the node's own counts (`source`), and to those of `check_key`.
 void record_rating(quality_evidence& evidence, const std::string& source, const rating& value,
                    core::steady_time now);
 
+/// Adds an answer to the node's own counts as soon as the answer check has seen it.
+void record_check(quality_evidence& evidence, const std::string& source, const quality_key& key, bool flagged,
+                  core::steady_time now);
+
 /// Replaces a source's counts by a newer report; returns false where the report is not newer. The result
 /// doesn't depend on the order or the number of times in which reports arrive.
 bool merge_report(quality_evidence& evidence, const quality_report& report, core::steady_time now);
--- a/test/correctness/policy_routing_evidence_test.cpp
+++ b/test/correctness/policy_routing_evidence_test.cpp
@@ -27,6 +27,7 @@
         quality_evidence own;
         for (int i = 0; i < 5; ++i) {
             record_rating(own, node, {key, random() % 2 == 0, random() % 2 == 0}, at(i));
+            record_check(own, node, key, random() % 2 == 0, at(i));
             reports.push_back(make_report(own, node, at(10)));
         }
     }
@@ -45,7 +46,8 @@
     return std::abs(a.accepted_passed - b.accepted_passed) < 1e-6 &&
            std::abs(a.accepted_failed - b.accepted_failed) < 1e-6 &&
            std::abs(a.flagged_passed - b.flagged_passed) < 1e-6 &&
-           std::abs(a.flagged_failed - b.flagged_failed) < 1e-6;
+           std::abs(a.flagged_failed - b.flagged_failed) < 1e-6 && std::abs(a.checked - b.checked) < 1e-6 &&
+           std::abs(a.checked_flagged - b.checked_flagged) < 1e-6;
 }
 
 } // namespace
@@ -100,6 +102,23 @@
     CHECK(estimate_direct(evidence, settings, "chat", version, at(1030)).drifting);
 }
 
+TEST_CASE("checks of unrated answers move the estimate and real ratings outweigh them") {
+    // Guards against a check that is wrong about one version and that no rating can correct.
+    quality_evidence evidence;
+    core::model_version version;
+    version.id = "small@1";
+    version.quality = 0.9;
+    const quality_settings settings;
+    for (int i = 0; i < 1000; ++i) {
+        record_check(evidence, "a/1", key, i % 3 == 0, at(0));
+    }
+    CHECK(estimate_direct(evidence, settings, "chat", version, at(0)).mean < 0.75);
+    for (int i = 0; i < 500; ++i) {
+        record_rating(evidence, "a/1", {key, i % 3 == 0, i % 10 != 0}, at(0));
+    }
+    CHECK(estimate_direct(evidence, settings, "chat", version, at(0)).mean > 0.85);
+}
+
 TEST_CASE("version evidence merges in any order and any number of times") {
     // Guards against outcomes that count twice in the test that stops versions.
     CHECK(rc::check([](std::uint32_t seed) {
--- a/test/performance/routing/cost_trial.cpp
+++ b/test/performance/routing/cost_trial.cpp
@@ -22,10 +22,12 @@
         std::chrono::duration_cast<core::nanoseconds>(std::chrono::duration<double>(seconds + 1)));
 }
 
+// A rating, or an answer check without one.
 struct pending_rating {
     double due_s = 0;
     std::size_t node = 0;
     policy::rating value;
+    bool is_check = false;
     bool operator<(const pending_rating& other) const { return due_s > other.due_s; }
 };
 
@@ -73,7 +75,13 @@
 void advance(simulation& sim, double at_s) {
     while (!sim.ratings.empty() && sim.ratings.top().due_s <= at_s) {
         const auto& due = sim.ratings.top();
-        policy::record_rating(sim.evidence[due.node], source_of(due.node), due.value, time_at(due.due_s));
+        auto& evidence = sim.evidence[due.node];
+        if (due.is_check) {
+            policy::record_check(evidence, source_of(due.node), due.value.key, due.value.flagged,
+                                 time_at(due.due_s));
+        } else {
+            policy::record_rating(evidence, source_of(due.node), due.value, time_at(due.due_s));
+        }
         sim.ratings.pop();
     }
     if (at_s >= sim.next_gossip_s) {
@@ -172,8 +180,9 @@
     if (uniform_of(seed, from.id, salt + " sample") < sim.settings.rating_sample) {
         const double lag =
             -std::log(1 - uniform_of(seed, from.id, salt + " lag")) * sim.settings.mean_rating_lag_s;
-        sim.ratings.push({end_s + lag, node, value});
+        sim.ratings.push({end_s + lag, node, value, false});
     }
+    sim.ratings.push({end_s, node, value, true});
 }
 
 step_result run_step(simulation& sim, const trace_request& from, std::size_t node, const std::string& id,
