Answer repeats of keyed chat requests from the first run

The shard's owner remembers which node serves a keyed request; that node keeps the whole answer and goes on generating when the caller is gone. A repeat at any node fetches it.

--- a/packages/node/chat_flow.cpp
+++ b/packages/node/chat_flow.cpp
@@ -161,22 +161,67 @@
     }
 }
 
+// Answers a repeat of a keyed request from the first run. Returns false where this node is to run the
+// request, or must refuse it for the reason in `failure`.
+bool send_kept_answer(node_state& node, const chat_session& session, adapters::http_exchange& exchange,
+                      std::optional<core::error>& failure) {
+    auto kept = begin_keyed(node, session, exchange.yield());
+    if (!kept) {
+        failure = kept.error();
+        return false;
+    }
+    if (!*kept) {
+        return false;
+    }
+    exchange.send(**kept);
+    node.metrics.add("figspoke_repeats_total", {});
+    return true;
+}
+
+// Runs an admitted or refused session to its end. Returns the error that the caller is still to get.
+std::optional<core::error> run_chat_session(node_state& node, chat_session& session, chat_writer& writer,
+                                            const boost::asio::yield_context& yield) {
+    const bool keyed = !session.caller.idempotency_key.empty();
+    if (keyed) {
+        writer.keep_answer();
+    }
+    const auto done = admit_and_run(node, session, writer, yield);
+    if (!done) {
+        if (keyed) {
+            abandon_keyed(node, session);
+        }
+        return done.error();
+    }
+    if (!session.cancelled) {
+        session.cancelled = !writer.finish(session.prompt_tokens, session.tokens, session.billed_micros,
+                                           session.finish_reason);
+        if (keyed) {
+            finish_keyed(node, session, writer.kept_answer());
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 void serve_chat(node_state& node, adapters::http_exchange& exchange) {
     chat_session session;
     session.started = clock::now();
     const auto prepared = prepare_chat(node, exchange.request(), session);
+    const bool keyed = prepared && !session.caller.idempotency_key.empty();
+    std::optional<core::error> failure;
+    if (!prepared) {
+        failure = prepared.error();
+    } else if (keyed && send_kept_answer(node, session, exchange, failure)) {
+        return;
+    }
     chat_writer writer(exchange, session.request.stream);
     writer.set_head({session.caller.request_id, "", ""});
-    auto done = prepared ? admit_and_run(node, session, writer, exchange.yield()) : prepared;
-    std::optional<core::error> failure;
-    if (!done) {
-        failure = done.error();
+    if (!failure) {
+        failure = run_chat_session(node, session, writer, exchange.yield());
+    }
+    if (failure) {
         writer.fail(*failure);
-    } else if (!session.cancelled) {
-        session.cancelled = !writer.finish(session.prompt_tokens, session.tokens, session.billed_micros,
-                                           session.finish_reason);
     }
     adapters::log_decision(render_route_line(session, failure, clock::now()));
     count_request(node, session, failure);
--- a/packages/node/chat_writer.cpp
+++ b/packages/node/chat_writer.cpp
@@ -52,7 +52,17 @@
         return true;
     }
     begun_ = true;
-    return exchange_.begin_stream({200, headers_of(head_, "text/event-stream"), {}});
+    kept_ = {200, headers_of(head_, "text/event-stream"), {}};
+    return exchange_.begin_stream(kept_);
+}
+
+bool chat_writer::write_event(const std::string& data) {
+    const std::string event = render_sse(data);
+    caller_gone_ = caller_gone_ || !begin() || !exchange_.write(event);
+    if (keeps_answer_) {
+        kept_.body += event;
+    }
+    return !caller_gone_ || keeps_answer_;
 }
 
 bool chat_writer::add_token(std::string_view text) {
@@ -61,7 +71,7 @@
         return true;
     }
     const json choice = {{"index", 0}, {"delta", {{"content", text}}}, {"finish_reason", nullptr}};
-    return begin() && exchange_.write(render_sse(dump(chunk_of(head_, json::array({choice})))));
+    return write_event(dump(chunk_of(head_, json::array({choice}))));
 }
 
 bool chat_writer::finish(std::int64_t prompt_tokens, std::int64_t tokens, std::int64_t cost_micros,
@@ -70,16 +80,17 @@
     if (!stream_) {
         json body = whole_answer(head_, text_, finish_reason);
         body["usage"] = usage;
-        auto headers = headers_of(head_, "application/json");
-        headers["x-figspoke-cost-micros"] = std::to_string(cost_micros);
-        return exchange_.send({200, headers, dump(body)});
+        kept_ = {200, headers_of(head_, "application/json"), dump(body)};
+        kept_.headers["x-figspoke-cost-micros"] = std::to_string(cost_micros);
+        return exchange_.send(kept_);
     }
     const json last = {{"index", 0}, {"delta", json::object()}, {"finish_reason", finish_reason}};
     json with_usage = chunk_of(head_, json::array());
     with_usage["usage"] = usage;
-    return begin() && exchange_.write(render_sse(dump(chunk_of(head_, json::array({last}))))) &&
-           exchange_.write(render_sse(dump(with_usage))) && exchange_.write(render_sse("[DONE]")) &&
-           exchange_.end_stream();
+    write_event(dump(chunk_of(head_, json::array({last}))));
+    write_event(dump(with_usage));
+    write_event("[DONE]");
+    return !caller_gone_ && exchange_.end_stream();
 }
 
 void chat_writer::fail(const core::error& cause) {
--- a/packages/node/chat_writer.h
+++ b/packages/node/chat_writer.h
@@ -20,6 +20,12 @@
   public:
     chat_writer(adapters::http_exchange& exchange, bool stream) : exchange_(exchange), stream_(stream) {}
 
+    /// Keeps a copy of the whole answer and goes on when the caller is gone, so that a repeat can have it.
+    void keep_answer() { keeps_answer_ = true; }
+
+    /// The whole answer, once `finish` was called.
+    const adapters::http_reply& kept_answer() const { return kept_; }
+
     /// Sets the headers; they go out with the first token.
     void set_head(chat_answer_head head) { head_ = std::move(head); }
 
@@ -38,10 +44,14 @@
 
   private:
     bool begin();
+    bool write_event(const std::string& data);
 
     adapters::http_exchange& exchange_;
     bool stream_;
     bool begun_ = false;
+    bool keeps_answer_ = false;
+    bool caller_gone_ = false;
+    adapters::http_reply kept_;
     chat_answer_head head_;
     std::string text_;
 };
--- a/packages/node/cluster_loops.cpp
+++ b/packages/node/cluster_loops.cpp
@@ -73,6 +73,10 @@
     } else if (request.method == "charge_drop") {
         drop_charge_copies(node, request.body);
         reply(std::string());
+    } else if (request.method == "keyed_begin") {
+        reply(serve_keyed_begin(node, request.from, request.body));
+    } else if (request.method == "keyed_fetch") {
+        reply(serve_keyed_fetch(node, request.body));
     } else {
         reply(tl::make_unexpected("method " + request.method + " does not exist"));
     }
--- a/packages/node/journal_routing.cpp
+++ b/packages/node/journal_routing.cpp
@@ -16,21 +16,6 @@
 constexpr std::chrono::milliseconds forward_timeout{1500};
 constexpr std::chrono::milliseconds repeat_delay{20};
 
-std::optional<state::member_entry> find_owner(node_state& node, std::uint32_t shard) {
-    const auto members = serving_members(node.nodes, clock::now());
-    std::vector<const state::member_entry*> pointers;
-    for (const auto& member : members) {
-        pointers.push_back(&member);
-    }
-    const std::string owner = state::choose_shard_owner(shard, pointers);
-    for (const auto& member : members) {
-        if (member.id == owner) {
-            return member;
-        }
-    }
-    return std::nullopt;
-}
-
 std::string encode_request(std::uint32_t shard, const state::journal_entry& entry) {
     return json{{"shard", shard}, {"entry", state::encode_entry(entry)}}.dump();
 }
@@ -62,9 +47,24 @@
 
 } // namespace
 
+std::optional<state::member_entry> find_shard_owner(node_state& node, std::uint32_t shard) {
+    const auto members = serving_members(node.nodes, clock::now());
+    std::vector<const state::member_entry*> pointers;
+    for (const auto& member : members) {
+        pointers.push_back(&member);
+    }
+    const std::string owner = state::choose_shard_owner(shard, pointers);
+    for (const auto& member : members) {
+        if (member.id == owner) {
+            return member;
+        }
+    }
+    return std::nullopt;
+}
+
 void append_at_owner(node_state& node, std::uint32_t shard, state::journal_entry entry,
                      append_callback callback) {
-    const auto owner = find_owner(node, shard);
+    const auto owner = find_shard_owner(node, shard);
     if (!owner) {
         callback({state::entry_fate::not_owner, {}});
         return;
@@ -108,7 +108,7 @@
 void update_owned_shards(node_state& node) {
     std::set<std::uint32_t> owned;
     for (std::uint32_t shard = 0; shard < node.journal.shards.size(); ++shard) {
-        const auto owner = find_owner(node, shard);
+        const auto owner = find_shard_owner(node, shard);
         if (owner && owner->id == node.settings.node.id) {
             owned.insert(shard);
         }
--- a/packages/node/journal_routing.h
+++ b/packages/node/journal_routing.h
@@ -1,16 +1,21 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include <boost/asio/spawn.hpp>
 
 #include "node/journal_service.h"
+#include "state/membership.h"
 
 namespace figspoke::node {
 
 struct node_state;
 
+/// Returns the member that owns a shard, as far as this node knows.
+std::optional<state::member_entry> find_shard_owner(node_state& node, std::uint32_t shard);
+
 /// Appends an entry at the shard's owner, which may be another node. The callback is called exactly once,
 /// with fate `unclear` where no clear answer came in time; the same entry may then be sent again.
 void append_at_owner(node_state& node, std::uint32_t shard, state::journal_entry entry,
--- a/packages/node/node.cpp
+++ b/packages/node/node.cpp
@@ -70,6 +70,7 @@
     for (;;) {
         update_admission(node.admission, admission_capacity(node), clock::now());
         send_due_charges(node);
+        expire_keyed(node, clock::now());
         adapters::sleep_for(upkeep_period, yield);
     }
 }
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -20,6 +20,7 @@
 #include "node/config_table.h"
 #include "node/evidence_table.h"
 #include "node/journal_service.h"
+#include "node/repeat_registry.h"
 #include "node/upstream_table.h"
 
 namespace figspoke::node {
@@ -55,6 +56,7 @@
     upstream_table upstreams;
     journal_service journal;
     charge_service charges;
+    repeat_registry repeats;
     evidence_table evidence;
 
     /// Set when the node is to stop: it refuses new work and finishes what runs.
