Free an engine's slot before the last bytes of its answer

The slot was freed after the answer was sent, so a caller's next request could be refused, and a load report right after an answer missed its cached prefixes: 5 of 20 runs failed under load in the test of load reports. The slot is now freed before the answer is sent.

--- a/packages/standins/engine_chat.cpp
+++ b/packages/standins/engine_chat.cpp
@@ -95,6 +95,7 @@
                                outcome);
     }
     record_progress(work, generated, outcome);
+    free_slot(work);
     work.exchange.write(closing_events(request, generated)) && work.exchange.end_stream();
 }
 
--- a/packages/standins/engine_work.cpp
+++ b/packages/standins/engine_work.cpp
@@ -92,7 +92,13 @@
     });
 }
 
+void free_slot(engine_work& work) {
+    work.state.jobs.leave(work.job);
+    sample_load(work.state);
+}
+
 void answer_work(engine_work& work, const adapters::http_reply& reply) {
+    free_slot(work);
     const bool down = work.state.control.with([](const engine_control& fields) { return fields.down; });
     if (work.faults.drop || down) {
         return;
--- a/packages/standins/engine_work.h
+++ b/packages/standins/engine_work.h
@@ -41,6 +41,9 @@
 /// Records the tokens that were generated, and the outcome where it is not empty.
 void record_progress(engine_work& work, int tokens, const std::string& outcome);
 
+/// Frees the slot of work whose last bytes are about to be sent, so that the caller's next request finds it.
+void free_slot(engine_work& work);
+
 /// Sends the answer to finished work, as its faults say.
 void answer_work(engine_work& work, const adapters::http_reply& reply);
 
