Put each coroutine on a strand, share limits over the fleet, watch the VM list

Cause: accepted sockets and client connections ran on the bare io_context with several threads, so that a timeout could fire beside another operation on the same stream. Each server connection and background coroutine now has a strand; a client connection has no timer of its own, since it serves coroutines of different strands. Fleet-wide token limits use granted shares. Fields of other processes' JSON are read without exceptions.

--- a/packages/adapters/await.h
+++ b/packages/adapters/await.h
@@ -6,9 +6,12 @@
 
 #include <boost/asio/associated_executor.hpp>
 #include <boost/asio/async_result.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 
 namespace figspoke::adapters {
 
@@ -29,6 +32,12 @@
         yield);
 }
 
+/// Starts a coroutine on a strand of its own, so that its timers and operations never run side by side.
+template <class Function>
+void spawn_coroutine(boost::asio::io_context& context, Function function) {
+    boost::asio::spawn(boost::asio::make_strand(context), std::move(function), boost::asio::detached);
+}
+
 /// Suspends the coroutine for a time.
 template <class Duration>
 void sleep_for(Duration duration, const boost::asio::yield_context& yield) {
--- a/packages/adapters/chat_upstream.cpp
+++ b/packages/adapters/chat_upstream.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "adapters/json_read.h"
+
 #include "adapters/sse.h"
 
 namespace figspoke::adapters {
@@ -37,7 +39,7 @@
     if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
         reading.outcome.finish_reason = choice["finish_reason"].get<std::string>();
     }
-    const auto delta = choice.value("delta", json::object());
+    const auto delta = value_or(choice, "delta", json::object());
     if (!delta.is_object() || !delta.contains("content") || !delta["content"].is_string()) {
         return true;
     }
@@ -57,9 +59,9 @@
         return false;
     }
     if (event.contains("usage") && event["usage"].is_object()) {
-        reading.outcome.prompt_tokens = event["usage"].value("prompt_tokens", std::int64_t{0});
+        reading.outcome.prompt_tokens = value_or(event["usage"], "prompt_tokens", std::int64_t{0});
     }
-    const auto choices = event.value("choices", json::array());
+    const auto choices = value_or(event, "choices", json::array());
     for (const auto& choice : choices) {
         if (choice.is_object() && !read_choice(choice, reading, on_token)) {
             return false;
--- a/packages/adapters/http_client.cpp
+++ b/packages/adapters/http_client.cpp
@@ -11,6 +11,8 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -26,11 +28,55 @@
 constexpr std::size_t stream_buffer_bytes = 16U * 1024;
 
 struct connection {
-    explicit connection(asio::io_context& context) : stream(context) {}
-    beast::tcp_stream stream;
+    explicit connection(asio::io_context& context) : socket(context) {}
+    asio::ip::tcp::socket socket;
     beast::flat_buffer buffer;
 };
 
+// Ends an operation on a connection by closing its socket. A kept connection serves coroutines of different
+// strands, so it has no timer of its own: the timer belongs to the coroutine, whose strand orders the timer's
+// handler with the operations on the socket.
+class operation_deadline {
+  public:
+    operation_deadline(connection& link, const asio::yield_context& yield)
+        : shared_(std::make_shared<state>(link, yield.get_executor())) {}
+    ~operation_deadline() { disarm(); }
+    operation_deadline(const operation_deadline&) = delete;
+    operation_deadline& operator=(const operation_deadline&) = delete;
+
+    void arm(std::chrono::milliseconds timeout) {
+        const auto turn = ++shared_->turn;
+        shared_->timer.expires_after(timeout);
+        shared_->timer.async_wait([shared = shared_, turn](const beast::error_code& code) {
+            if (!code && shared->turn == turn) {
+                shared->expired = true;
+                beast::error_code ignored;
+                shared->link->socket.close(ignored);
+            }
+        });
+    }
+
+    bool expired() const { return shared_->expired; }
+
+  private:
+    struct state {
+        state(connection& connected, const asio::any_io_executor& executor)
+            : link(&connected), timer(executor) {}
+        connection* link;
+        asio::steady_timer timer;
+        std::uint64_t turn = 0;
+        bool expired = false;
+    };
+
+    // A handler that is queued already finds that its turn is over.
+    void disarm() {
+        ++shared_->turn;
+        shared_->timer.cancel();
+    }
+
+    std::shared_ptr<state> shared_;
+};
+
 using connection_ptr = std::unique_ptr<connection>;
 using request_message = http::request<http::string_body>;
 
@@ -67,9 +113,9 @@
 }
 
 http_failure failure(call_progress progress, const beast::error_code& code, const std::string& doing,
-                     const http_call& call) {
-    return {progress, code == beast::error::timeout,
-            doing + " " + call.address + call.target + ": " + code.message()};
+                     const http_call& call, const operation_deadline& deadline) {
+    const std::string cause = deadline.expired() ? "timed out" : code.message();
+    return {progress, deadline.expired(), doing + " " + call.address + call.target + ": " + cause};
 }
 
 std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address) {
@@ -86,41 +132,43 @@
     return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
 }
 
-http_result<void> connect(connection& link, const http_call& call, const asio::yield_context& yield) {
+http_result<void> connect(connection& link, const http_call& call, operation_deadline& deadline,
+                          const asio::yield_context& yield) {
     const auto endpoint = parse_endpoint(call.address);
     if (!endpoint) {
         return tl::make_unexpected(
             http_failure{call_progress::not_sent, false, "address \"" + call.address + "\" is not IP:port"});
     }
     beast::error_code code;
-    link.stream.expires_after(call.timeout);
-    link.stream.async_connect(*endpoint, yield[code]);
+    deadline.arm(call.timeout);
+    link.socket.async_connect(*endpoint, yield[code]);
     if (code) {
-        return tl::make_unexpected(failure(call_progress::not_sent, code, "connect to", call));
+        return tl::make_unexpected(failure(call_progress::not_sent, code, "connect to", call, deadline));
     }
-    link.stream.socket().set_option(asio::ip::tcp::no_delay(true), code);
+    link.socket.set_option(asio::ip::tcp::no_delay(true), code);
     return {};
 }
 
-http_result<void> send_request(connection& link, const http_call& call, const asio::yield_context& yield) {
+http_result<void> send_request(connection& link, const http_call& call, operation_deadline& deadline,
+                               const asio::yield_context& yield) {
     beast::error_code code;
-    link.stream.expires_after(call.timeout);
+    deadline.arm(call.timeout);
     const auto request = build_request(call);
-    http::async_write(link.stream, request, yield[code]);
+    http::async_write(link.socket, request, yield[code]);
     if (code) {
-        return tl::make_unexpected(failure(call_progress::sent, code, "send to", call));
+        return tl::make_unexpected(failure(call_progress::sent, code, "send to", call, deadline));
     }
     return {};
 }
 
 template <class Parser>
 http_result<void> read_head(connection& link, Parser& parser, const http_call& call,
-                            const asio::yield_context& yield) {
+                            const operation_deadline& deadline, const asio::yield_context& yield) {
     beast::error_code code;
     parser.header_limit(max_header_bytes);
-    http::async_read_header(link.stream, link.buffer, parser, yield[code]);
+    http::async_read_header(link.socket, link.buffer, parser, yield[code]);
     if (code) {
-        return tl::make_unexpected(failure(call_progress::sent, code, "read the answer of", call));
+        return tl::make_unexpected(failure(call_progress::sent, code, "read the answer of", call, deadline));
     }
     return {};
 }
@@ -129,7 +177,7 @@
 // is never repeated on a second connection, since it may have run on the first.
 bool is_usable(connection& link) {
     char byte = 0;
-    const auto size = ::recv(link.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto size = ::recv(link.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -157,7 +205,6 @@
     }
 
     void keep(const std::string& address, connection_ptr link) {
-        link->stream.expires_never();
         const std::lock_guard lock(mutex);
         auto& links = idle[address];
         if (links.size() < max_idle_per_address) {
@@ -168,24 +215,35 @@
     // Takes an idle connection or makes one, sends the request and runs `read`.
     template <class Read>
     auto exchange(const http_call& call, const asio::yield_context& yield, Read read)
-        -> decltype(read(std::declval<connection&>())) {
+        -> decltype(read(std::declval<connection&>(), std::declval<operation_deadline&>())) {
         auto link = call.reuse_connection ? take_idle(call.address) : nullptr;
-        if (!link) {
+        const bool is_new = link == nullptr;
+        if (is_new) {
             link = std::make_unique<connection>(context);
-            if (auto connected = connect(*link, call, yield); !connected) {
-                return tl::make_unexpected(connected.error());
-            }
-        }
-        if (auto sent = send_request(*link, call, yield); !sent) {
-            return tl::make_unexpected(sent.error());
         }
-        auto answer = read(*link);
+        auto answer = converse(*link, is_new, call, yield, read);
         if (answer && call.reuse_connection && answer->second) {
             keep(call.address, std::move(link));
         }
         return answer;
     }
 
+    template <class Read>
+    static auto converse(connection& link, bool is_new, const http_call& call,
+                         const asio::yield_context& yield, Read read)
+        -> decltype(read(std::declval<connection&>(), std::declval<operation_deadline&>())) {
+        operation_deadline deadline(link, yield);
+        if (is_new) {
+            if (auto connected = connect(link, call, deadline, yield); !connected) {
+                return tl::make_unexpected(connected.error());
+            }
+        }
+        if (auto sent = send_request(link, call, deadline, yield); !sent) {
+            return tl::make_unexpected(sent.error());
+        }
+        return read(link, deadline);
+    }
+
     asio::io_context& context;
     std::mutex mutex;
     std::map<std::string, std::deque<connection_ptr>> idle;
@@ -196,17 +254,18 @@
 // A reply and whether its connection may be kept.
 using kept_reply = std::pair<http_reply, bool>;
 
-http_result<kept_reply> read_whole(connection& link, const http_call& call,
+http_result<kept_reply> read_whole(connection& link, const http_call& call, operation_deadline& deadline,
                                    const asio::yield_context& yield) {
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_answer_bytes);
-    if (auto head = read_head(link, parser, call, yield); !head) {
+    if (auto head = read_head(link, parser, call, deadline, yield); !head) {
         return tl::make_unexpected(head.error());
     }
     beast::error_code code;
-    http::async_read(link.stream, link.buffer, parser, yield[code]);
+    http::async_read(link.socket, link.buffer, parser, yield[code]);
     if (code) {
-        return tl::make_unexpected(failure(call_progress::answer_begun, code, "read the answer of", call));
+        return tl::make_unexpected(
+            failure(call_progress::answer_begun, code, "read the answer of", call, deadline));
     }
     auto message = parser.release();
     http_reply reply{static_cast<int>(message.result_int()), copy_headers(message.base()),
@@ -219,10 +278,11 @@
 }
 
 http_result<kept_reply> read_stream(connection& link, const http_call& call, const head_handler& on_head,
-                                    const chunk_handler& on_chunk, const asio::yield_context& yield) {
+                                    const chunk_handler& on_chunk, operation_deadline& deadline,
+                                    const asio::yield_context& yield) {
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
-    if (auto head = read_head(link, parser, call, yield); !head) {
+    if (auto head = read_head(link, parser, call, deadline, yield); !head) {
         return tl::make_unexpected(head.error());
     }
     http_reply reply{static_cast<int>(parser.get().result_int()), copy_headers(parser.get().base()), {}};
@@ -234,11 +294,11 @@
         parser.get().body().data = piece.data();
         parser.get().body().size = piece.size();
         beast::error_code code;
-        link.stream.expires_after(call.timeout);
-        http::async_read_some(link.stream, link.buffer, parser, yield[code]);
+        deadline.arm(call.timeout);
+        http::async_read_some(link.socket, link.buffer, parser, yield[code]);
         if (code && code != http::error::need_buffer) {
             return tl::make_unexpected(
-                failure(call_progress::answer_begun, code, "read the stream of", call));
+                failure(call_progress::answer_begun, code, "read the stream of", call, deadline));
         }
         const std::size_t size = piece.size() - parser.get().body().size;
         if (size > 0 && !on_chunk(std::string_view(piece.data(), size))) {
@@ -263,13 +323,17 @@
 
 http_result<http_reply> http_client::fetch(const http_call& call, const asio::yield_context& yield) {
     return without_connection(
-        state_->exchange(call, yield, [&](connection& link) { return read_whole(link, call, yield); }));
+        state_->exchange(call, yield, [&](connection& link, operation_deadline& deadline) {
+            return read_whole(link, call, deadline, yield);
+        }));
 }
 
 http_result<http_reply> http_client::stream(const http_call& call, const head_handler& on_head,
                                             const chunk_handler& on_chunk, const asio::yield_context& yield) {
-    return without_connection(state_->exchange(
-        call, yield, [&](connection& link) { return read_stream(link, call, on_head, on_chunk, yield); }));
+    return without_connection(
+        state_->exchange(call, yield, [&](connection& link, operation_deadline& deadline) {
+            return read_stream(link, call, on_head, on_chunk, deadline, yield);
+        }));
 }
 
 http_result<http_reply> fetch_blocking(const http_call& call) {
@@ -277,7 +341,8 @@
     http_client client(context);
     http_result<http_reply> answer;
     asio::spawn(
-        context, [&](const asio::yield_context& yield) { answer = client.fetch(call, yield); },
+        asio::make_strand(context),
+        [&](const asio::yield_context& yield) { answer = client.fetch(call, yield); },
         [](const std::exception_ptr& thrown) {
             if (thrown) {
                 std::rethrow_exception(thrown);
--- a/packages/adapters/http_client.h
+++ b/packages/adapters/http_client.h
@@ -17,7 +17,8 @@
 /// Receives the status and headers of a streamed answer before its first piece; returns false to cancel.
 using head_handler = std::function<bool(int, const http_headers&)>;
 
-/// An HTTP/1.1 client with idle connections kept for each address. Safe for concurrent use.
+/// An HTTP/1.1 client with idle connections kept for each address. Safe for concurrent use; each coroutine
+/// that calls it must run on a strand, as those of `spawn_coroutine` do.
 class http_client {
   public:
     explicit http_client(boost::asio::io_context& context);
--- a/packages/adapters/http_server.cpp
+++ b/packages/adapters/http_server.cpp
@@ -199,15 +199,16 @@
     void accept(const asio::yield_context& yield) {
         while (acceptor.is_open()) {
             beast::error_code code;
-            tcp::socket socket(context);
+            tcp::socket socket(asio::make_strand(context));
             acceptor.async_accept(socket, yield[code]);
             if (code || connections.load() >= limits.connections) {
                 continue;
             }
             socket.set_option(tcp::no_delay(true), code);
             auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+            // Stream and coroutine share a strand: a timeout must not fire beside another operation.
             asio::spawn(
-                context,
+                stream->get_executor(),
                 [self = shared_from_this(), stream](const asio::yield_context& inner) {
                     ++self->connections;
                     self->serve(*stream, inner);
--- a/packages/adapters/json_read.h
+++ b/packages/adapters/json_read.h
@@ -11,6 +11,23 @@
 // These functions read answers of other processes. They throw `std::invalid_argument` that names the field
 // where it is absent, has another type or is out of range.
 
+/// Returns a field's value, or the fallback where the object lacks it or it has another type. Doesn't throw.
+template <class T>
+T value_or(const nlohmann::json& object, const char* field, const T& fallback) {
+    if (!object.is_object()) {
+        return fallback;
+    }
+    const auto found = object.find(field);
+    if (found == object.end()) {
+        return fallback;
+    }
+    try {
+        return found->template get<T>();
+    } catch (const nlohmann::json::exception&) {
+        return fallback;
+    }
+}
+
 /// Parses a text as a JSON object.
 nlohmann::json parse_object(const std::string& text);
 
--- a/packages/adapters/kv_client.cpp
+++ b/packages/adapters/kv_client.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "adapters/json_read.h"
+
 namespace figspoke::adapters {
 namespace {
 
@@ -22,7 +24,7 @@
 
 std::uint64_t json_number(const std::string& body, const char* field) {
     const json parsed = json::parse(body, nullptr, false);
-    return parsed.is_object() ? parsed.value(field, std::uint64_t{0}) : 0;
+    return value_or(parsed, field, std::uint64_t{0});
 }
 
 // A 5xx answer says nothing about a write's effect: the service may have failed after it.
@@ -72,7 +74,7 @@
     }
     std::vector<std::string> keys;
     for (const auto& entry : parsed["keys"]) {
-        keys.push_back(entry.value("key", std::string()));
+        keys.push_back(value_or(entry, "key", std::string()));
     }
     return keys;
 }
@@ -131,7 +133,7 @@
         const std::string target = "/lease?ttl_ms=" + std::to_string(ttl.count());
         return transform(call(at, "POST", target, "", at.timeout, yield), [](const http_reply& reply) {
             const json parsed = json::parse(reply.body, nullptr, false);
-            return parsed.is_object() ? parsed.value("lease", std::string()) : std::string();
+            return value_or(parsed, "lease", std::string());
         });
     };
     store.renew_lease = [at](const std::string& lease, const yield_context& yield) {
--- a/packages/node/charge_service.cpp
+++ b/packages/node/charge_service.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "adapters/json_read.h"
+
 #include "adapters/await.h"
 #include "node/journal_routing.h"
 #include "node/node_state.h"
@@ -159,13 +161,14 @@
 
 bool keep_charge_copy(node_state& node, const std::string& body) {
     const json parsed = json::parse(body, nullptr, false);
-    const auto entry = state::decode_entry(parsed.is_object() ? parsed.value("charge", std::string()) : "");
+    const auto entry = state::decode_entry(adapters::value_or(parsed, "charge", std::string()));
     const auto* value = entry ? std::get_if<state::charge>(&*entry) : nullptr;
     if (value == nullptr) {
         return false;
     }
     const std::lock_guard lock(node.charges.mutex);
-    return state::keep_copy(node.charges.copies, {parsed.value("shard", std::uint32_t{0}), *value});
+    return state::keep_copy(node.charges.copies,
+                            {adapters::value_or(parsed, "shard", std::uint32_t{0}), *value});
 }
 
 void drop_charge_copies(node_state& node, const std::string& body) {
@@ -173,10 +176,10 @@
     if (!parsed.is_object() || !parsed.contains("recorded") || !parsed["recorded"].is_array()) {
         return;
     }
-    const std::string writer = parsed.value("writer", std::string());
+    const std::string writer = adapters::value_or(parsed, "writer", std::string());
     const std::lock_guard lock(node.charges.mutex);
     for (const auto& item : parsed["recorded"]) {
-        if (item.is_array() && item.size() == 2) {
+        if (item.is_array() && item.size() == 2 && item[0].is_number() && item[1].is_number()) {
             state::drop_copy(node.charges.copies, writer, item[0].get<std::uint32_t>(),
                              item[1].get<std::uint64_t>());
         }
--- a/packages/node/chat_flow.cpp
+++ b/packages/node/chat_flow.cpp
@@ -132,8 +132,14 @@
     if (!room) {
         return tl::make_unexpected(room.error());
     }
+    const auto reserved = static_cast<double>(session.request.prompt_tokens + session.request.max_tokens);
+    auto within_limit = take_rate(node, session.caller.account, reserved, session.caller.expires_at, yield);
+    if (!within_limit) {
+        return within_limit;
+    }
     auto slot = await_admission(node.admission, make_admission(session), yield);
     if (!slot) {
+        return_rate(node, session.caller.account, reserved);
         return tl::make_unexpected(slot.error());
     }
     {
@@ -141,6 +147,8 @@
         policy::record_request(node.evidence.retries, node.evidence.retry_limits);
     }
     auto done = run_plan(node, session, writer, yield);
+    return_rate(node, session.caller.account,
+                reserved - static_cast<double>(session.prompt_tokens + session.tokens));
     // What was generated is charged, also where the answer broke off; a request that did not run is free.
     if (session.billed_micros > 0 || session.internal_micros > 0) {
         book_charge(node, std::move(*room), make_charge(session), yield);
--- a/packages/node/cluster_loops.cpp
+++ b/packages/node/cluster_loops.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <ctime>
 
-#include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
 
 #include "adapters/await.h"
@@ -75,6 +74,8 @@
         reply(std::string());
     } else if (request.method == "keyed_begin") {
         reply(serve_keyed_begin(node, request.from, request.body));
+    } else if (request.method == "rate_demand") {
+        reply(serve_rate_demand(node, request.body));
     } else if (request.method == "keyed_fetch") {
         reply(serve_keyed_fetch(node, request.body));
     } else {
@@ -178,9 +179,7 @@
 }
 
 void spawn_loop(node_state& node, void (*loop)(node_state&, const yield_context&)) {
-    boost::asio::spawn(
-        node.context, [&node, loop](const yield_context& yield) { loop(node, yield); },
-        boost::asio::detached);
+    adapters::spawn_coroutine(node.context, [&node, loop](const yield_context& yield) { loop(node, yield); });
 }
 
 std::string with_port(const std::string& address, unsigned short port) {
--- a/packages/node/evidence_loops.cpp
+++ b/packages/node/evidence_loops.cpp
@@ -1,6 +1,5 @@
 #include "node/evidence_loops.h"
 
-#include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
 
 #include "adapters/await.h"
@@ -92,9 +91,7 @@
 }
 
 void spawn_loop(node_state& node, void (*loop)(node_state&, const yield_context&)) {
-    boost::asio::spawn(
-        node.context, [&node, loop](const yield_context& yield) { loop(node, yield); },
-        boost::asio::detached);
+    adapters::spawn_coroutine(node.context, [&node, loop](const yield_context& yield) { loop(node, yield); });
 }
 
 // An arbitrary old entry makes room: its rating has most probably been left out of the sample.
@@ -137,12 +134,10 @@
         const std::lock_guard lock(node.evidence.mutex);
         remember_pending(node.evidence, request_id, {{task, version, after}, flagged});
     }
-    boost::asio::spawn(
-        node.context,
-        [&node, request_id, version, task, answer](const yield_context& yield) {
-            node.ratings.submit({request_id, version, task, answer}, yield);
-        },
-        boost::asio::detached);
+    adapters::spawn_coroutine(node.context,
+                              [&node, request_id, version, task, answer](const yield_context& yield) {
+                                  node.ratings.submit({request_id, version, task, answer}, yield);
+                              });
 }
 
 } // namespace figspoke::node
--- a/packages/node/journal_routing.cpp
+++ b/packages/node/journal_routing.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "adapters/json_read.h"
+
 #include "adapters/await.h"
 #include "node/node_state.h"
 #include "state/entry_codec.h"
@@ -37,8 +39,8 @@
     if (!parsed.is_object()) {
         return unclear_outcome();
     }
-    const auto result = state::decode_apply_result(parsed.value("result", std::string()));
-    const int fate = parsed.value("fate", static_cast<int>(state::entry_fate::unclear));
+    const auto result = state::decode_apply_result(adapters::value_or(parsed, "result", std::string()));
+    const int fate = adapters::value_or(parsed, "fate", static_cast<int>(state::entry_fate::unclear));
     if (!result || fate < 0 || fate > static_cast<int>(state::entry_fate::unclear)) {
         return unclear_outcome();
     }
@@ -95,8 +97,8 @@
 
 void serve_append(node_state& node, const std::string& body, const std::function<void(std::string)>& reply) {
     const json parsed = json::parse(body, nullptr, false);
-    const auto entry = state::decode_entry(parsed.is_object() ? parsed.value("entry", std::string()) : "");
-    const std::uint32_t shard = parsed.is_object() ? parsed.value("shard", std::uint32_t{0}) : 0;
+    const auto entry = state::decode_entry(adapters::value_or(parsed, "entry", std::string()));
+    const std::uint32_t shard = adapters::value_or(parsed, "shard", std::uint32_t{0});
     if (!entry || shard >= node.journal.shards.size()) {
         reply(encode_outcome(unclear_outcome()));
         return;
--- a/packages/node/journal_service.cpp
+++ b/packages/node/journal_service.cpp
@@ -2,8 +2,7 @@
 
 #include <utility>
 
-#include <boost/asio/detached.hpp>
-
+#include "adapters/await.h"
 #include "adapters/decision_log.h"
 
 namespace figspoke::node {
@@ -145,9 +144,8 @@
         journal.shards.push_back(std::make_unique<shard_slot>(
             context.get_executor(), make_writer(journal, settings, incarnation, shard)));
         auto& slot = *journal.shards.back();
-        boost::asio::spawn(
-            context, [&slot, &kv](const boost::asio::yield_context& yield) { drive_shard(slot, kv, yield); },
-            boost::asio::detached);
+        adapters::spawn_coroutine(
+            context, [&slot, &kv](const boost::asio::yield_context& yield) { drive_shard(slot, kv, yield); });
     }
 }
 
--- a/packages/node/node.cpp
+++ b/packages/node/node.cpp
@@ -7,7 +7,6 @@
 #include <thread>
 #include <vector>
 
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/spawn.hpp>
 
@@ -20,6 +19,7 @@
 #include "node/routes.h"
 #include "node/shutdown.h"
 #include "node/upstream_loops.h"
+#include "node/vm_watch.h"
 
 namespace figspoke::node {
 namespace {
@@ -123,10 +123,11 @@
     start_cluster(node);
     start_journal(node.journal, node.context, node.kv, node.settings.journal, node.incarnation);
     start_evidence(node);
+    start_rates(node);
+    start_vm_watch(node);
     start_upstream_reports(node);
-    boost::asio::spawn(
-        node.context, [&node](const yield_context& yield) { upkeep_loop(node, yield); },
-        boost::asio::detached);
+    adapters::spawn_coroutine(node.context,
+                              [&node](const yield_context& yield) { upkeep_loop(node, yield); });
 }
 
 } // namespace
@@ -148,13 +149,10 @@
             begin_shutdown(node);
         }
     });
-    boost::asio::spawn(
-        context,
-        [&](const yield_context& yield) {
-            await_shutdown(node, server, yield);
-            context.stop();
-        },
-        boost::asio::detached);
+    adapters::spawn_coroutine(context, [&](const yield_context& yield) {
+        await_shutdown(node, server, yield);
+        context.stop();
+    });
     write_port_file(settings.node.port_file, server.port());
     adapters::log_info("started", settings.node.id + " serves callers on " + node.advertised_address);
     run_threads(context, settings.node.threads);
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -20,6 +20,7 @@
 #include "node/config_table.h"
 #include "node/evidence_table.h"
 #include "node/journal_service.h"
+#include "node/rate_service.h"
 #include "node/repeat_registry.h"
 #include "node/upstream_table.h"
 
@@ -54,6 +55,7 @@
     cluster nodes;
     admission_gate admission;
     upstream_table upstreams;
+    rate_service rates;
     journal_service journal;
     charge_service charges;
     repeat_registry repeats;
--- a/packages/node/repeat_registry.cpp
+++ b/packages/node/repeat_registry.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "adapters/json_read.h"
+
 #include "adapters/await.h"
 #include "node/journal_routing.h"
 #include "node/node_state.h"
@@ -40,8 +42,9 @@
     if (!parsed.is_object() || !parsed.contains("status")) {
         return std::nullopt;
     }
-    return adapters::http_reply{parsed.value("status", 0), parsed.value("headers", adapters::http_headers()),
-                                parsed.value("body", std::string())};
+    return adapters::http_reply{adapters::value_or(parsed, "status", 0),
+                                adapters::value_or(parsed, "headers", adapters::http_headers()),
+                                adapters::value_or(parsed, "body", std::string())};
 }
 
 std::optional<state::member_entry> find_member(node_state& node, const std::string& id) {
@@ -124,7 +127,7 @@
     const json fetched = fetch_answer(node, server, id_of(session), yield);
     if (fetched["state"] == "finished") {
         search.next = keyed_search::step::answered;
-        search.answer = fetched.value("answer", std::string());
+        search.answer = adapters::value_or(fetched, "answer", std::string());
     } else if (fetched["state"] == "unknown") {
         search.denials = search.forgetful == server ? search.denials + 1 : 1;
         search.forgetful = server;
@@ -138,8 +141,8 @@
                            const yield_context& yield) {
     const std::string not_at = search.denials >= max_denials ? search.forgetful : "";
     const json registered = ask_owner(node, session, not_at, yield);
-    bool reused = registered.value("key_reused", false);
-    const std::string server = registered.value("node", std::string());
+    bool reused = adapters::value_or(registered, "key_reused", false);
+    const std::string server = adapters::value_or(registered, "node", std::string());
     if (!reused && server == node.settings.node.id) {
         look_here(node, session, search, reused);
     } else if (!reused) {
@@ -190,8 +193,8 @@
     if (!question.is_object()) {
         return json{{"node", from}}.dump();
     }
-    const auto id = question.value("id", std::string());
-    const auto body_sha256 = question.value("body_sha256", std::string());
+    const auto id = adapters::value_or(question, "id", std::string());
+    const auto body_sha256 = adapters::value_or(question, "body_sha256", std::string());
     const auto members = serving_members(node.nodes, clock::now());
     const std::lock_guard lock(node.repeats.mutex);
     auto& record = node.repeats.serving[id];
@@ -202,7 +205,7 @@
     const bool alive = std::any_of(members.begin(), members.end(), [&](const state::member_entry& member) {
         return member.id == record.node;
     });
-    const bool forgotten = known && question.value("not_at", std::string()) == record.node;
+    const bool forgotten = known && adapters::value_or(question, "not_at", std::string()) == record.node;
     if (!known || !alive || forgotten) {
         record = {from, body_sha256, {}};
     }
@@ -212,7 +215,7 @@
 
 std::string serve_keyed_fetch(node_state& node, const std::string& body) {
     const json question = json::parse(body, nullptr, false);
-    const auto id = question.is_object() ? question.value("id", std::string()) : std::string();
+    const auto id = adapters::value_or(question, "id", std::string());
     const std::lock_guard lock(node.repeats.mutex);
     const auto found = node.repeats.answers.answers.find(id);
     if (found == node.repeats.answers.answers.end()) {
--- a/packages/node/service_flow.cpp
+++ b/packages/node/service_flow.cpp
@@ -1,7 +1,6 @@
 #include "node/service_flow.h"
 
-#include <boost/asio/detached.hpp>
-
+#include "adapters/await.h"
 #include "adapters/decision_log.h"
 #include "node/error_reply.h"
 #include "node/journal_routing.h"
@@ -58,12 +57,9 @@
     if (outcome.fate == state::entry_fate::settled) {
         return;
     }
-    boost::asio::spawn(
-        node.context,
-        [&node, shard, result](const yield_context& later) {
-            await_append(node, shard, result, late_result_timeout, later);
-        },
-        boost::asio::detached);
+    adapters::spawn_coroutine(node.context, [&node, shard, result](const yield_context& later) {
+        await_append(node, shard, result, late_result_timeout, later);
+    });
 }
 
 adapters::http_reply stored_reply(const state::apply_result& stored) {
--- a/packages/node/upstream_loops.cpp
+++ b/packages/node/upstream_loops.cpp
@@ -1,6 +1,5 @@
 #include "node/upstream_loops.h"
 
-#include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
 
 #include "adapters/await.h"
@@ -76,12 +75,10 @@
         if (found == config.upstreams.end()) {
             continue;
         }
-        boost::asio::spawn(
-            node.context,
-            [&node, upstream = found->second](const yield_context& yield) {
-                read_reports(node, upstream, yield);
-            },
-            boost::asio::detached);
+        adapters::spawn_coroutine(node.context,
+                                  [&node, upstream = found->second](const yield_context& yield) {
+                                      read_reports(node, upstream, yield);
+                                  });
     }
 }
 
@@ -101,9 +98,8 @@
 
 void start_upstream_reports(node_state& node) {
     node.reports = adapters::make_upstream_reports(node.client, report_timeout);
-    boost::asio::spawn(
-        node.context, [&node](const yield_context& yield) { report_loop(node, yield); },
-        boost::asio::detached);
+    adapters::spawn_coroutine(node.context,
+                              [&node](const yield_context& yield) { report_loop(node, yield); });
 }
 
 } // namespace figspoke::node
