--- a/test/correctness/state_journal_world.cpp
+++ b/test/correctness/state_journal_world.cpp
@@ -124,12 +124,12 @@
     }
 }
 
-void check_fence(world& w, const std::string& text) {
+void check_fence(world& w, const std::string& incarnation, const std::string& text) {
     const journal_shard before = read_shard(w);
     const journal_shard after = decode_shard(text).value();
     const bool same_owner = after.epoch == before.epoch && after.owner == before.owner;
-    if (!same_owner && after.epoch != before.epoch + 1) {
-        w.violations.emplace("fence", after.owner + " wrote after " + before.owner);
+    if (after.owner != incarnation || (!same_owner && after.epoch != before.epoch + 1)) {
+        w.violations.emplace("fence", incarnation + " wrote after " + before.owner);
     }
     if (after.next_page < before.next_page || after.clock < before.clock) {
         w.violations.emplace("fence", after.owner + " wrote an old value");
@@ -157,7 +157,7 @@
         call.written = cell.version == action.expected;
         if (call.written) {
             if (!is_page) {
-                check_fence(w, action.text);
+                check_fence(w, call.incarnation, action.text);
                 note_recorded(w, call.incarnation, action.text);
             }
             cell = {action.text, cell.version + 1};
--- /dev/null
+++ b/test/correctness/state_journal_writer_test.cpp
@@ -0,0 +1,160 @@
+#include <doctest/doctest.h>
+
+#include "state/journal_writer.h"
+#include "support/journal_world.h"
+
+using namespace figspoke::state;
+using figspoke::core::milliseconds;
+using figspoke::core::steady_time;
+using figspoke::test::world_cell;
+
+namespace {
+
+struct service {
+    world_cell shard;
+    std::map<std::uint64_t, std::string> pages;
+};
+
+journal_writer writer_of(const std::string& owner) {
+    writer_settings settings;
+    settings.owner = owner;
+    settings.seal_above = 2;
+    settings.page_charges = 2;
+    settings.max_waiting = 3;
+    return make_journal_writer(settings, nullptr);
+}
+
+journal_entry claim_of(const std::string& request) {
+    return order_claim{"order", "acme", "body", request, "node"};
+}
+
+journal_entry charge_of(std::uint64_t sequence) {
+    charge value;
+    value.account = "acme";
+    value.micros = 10;
+    value.writer = "node";
+    value.sequence = sequence;
+    return value;
+}
+
+// Carries out one call and tells the writer its end.
+void perform(journal_writer& writer, service& kv, const writer_action& action, steady_time now) {
+    if (action.call == writer_call::read_shard) {
+        const bool absent = kv.shard.version == 0;
+        on_value(writer, absent ? std::nullopt : std::optional<std::string>(kv.shard.text), kv.shard.version,
+                 now);
+    } else if (action.call == writer_call::write_shard && kv.shard.version == action.expected) {
+        kv.shard = {action.text, kv.shard.version + 1};
+        on_written(writer, kv.shard.version, now);
+    } else if (action.call == writer_call::create_page && kv.pages.emplace(action.page, action.text).second) {
+        on_written(writer, 1, now);
+    } else if (action.call == writer_call::read_page) {
+        on_value(writer, kv.pages.at(action.page), 1, now);
+    } else {
+        on_conflict(writer, now);
+    }
+}
+
+void run(journal_writer& writer, service& kv, steady_time now) {
+    for (auto action = next_action(writer, now); action.call != writer_call::wait;
+         action = next_action(writer, now)) {
+        perform(writer, kv, action, now);
+    }
+}
+
+journal_writer owner_of(service& kv, const std::string& owner, steady_time now) {
+    journal_writer writer = writer_of(owner);
+    acquire_shard(writer);
+    run(writer, kv, now);
+    REQUIRE(writer.phase == writer_phase::owner);
+    return writer;
+}
+
+} // namespace
+
+TEST_CASE("a claim whose reply was lost is found by its batch id and not written again") {
+    // Guards against a claim that is repeated blindly or reported as not written.
+    service kv;
+    const steady_time now;
+    journal_writer writer = owner_of(kv, "a", now);
+    REQUIRE(submit_entry(writer, 7, claim_of("r1"), now) == submit_result::accepted);
+    const auto write = next_action(writer, now);
+    REQUIRE(write.call == writer_call::write_shard);
+    kv.shard = {write.text, kv.shard.version + 1};
+    on_lost(writer, now);
+    CHECK(next_action(writer, now).call == writer_call::wait);
+    CHECK(take_settled(writer).empty());
+    run(writer, kv, now + milliseconds(20));
+    const auto settled = take_settled(writer);
+    REQUIRE(settled.size() == 1);
+    CHECK(settled[0].fate == entry_fate::settled);
+    CHECK(settled[0].result.outcome == entry_outcome::applied);
+    CHECK(kv.shard.version == 2);
+}
+
+TEST_CASE("a paused owner that resumes after a takeover writes nothing") {
+    // Guards against a stale owner that confirms a claim after its successor has started.
+    service kv;
+    const steady_time now;
+    journal_writer paused = owner_of(kv, "a", now);
+    submit_entry(paused, 1, claim_of("r1"), now);
+    const auto late = next_action(paused, now);
+    submit_entry(paused, 2, charge_of(1), now);
+    journal_writer next = owner_of(kv, "b", now);
+    submit_entry(next, 3, claim_of("r2"), now);
+    run(next, kv, now);
+    perform(paused, kv, late, now);
+    run(paused, kv, now);
+    CHECK(paused.phase == writer_phase::idle);
+    const auto settled = take_settled(paused);
+    REQUIRE(settled.size() == 2);
+    CHECK(settled[0].fate == entry_fate::settled);
+    CHECK(settled[0].result.outcome == entry_outcome::in_progress);
+    CHECK(settled[1].fate == entry_fate::not_owner);
+    CHECK(decode_shard(kv.shard.text)->orders.at("order").request_id == "r2");
+    CHECK(submit_entry(paused, 4, claim_of("r3"), now) == submit_result::not_owner);
+}
+
+TEST_CASE("a crash between sealing and removal neither loses nor doubles charges") {
+    // Guards against a new owner that seals the same charges into a second page.
+    service kv;
+    const steady_time now;
+    journal_writer crashed = owner_of(kv, "a", now);
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        submit_entry(crashed, i, charge_of(i), now);
+    }
+    const steady_time later = now + milliseconds(250);
+    perform(crashed, kv, next_action(crashed, later), later);
+    const auto seal = next_action(crashed, later);
+    REQUIRE(seal.call == writer_call::create_page);
+    perform(crashed, kv, seal, later);
+    journal_writer next = owner_of(kv, "b", later);
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        submit_entry(next, i, charge_of(i), later);
+    }
+    run(next, kv, later + milliseconds(250));
+    const auto shard = decode_shard(kv.shard.text);
+    REQUIRE(shard->charges.size() == 1);
+    CHECK(shard->charges[0].sequence == 3);
+    CHECK(shard->next_page == 2);
+    CHECK(kv.pages.size() == 1);
+    CHECK(decode_ledger_page(kv.pages.at(1))->charges.size() == 2);
+    CHECK(shard->totals.at("acme").charges == 3);
+}
+
+TEST_CASE("claims flush at once, charges wait for the delay, and waiting entries are bounded") {
+    // Guards against one write for each charge, a claim that waits, and memory that grows in an outage.
+    service kv;
+    const steady_time now;
+    journal_writer writer = owner_of(kv, "a", now);
+    submit_entry(writer, 1, charge_of(1), now);
+    const auto wait = next_action(writer, now);
+    CHECK(wait.call == writer_call::wait);
+    CHECK(wait.until == now + milliseconds(250));
+    submit_entry(writer, 2, claim_of("r1"), now);
+    submit_entry(writer, 3, charge_of(2), now);
+    CHECK(submit_entry(writer, 4, charge_of(3), now) == submit_result::full);
+    CHECK(withdraw_entry(writer, 3));
+    CHECK(next_action(writer, now).call == writer_call::write_shard);
+    CHECK_FALSE(withdraw_entry(writer, 2));
+}
