Seal ledger pages early where a shard is near its size limit

Orders and charged keys could fill a value so far that charges were refused before their number reached the sealing limit, and so for as long as the orders were kept. A value above claim_bytes is now sealed from a tenth of the open charges on, and the byte limits leave charges room beside everything that cannot be dropped.

--- a/packages/state/journal_entry.h
+++ b/packages/state/journal_entry.h
@@ -41,7 +41,8 @@
 using journal_entry = std::variant<order_claim, order_result, charge>;
 
 enum class entry_outcome {
-    /// The entry is recorded. The claimant of an order may dispatch it.
+    /// The entry is recorded. The claimant of an order may dispatch it; where it has given the request up, it
+    /// must record the order as refused, or the key stays in progress.
     applied,
     /// The entry had been recorded before. For a claim: the same request holds it and may dispatch the order
     /// if it has not done so yet.
@@ -82,10 +83,12 @@
     std::size_t max_ranges_per_writer = 32;
     /// A larger stored answer is dropped and only its status is kept.
     std::size_t max_stored_body = std::size_t{16} * 1024;
-    /// New claims stop first, then charges, so that the result of a claimed order always has room.
-    std::size_t claim_bytes = 700'000;
-    std::size_t charge_bytes = 850'000;
-    std::size_t answer_bytes = 950'000;
+    /// New claims stop first, then charges, so that the result of a claimed order always has room. Above
+    /// `claim_bytes` stored answers are dropped and pages are sealed early. What cannot be dropped is then at
+    /// most 500 KB of orders, 256 KB of charged keys and about 60 KB of writers, which leaves charges room.
+    std::size_t claim_bytes = 500'000;
+    std::size_t charge_bytes = 900'000;
+    std::size_t answer_bytes = 980'000;
 };
 
 /// What `apply_entry` needs to know beside the shard; `make_apply_context` builds it.
--- a/packages/state/journal_fate.cpp
+++ b/packages/state/journal_fate.cpp
@@ -92,6 +92,7 @@
 void settle_written(journal_writer& writer, std::uint64_t version) {
     writer.value = std::move(writer.attempt->next);
     writer.version = version;
+    writer.value_bytes = writer.attempt->text.size();
     writer.measured_to = writer.attempt->measured_to;
     writer.phase = writer_phase::owner;
     writer.observed_epoch.reset();
--- a/packages/state/journal_writer.cpp
+++ b/packages/state/journal_writer.cpp
@@ -32,12 +32,21 @@
     return action;
 }
 
+bool is_sealing_due(const journal_writer& writer) {
+    const auto& settings = writer.settings;
+    const std::size_t open = writer.value.charges.size();
+    // Without early sealing a value full of orders would refuse charges before their number reached the
+    // limit.
+    const bool is_tight = writer.value_bytes > settings.limits.claim_bytes;
+    return open > settings.seal_above || (is_tight && open > settings.seal_above / 10);
+}
+
 // Pages are built only from a written value: charges of a batch in progress may not be recorded.
 std::optional<writer_action> seal_page(journal_writer& writer) {
     if (writer.sealed || writer.releasing) {
         return std::nullopt;
     }
-    if (!writer.page && writer.value.charges.size() > writer.settings.seal_above) {
+    if (!writer.page && is_sealing_due(writer)) {
         writer.page = make_ledger_page(writer.settings.shard, writer.value, writer.settings.page_charges);
     }
     if (!writer.page) {
--- a/packages/state/journal_writer.h
+++ b/packages/state/journal_writer.h
@@ -25,7 +25,8 @@
     /// Entries that wait for their batch; `submit_entry` refuses more.
     std::size_t max_waiting = 4000;
     std::size_t max_batch = 500;
-    /// Open charges above which a ledger page is sealed, and the most that one page takes.
+    /// Open charges above which a ledger page is sealed, and the most that one page takes. A value above
+    /// `claim_bytes` is sealed from a tenth of that on.
     std::size_t seal_above = 1000;
     std::size_t page_charges = 1000;
     /// Longest time that a charge waits for its batch. Claims and results do not wait.
@@ -106,6 +107,8 @@
     std::optional<std::uint64_t> observed_epoch;
     journal_shard value;
     std::uint64_t version = 0;
+    /// The encoded size of the value that was last written.
+    std::size_t value_bytes = 0;
     core::steady_time measured_to;
     std::optional<batch_attempt> attempt;
     std::uint64_t attempts = 0;
--- a/test/correctness/state_journal_writer_test.cpp
+++ b/test/correctness/state_journal_writer_test.cpp
@@ -142,6 +142,20 @@
     CHECK(shard->totals.at("acme").charges == 3);
 }
 
+TEST_CASE("a value near its size limit is sealed early") {
+    // Guards against charges that are refused for ever because orders fill the value.
+    service kv;
+    const steady_time now;
+    journal_writer writer = owner_of(kv, "a", now);
+    writer.settings.seal_above = 10;
+    writer.settings.limits.claim_bytes = 100;
+    submit_entry(writer, 1, charge_of(1), now);
+    submit_entry(writer, 2, charge_of(2), now);
+    run(writer, kv, now + milliseconds(250));
+    CHECK(kv.pages.size() == 1);
+    CHECK(decode_shard(kv.shard.text)->charges.empty());
+}
+
 TEST_CASE("claims flush at once, charges wait for the delay, and waiting entries are bounded") {
     // Guards against one write for each charge, a claim that waits, and memory that grows in an outage.
     service kv;
