--- a/test/correctness/state_journal_entry_test.cpp
+++ b/test/correctness/state_journal_entry_test.cpp
@@ -103,6 +103,30 @@
     CHECK(shard.orders.at("order").body_dropped);
 }
 
+TEST_CASE("a shard that is filled up to its limits fits the key-value service") {
+    // Guards against a value that the service refuses, after which nothing could be written any more.
+    journal_shard shard;
+    apply_context context = make_apply_context(shard, {}, nullptr);
+    context.limits.max_open_entries = 100'000;
+    order_result ended = result_of("r", order_state::completed);
+    ended.body = std::string(16'000, '\x01');
+    std::size_t refused = 0;
+    for (std::uint64_t i = 0; i < 6000; ++i) {
+        order_claim claim = claim_of("r" + std::to_string(i));
+        claim.order_id = ended.order_id = std::to_string(i);
+        ended.request_id = claim.request_id;
+        refused += apply_entry(shard, claim, context).outcome == entry_outcome::backlog_full ? 1 : 0;
+        apply_entry(shard, charge_of("w" + std::to_string(i), 1, std::to_string(i)), context);
+        apply_entry(shard, ended, context);
+    }
+    CHECK(refused > 0);
+    const std::size_t full = encode_shard(shard).size();
+    CHECK(full <= max_value_bytes);
+    CHECK(full <= context.bytes);
+    expire_records(shard, {});
+    CHECK(encode_shard(shard).size() < full);
+}
+
 TEST_CASE("finished records expire after the window of owned time") {
     // Guards against a record that is removed early, or a claim that is removed while its order may run.
     journal_shard shard;
--- a/test/correctness/state_journal_property_test.cpp
+++ b/test/correctness/state_journal_property_test.cpp
@@ -58,6 +58,11 @@
     CHECK(holds("fence"));
 }
 
+TEST_CASE("the size estimate is never below the encoded size under any schedule") {
+    // Guards against a value that grows past the service's limit while the estimate still allows entries.
+    CHECK(holds("size"));
+}
+
 TEST_CASE("nothing is reported not written that is in the value under any schedule") {
     // Guards against a node that reports work as not recorded after a lost reply.
     CHECK(holds("not_written"));
--- a/test/correctness/state_journal_world.cpp
+++ b/test/correctness/state_journal_world.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "state/apply_charge.h"
+#include "state/shard_size.h"
 
 namespace figspoke::test {
 namespace {
@@ -131,6 +132,9 @@
     if (after.owner != incarnation || (!same_owner && after.epoch != before.epoch + 1)) {
         w.violations.emplace("fence", incarnation + " wrote after " + before.owner);
     }
+    if (text.size() > estimate_bytes(after)) {
+        w.violations.emplace("size", "the estimate is below " + std::to_string(text.size()));
+    }
     if (after.next_page < before.next_page || after.clock < before.clock) {
         w.violations.emplace("fence", after.owner + " wrote an old value");
     }
