Let running requests be paused for urgent and light work

Engines resume streams, so a slot that batch work holds needn't be lost until its end. Change: requests marked pausable start without leaving headroom; when urgent work or a light account finds no slot, one of them is paused, at most three times, never below its floor or close to its deadline. The account code moves to a file of its own. Nothing is paused unless the node marks requests.

--- a/packages/policy/admission_fair_queue.cpp
+++ b/packages/policy/admission_fair_queue.cpp
@@ -26,6 +26,20 @@
     erase_name(queue.round, name);
 }
 
+// Counts a request that is about to wait and enters its account into the rounds.
+account_queue& enter(fair_queue& queue, const admission_request& request) {
+    account_queue& account = queue.accounts[request.account];
+    account.weight = std::max(request.weight, 1e-3);
+    if (account.entries.empty()) {
+        repay_while_idle(queue, account);
+        (account.deficit >= 0 ? queue.fresh : queue.round).push_back(request.account);
+    }
+    account.work += request.work;
+    queue.work += request.work;
+    ++queue.size;
+    return account;
+}
+
 waiting_request take_at(fair_queue& queue, const std::string& name, std::size_t index) {
     account_queue& account = queue.accounts.at(name);
     const auto position = account.entries.begin() + static_cast<std::ptrdiff_t>(index);
@@ -92,19 +106,16 @@
 } // namespace
 
 void push(fair_queue& queue, waiting_request entry) {
-    const std::string name = entry.request.account;
-    account_queue& account = queue.accounts[name];
-    account.weight = std::max(entry.request.weight, 1e-3);
-    if (account.entries.empty()) {
-        repay_while_idle(queue, account);
-        (account.deficit >= 0 ? queue.fresh : queue.round).push_back(name);
-    }
-    account.work += entry.request.work;
-    queue.work += entry.request.work;
-    ++queue.size;
+    account_queue& account = enter(queue, entry.request);
     account.entries.push_back(std::move(entry));
 }
 
+void push_front(fair_queue& queue, waiting_request entry) {
+    account_queue& account = enter(queue, entry.request);
+    account.deficit += entry.request.work;
+    account.entries.push_front(std::move(entry));
+}
+
 std::optional<waiting_request> pop(fair_queue& queue, const account_predicate& allowed) {
     auto name = first_ready(queue, allowed);
     if (!name && start_rounds(queue, allowed)) {
--- a/packages/policy/admission_fair_queue.h
+++ b/packages/policy/admission_fair_queue.h
@@ -27,6 +27,8 @@
     double worth = 1;
     /// When the response must be complete.
     std::optional<core::steady_time> deadline;
+    /// Whether the caller of the queue can pause the request while it runs and resume it later.
+    bool pausable = false;
 };
 
 /// A waiting request with its limits.
@@ -35,6 +37,8 @@
     core::steady_time arrived;
     /// After this time the request can no longer be served in time.
     core::steady_time latest_start;
+    /// How often the request was paused.
+    int pauses = 0;
 };
 
 /// The waiting requests of one account, and the work that it may still start in this round.
@@ -65,6 +69,9 @@
 /// Appends a request to its account's queue.
 void push(fair_queue& queue, waiting_request entry);
 
+/// Puts a paused request back at the front of its account's queue, without charging it again.
+void push_front(fair_queue& queue, waiting_request entry);
+
 /// Removes and returns the next request of the accounts that may start one, in round order.
 std::optional<waiting_request> pop(fair_queue& queue, const account_predicate& allowed);
 
--- a/packages/policy/admission_queue.cpp
+++ b/packages/policy/admission_queue.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "policy/admission_pause.h"
 #include "policy/admission_wait.h"
 
 namespace figspoke::policy {
@@ -11,8 +12,6 @@
 
 using core::error_kind;
 
-// Accounts that were silent for longer no longer reduce the share of the others.
-constexpr std::chrono::seconds activity_window(30);
 constexpr std::chrono::milliseconds sweep_interval(10);
 
 std::size_t index_of(core::priority priority) {
@@ -38,96 +37,67 @@
         result.weight = 1;
         result.worth = 1;
         result.deadline.reset();
+        result.pausable = false;
     }
     return result;
 }
 
-void update_weight(account_activities& activities, core::steady_time now) {
-    activities.weight = 0;
-    for (auto it = activities.accounts.begin(); it != activities.accounts.end();) {
-        const bool active = now - it->second.last_seen < activity_window;
-        activities.weight += active ? it->second.weight : 0;
-        it = active ? std::next(it) : activities.accounts.erase(it);
+void note_request(admission_queue& queue, const admission_request& request, core::steady_time now) {
+    note_arrival(queue.activities.at(index_of(request.priority)), request, queue.capacity, now);
+    if (request.priority == core::priority::urgent) {
+        note_event(queue.urgent_arrivals, now);
     }
-    activities.weight_updated = now;
 }
 
-// An account is heavy where it asks for more than its share of the slots. What it has running says less: an
-// account that floods the queue has few requests running as long as it is held back.
-bool is_heavy(const admission_queue& queue, core::priority priority, const std::string& account) {
-    const account_activities& activities = queue.activities.at(index_of(priority));
-    const auto found = activities.accounts.find(account);
-    if (found == activities.accounts.end()) {
-        return false;
-    }
-    const account_activity& activity = found->second;
-    const double share = activity.weight / std::max(activities.weight, activity.weight);
-    // The mean of an account that was first seen a moment ago holds too little; a few seconds are needed lest
-    // one large request makes an account heavy.
-    constexpr std::chrono::nanoseconds least_age = std::chrono::seconds(8);
-    const double age_s = core::to_seconds(std::max(least_age, queue.updated - activity.first_seen));
-    const double filled = 1 - std::exp(-age_s / core::to_seconds(activity_window));
-    return activity.offered / filled > std::max(1.0, share * queue.capacity);
+bool is_light(const admission_queue& queue, core::priority priority, const std::string& account) {
+    return !is_heavy(queue.activities.at(index_of(priority)), account, queue.capacity, queue.updated);
 }
 
-void note_arrival(admission_queue& queue, const admission_request& request, core::steady_time now) {
-    account_activities& activities = queue.activities.at(index_of(request.priority));
-    const auto [found, is_new] = activities.accounts.try_emplace(request.account);
-    account_activity& activity = found->second;
-    const double window_s = core::to_seconds(activity_window);
-    const double elapsed_s = is_new ? 0 : core::to_seconds(now - activity.last_seen);
-    activity.offered = activity.offered * std::exp(-elapsed_s / window_s) + request.work / window_s;
-    activity.weight = request.weight;
-    activity.first_seen = is_new ? now : activity.first_seen;
-    activity.last_seen = now;
-    if (is_new || now - activities.weight_updated > std::chrono::seconds(1)) {
-        update_weight(activities, now);
-    }
-    if (!is_heavy(queue, request.priority, request.account)) {
-        note_event(activities.light_arrivals, now);
-    }
-    if (request.priority == core::priority::urgent) {
-        note_event(queue.urgent_arrivals, now);
+// A slot that is taken can't be given back before its request ends, unless the request can be paused. A few
+// are therefore left free by work that has its share already, so that urgent requests and light accounts
+// needn't wait for one.
+double slots_left_free(const admission_queue& queue, const admission_request& request, int pauses) {
+    const bool urgent = request.priority == core::priority::urgent;
+    if (!urgent && is_below_floor(queue.shares, queue.settings, queue.capacity, request.priority)) {
+        return 0;
     }
-}
-
-// A slot that is taken can't be given back before its request ends. A few are therefore left free by work
-// that has its share already, so that urgent requests and light accounts needn't wait for one.
-double slots_left_free(const admission_queue& queue, core::priority priority, const std::string& account) {
-    const bool urgent = priority == core::priority::urgent;
-    if (!urgent && is_below_floor(queue.shares, queue.settings, queue.capacity, priority)) {
+    if (request.pausable && pauses < queue.settings.max_pauses) {
         return 0;
     }
-    const core::steady_time now = queue.updated;
-    double protected_rate = urgent ? 0 : rate_at(queue.urgent_arrivals, now);
-    if (is_heavy(queue, priority, account)) {
-        protected_rate += rate_at(queue.activities.at(index_of(priority)).light_arrivals, now);
+    double protected_rate = urgent ? 0 : rate_at(queue.urgent_arrivals, queue.updated);
+    if (!is_light(queue, request.priority, request.account)) {
+        protected_rate +=
+            rate_at(queue.activities.at(index_of(request.priority)).light_arrivals, queue.updated);
     }
     const auto most = static_cast<std::size_t>(std::lround(queue.settings.headroom * queue.capacity));
-    return static_cast<double>(slots_for_arrivals(protected_rate, rate_at(queue.completions, now),
+    return static_cast<double>(slots_for_arrivals(protected_rate, rate_at(queue.completions, queue.updated),
                                                   queue.settings.tolerated_wait, most));
 }
 
-bool can_start(const admission_queue& queue, core::priority priority, const std::string& account) {
+bool has_slots(const admission_queue& queue, double left_free) {
     // A node whose share of the fleet is less than one slot still runs one request at a time.
     const double capacity = queue.capacity > 0 ? std::max(1.0, queue.capacity) : 0;
-    const auto running = static_cast<double>(queue.running.size());
-    return running + 1 + slots_left_free(queue, priority, account) <= capacity;
+    return static_cast<double>(queue.running.size()) + 1 + left_free <= capacity;
+}
+
+bool can_start(const admission_queue& queue, const admission_request& request, int pauses) {
+    return has_slots(queue, 0) && has_slots(queue, slots_left_free(queue, request, pauses));
 }
 
-void start(admission_queue& queue, const admission_request& request, core::steady_time now) {
-    queue.running[request.id] = {request.priority, request.account, request.work, now};
-    ++queue.shares.priorities.at(index_of(request.priority)).running;
+void start(admission_queue& queue, const waiting_request& entry, core::steady_time now) {
+    queue.running[entry.request.id] = {entry.request, now, entry.pauses};
+    ++queue.shares.priorities.at(index_of(entry.request.priority)).running;
 }
 
 std::optional<waiting_request> pop_startable(admission_queue& queue, core::priority priority) {
     fair_queue& waiting = queue.waiting.at(index_of(priority));
-    if (waiting.size == 0) {
+    if (waiting.size == 0 || !has_slots(queue, 0)) {
         return std::nullopt;
     }
-    auto entry =
-        pop(waiting, [&](const std::string& account) { return can_start(queue, priority, account); });
-    return entry;
+    return pop(waiting, [&](const std::string& account) {
+        const waiting_request& head = waiting.accounts.at(account).entries.front();
+        return can_start(queue, head.request, head.pauses);
+    });
 }
 
 // Priorities below their floor come first, in order of urgency; what remains goes to the most urgent.
@@ -146,6 +116,50 @@
     return std::nullopt;
 }
 
+// Ends the time of a request in its slot; returns the time.
+double release_slot(admission_queue& queue, const admission_request& request, core::steady_time started,
+                    core::steady_time now) {
+    const double actual = core::to_seconds(now - started);
+    settle(queue.waiting.at(index_of(request.priority)), request.account, actual - request.work);
+    --queue.shares.priorities.at(index_of(request.priority)).running;
+    queue.running.erase(request.id);
+    return actual;
+}
+
+void pause(admission_queue& queue, std::uint64_t id, core::steady_time now) {
+    const running_request running = queue.running.at(id);
+    waiting_request entry = paused_entry(queue, running, now);
+    release_slot(queue, running.request, running.started, now);
+    queue.waiting_places[id] = {running.request.priority, running.request.account};
+    push_front(queue.waiting.at(index_of(running.request.priority)), std::move(entry));
+}
+
+// Takes the next request for which another may be paused and frees a slot for it.
+std::optional<waiting_request> select_by_pausing(admission_queue& queue, core::steady_time now,
+                                                 std::vector<admission_event>& events) {
+    const bool over_capacity = static_cast<double>(queue.running.size()) > std::max(1.0, queue.capacity);
+    for (const auto priority : {core::priority::urgent, core::priority::normal}) {
+        fair_queue& waiting = queue.waiting.at(index_of(priority));
+        for (const bool light : {true, false}) {
+            if (waiting.size == 0 || over_capacity) {
+                continue;
+            }
+            const auto victim = find_pausable(queue, priority, light, now);
+            if (!victim || (!light && priority != core::priority::urgent)) {
+                continue;
+            }
+            if (auto entry = pop(waiting, [&](const std::string& account) {
+                    return !light || is_light(queue, priority, account);
+                })) {
+                pause(queue, *victim, now);
+                events.push_back({*victim, std::nullopt, admission_action::pause});
+                return entry;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 core::error refusal(error_kind kind, const admission_queue& queue, const admission_request& request) {
     const std::string where =
         std::string(core::to_string(request.priority)) + " work of account \"" + request.account + "\"";
@@ -158,6 +172,11 @@
     return {kind, message, std::max(least, wait)};
 }
 
+admission_event refused_event(error_kind kind, const admission_queue& queue,
+                              const admission_request& request) {
+    return {request.id, refusal(kind, queue, request), admission_action::refuse};
+}
+
 void collect_expired(admission_queue& queue, core::steady_time now, std::vector<admission_event>& events) {
     if (now - queue.swept < sweep_interval) {
         return;
@@ -166,8 +185,7 @@
     for (auto& waiting : queue.waiting) {
         for (const auto& entry : remove_expired(waiting, now)) {
             queue.waiting_places.erase(entry.request.id);
-            events.push_back(
-                {entry.request.id, refusal(error_kind::deadline_unreachable, queue, entry.request)});
+            events.push_back(refused_event(error_kind::deadline_unreachable, queue, entry.request));
         }
     }
 }
@@ -210,7 +228,7 @@
     const auto removed = displace(waiting, request);
     if (removed) {
         queue.waiting_places.erase(removed->request.id);
-        displaced = {removed->request.id, refusal(error_kind::overloaded, queue, removed->request)};
+        displaced = refused_event(error_kind::overloaded, queue, removed->request);
     }
     return removed.has_value();
 }
@@ -223,7 +241,7 @@
         return decision;
     }
     queue.waiting_places[request.id] = {request.priority, request.account};
-    push(queue.waiting.at(index_of(request.priority)), {request, now, latest});
+    push(queue.waiting.at(index_of(request.priority)), {request, now, latest, 0});
     decision.state = admission_state::queued;
     return decision;
 }
@@ -263,16 +281,16 @@
 admission_decision submit(admission_queue& queue, const admission_request& original, core::steady_time now) {
     advance_to(queue, now);
     const admission_request request = normalised(queue, original);
-    note_arrival(queue, request, now);
-    const auto latest = latest_start(queue, request, now);
-    if (latest < now) {
-        return {admission_state::refused, refusal(error_kind::deadline_unreachable, queue, request), {}};
-    }
-    if (!has_waiting(queue, request) && can_start(queue, request.priority, request.account)) {
-        start(queue, request, now);
+    note_request(queue, request, now);
+    // The margin holds for requests that wait: one that can start now is refused only if it is expected to be
+    // late.
+    const bool late = latest_start(queue, request, now, 1) < now;
+    if (!late && !has_waiting(queue, request) && can_start(queue, request, 0)) {
+        start(queue, {request, now, now, 0}, now);
         return {admission_state::admitted, std::nullopt, std::nullopt};
     }
-    if (now + expected_wait(queue, request) > latest) {
+    const auto latest = latest_start(queue, request, now, queue.settings.run_margin);
+    if (late || now + expected_wait(queue, request) > latest) {
         return {admission_state::refused, refusal(error_kind::deadline_unreachable, queue, request), {}};
     }
     return enqueue(queue, request, latest, now);
@@ -282,17 +300,22 @@
     advance_to(queue, now);
     std::vector<admission_event> events;
     collect_expired(queue, now, events);
-    while (auto entry = select(queue)) {
-        const std::uint64_t id = entry->request.id;
-        queue.waiting_places.erase(id);
+    while (true) {
+        auto entry = select(queue);
+        if (!entry) {
+            entry = select_by_pausing(queue, now, events);
+        }
+        if (!entry) {
+            return events;
+        }
+        queue.waiting_places.erase(entry->request.id);
         if (entry->latest_start < now) {
-            events.push_back({id, refusal(error_kind::deadline_unreachable, queue, entry->request)});
+            events.push_back(refused_event(error_kind::deadline_unreachable, queue, entry->request));
             continue;
         }
-        start(queue, entry->request, now);
-        events.push_back({id, std::nullopt});
+        start(queue, *entry, now);
+        events.push_back({entry->request.id, std::nullopt, admission_action::start});
     }
-    return events;
 }
 
 bool cancel(admission_queue& queue, std::uint64_t id, core::steady_time now) {
@@ -312,14 +335,11 @@
         return false;
     }
     advance_to(queue, now);
-    const running_request& request = found->second;
-    const double actual = core::to_seconds(now - request.started);
+    const running_request running = found->second;
+    const double actual = release_slot(queue, running.request, running.started, now);
     constexpr double keep = 0.98; // about the last 50 requests
-    const double ratio = actual / std::max(request.work, 1e-3);
+    const double ratio = actual / std::max(running.request.work, 1e-3);
     queue.slowdown = keep * queue.slowdown + (1 - keep) * std::clamp(ratio, 0.1, 10.0);
-    settle(queue.waiting.at(index_of(request.priority)), request.account, actual - request.work);
-    --queue.shares.priorities.at(index_of(request.priority)).running;
-    queue.running.erase(found);
     note_event(queue.completions, now);
     return true;
 }
--- a/packages/policy/admission_queue.h
+++ b/packages/policy/admission_queue.h
@@ -11,8 +11,8 @@
 
 #include "core/error.h"
 #include "core/time.h"
+#include "policy/admission_activity.h"
 #include "policy/admission_fair_queue.h"
-#include "policy/admission_headroom.h"
 #include "policy/admission_shares.h"
 #include "policy/overload_defaults.h"
 
@@ -20,10 +20,9 @@
 
 /// A request that occupies a slot.
 struct running_request {
-    core::priority priority = core::priority::normal;
-    std::string account;
-    double work = 0;
+    admission_request request;
     core::steady_time started;
+    int pauses = 0;
 };
 
 /// Where a waiting request is queued.
@@ -32,24 +31,6 @@
     std::string account;
 };
 
-/// What an account asks of this node in one priority.
-struct account_activity {
-    double weight = 1;
-    /// Work that arrives in a second, in slots, over the last 30 s or so.
-    double offered = 0;
-    core::steady_time first_seen;
-    core::steady_time last_seen;
-};
-
-/// The accounts of one priority that were seen recently.
-struct account_activities {
-    std::map<std::string, account_activity> accounts;
-    double weight = 0;
-    core::steady_time weight_updated{};
-    /// Arrivals of accounts that ask for no more than their share.
-    event_rate light_arrivals;
-};
-
 /// Admission state of one node. Build it with `make_admission_queue` and change it only through the functions
 /// below. It isn't synchronised; time must not run backwards.
 struct admission_queue {
@@ -72,10 +53,17 @@
 
 enum class admission_state { admitted, queued, refused };
 
-/// A waiting request that leaves the queue: to be started now, or refused where `error` is set.
+/// What the caller of the queue has to do with a request. `refuse` may follow on `pause`, where a paused
+/// request can't be completed in time.
+enum class admission_action { start, refuse, pause };
+
+/// A waiting request that is to be started (or resumed) or refused, or a running one that is to be paused:
+/// its slot is already given to another, and it waits again.
 struct admission_event {
     std::uint64_t id = 0;
+    /// Why the request was refused.
     std::optional<core::error> error;
+    admission_action action = admission_action::start;
 };
 
 /// The answer to `submit`.
@@ -99,7 +87,8 @@
 admission_decision submit(admission_queue& queue, const admission_request& request, core::steady_time now);
 
 /// Returns the waiting requests that start now and those that can no longer be served in time. Call it after
-/// `finish`, `cancel` and `set_capacity`, and at least every 50 ms while requests wait.
+/// `finish`, `cancel` and `set_capacity`, where `submit` returned `queued`, and at least every 50 ms while
+/// requests wait. Only requests marked `pausable` are ever paused.
 std::vector<admission_event> next(admission_queue& queue, core::steady_time now);
 
 /// Removes a waiting request; false where the id isn't waiting (a running one ends by `finish`).
--- a/packages/policy/admission_wait.cpp
+++ b/packages/policy/admission_wait.cpp
@@ -46,13 +46,13 @@
 }
 
 core::steady_time latest_start(const admission_queue& queue, const admission_request& request,
-                               core::steady_time now) {
+                               core::steady_time now, double run_margin) {
     const auto index = static_cast<std::size_t>(request.priority);
     const core::steady_time longest_wait = now + queue.settings.max_wait.at(index);
     if (!request.deadline) {
         return longest_wait;
     }
-    const auto run_time = to_duration(request.work * std::max(1.0, queue.slowdown) * queue.settings.run_margin);
+    const auto run_time = to_duration(request.work * std::max(1.0, queue.slowdown) * run_margin);
     return std::min(longest_wait, *request.deadline - run_time);
 }
 
--- a/packages/policy/overload_defaults.h
+++ b/packages/policy/overload_defaults.h
@@ -41,6 +41,10 @@
     double wait_margin = 1.0;
     /// Factor on the expected run time that must be left before the deadline when a request starts.
     double run_margin = 2.0;
+    /// How often a pausable request may be paused for more urgent work or lighter accounts.
+    int max_pauses = 3;
+    /// Slot time that resuming a paused request costs, in seconds.
+    double resume_work = 0.3;
 };
 
 /// Returns the defaults of a deployment.
