Measure with pausable batch requests

Change: the workload marks batch requests as pausable; the stand-in resumes them at a cost of 300 ms. Paused requests no longer leave a full queue.

--- a/packages/policy/admission_queue.cpp
+++ b/packages/policy/admission_queue.cpp
@@ -205,7 +205,9 @@
     const double worth = marginal_worth(request.worth, request.weight, own + 1);
     const auto& entries = longest->second.entries;
     for (auto it = entries.rbegin(); it != entries.rend(); ++it) {
-        if (marginal_worth(it->request.worth, longest->second.weight, entries.size()) < worth) {
+        // A paused request has run in part, so it isn't refused as if it hadn't.
+        if (it->pauses == 0 &&
+            marginal_worth(it->request.worth, longest->second.weight, entries.size()) < worth) {
             return remove(waiting, longest->first, it->request.id);
         }
     }
--- a/test/support/admission_sim.h
+++ b/test/support/admission_sim.h
@@ -23,6 +23,7 @@
     /// The deadline is the slack and five times the expected work after arrival.
     double slack_s = 10;
     double weight = 1;
+    bool pausable = false;
 };
 
 struct sim_settings {
@@ -39,6 +40,12 @@
     double arrived_s = 0;
     double actual_s = 0;
     double prefill_s = 0;
+    /// Slot time still to serve, and the one received so far in the measured time, without resuming.
+    double left_s = 0;
+    double received_s = 0;
+    double started_s = 0;
+    /// Counts starts; an end that was scheduled by an earlier one is void.
+    std::uint64_t starts = 0;
 };
 
 /// What a refused request counts for in times to first token: its caller would come back much later.
@@ -59,6 +66,7 @@
     /// The stream of an arrival, or the id of a finished request.
     bool is_arrival = false;
     std::uint64_t target = 0;
+    std::uint64_t start = 0;
     bool operator>(const sim_event& other) const { return at_s > other.at_s; }
 };
 
@@ -87,7 +95,7 @@
 inline void schedule_arrival(simulation& sim, std::size_t stream) {
     const auto& source = sim.streams[stream];
     const double rate = source.load * sim.settings.slots / source.mean_work_s;
-    sim.events.push({sim.now_s + std::exponential_distribution<double>(rate)(sim.random), true, stream});
+    sim.events.push({sim.now_s + std::exponential_distribution<double>(rate)(sim.random), true, stream, 0});
 }
 
 inline bool is_measured(const simulation& sim, const sim_request& request) {
@@ -104,15 +112,36 @@
     }
 }
 
+/// What resuming a paused stream costs its slot.
+constexpr double resume_s = 0.3;
+
+/// Adds the slot time of the present run, as far as it lies in the measured time.
+inline void stop_run(simulation& sim, sim_request& request) {
+    const double run_s = sim.now_s - request.started_s;
+    const double counted = sim.now_s - std::max(request.started_s, sim.settings.warm_up_s);
+    sim.figures[request.stream].served_s += std::max(0.0, counted);
+    request.received_s += std::max(0.0, counted - (request.starts > 1 ? resume_s : 0));
+    request.left_s -= run_s;
+}
+
 inline void take_event(simulation& sim, const policy::admission_event& event) {
-    if (event.error) {
-        note_end(sim, event.id, refused_first_token_s, true);
+    sim_request& request = sim.requests.at(event.id);
+    if (event.action == policy::admission_action::pause) {
+        stop_run(sim, request);
+        request.left_s += resume_s;
+        return;
+    }
+    const bool refused = event.action == policy::admission_action::refuse;
+    if (request.starts == 0) {
+        const double first_token_s = sim.now_s - request.arrived_s + request.prefill_s;
+        note_end(sim, event.id, refused ? refused_first_token_s : first_token_s, refused);
+    }
+    if (refused) {
         sim.requests.erase(event.id);
         return;
     }
-    const sim_request& request = sim.requests.at(event.id);
-    note_end(sim, event.id, sim.now_s - request.arrived_s + request.prefill_s, false);
-    sim.events.push({sim.now_s + request.actual_s, false, event.id});
+    request.started_s = sim.now_s;
+    sim.events.push({sim.now_s + request.left_s, false, event.id, ++request.starts});
 }
 
 inline void arrive(simulation& sim, std::size_t stream) {
@@ -127,7 +156,9 @@
     request.request.work = source.mean_work_s * std::min(lognormal(sim, 1.0), 30.0);
     request.request.deadline = sim_time(sim.now_s + source.slack_s + 5 * request.request.work);
     request.actual_s = request.request.work * lognormal(sim, 0.5);
+    request.left_s = request.actual_s;
     request.prefill_s = 0.2 * lognormal(sim, 0.4);
+    request.request.pausable = source.pausable;
     sim.requests[sim.last_id] = request;
     schedule_arrival(sim, stream);
     const auto decision = policy::submit(sim.queue, request.request, sim_time(sim.now_s));
@@ -135,29 +166,29 @@
         take_event(sim, *decision.displaced);
     }
     if (decision.state != policy::admission_state::queued) {
-        take_event(sim, {request.request.id, decision.error});
+        const bool refused = decision.state == policy::admission_state::refused;
+        take_event(sim, {request.request.id, decision.error,
+                         refused ? policy::admission_action::refuse : policy::admission_action::start});
     }
 }
 
-inline void depart(simulation& sim, std::uint64_t id) {
-    const sim_request request = sim.requests.at(id);
-    policy::finish(sim.queue, id, sim_time(sim.now_s));
-    sim.requests.erase(id);
-    // Only the part of the service inside the measured time counts, so that it can't exceed capacity.
-    const double counted = std::min(request.actual_s, sim.now_s - sim.settings.warm_up_s);
-    if (counted > 0) {
-        sim.figures[request.stream].served_s += counted;
-        sim.figures[request.stream].in_time_s +=
-            sim_time(sim.now_s) <= *request.request.deadline ? counted : 0;
+inline void depart(simulation& sim, const sim_event& event) {
+    const auto found = sim.requests.find(event.target);
+    if (found == sim.requests.end() || found->second.starts != event.start ||
+        !policy::finish(sim.queue, event.target, sim_time(sim.now_s))) {
+        return;
     }
+    sim_request& request = found->second;
+    stop_run(sim, request);
+    const bool in_time = sim_time(sim.now_s) <= *request.request.deadline;
+    sim.figures[request.stream].in_time_s += in_time ? request.received_s : 0;
+    sim.requests.erase(found);
 }
 
 /// Adds the service that requests in progress have received at the end.
 inline void count_running(simulation& sim) {
     for (const auto& [id, running] : sim.queue.running) {
-        const double started_s = core::to_seconds(running.started - sim_time(0));
-        const double counted = sim.now_s - std::max(started_s, sim.settings.warm_up_s);
-        sim.figures[sim.requests.at(id).stream].served_s += counted;
+        stop_run(sim, sim.requests.at(id));
     }
 }
 
@@ -183,7 +214,7 @@
         } else {
             sim.events.pop();
             sim.now_s = event.at_s;
-            event.is_arrival ? arrive(sim, event.target) : depart(sim, event.target);
+            event.is_arrival ? arrive(sim, event.target) : depart(sim, event);
         }
         for (const auto& started : policy::next(sim.queue, sim_time(sim.now_s))) {
             take_event(sim, started);
--- a/test/support/admission_workloads.h
+++ b/test/support/admission_workloads.h
@@ -12,7 +12,8 @@
 inline void add_streams(std::vector<sim_stream>& streams, core::priority priority, int accounts, double load,
                         double mean_work_s, double slack_s) {
     for (int i = 0; i < accounts; ++i) {
-        streams.push_back({priority, "c" + std::to_string(i), load / accounts, mean_work_s, slack_s, 1});
+        streams.push_back({priority, "c" + std::to_string(i), load / accounts, mean_work_s, slack_s, 1,
+                           priority == core::priority::batch});
     }
 }
 
@@ -58,7 +59,7 @@
     add_streams(streams, core::priority::normal, 9, 0.27, 2, 10);
     const auto is_small = [](const sim_stream& stream) { return stream.account != "large"; };
     const double alone = first_token_p95(streams, simulate(settings, streams), is_small);
-    streams.push_back({core::priority::normal, "large", 2.0, 2, 10, 1});
+    streams.push_back({core::priority::normal, "large", 2.0, 2, 10, 1, false});
     return first_token_p95(streams, simulate(settings, streams), is_small) / alone;
 }
 
