Count pausable work as headroom and let light accounts only cause pauses

Batch work was served 0.123 of capacity and half of that was lost: every waiting urgent request paused a batch request, and the free slot that heavy urgent accounts had to leave was given to batch work, which needs to leave none. Change: only accounts within their share cause pauses, and running work above its floor that may be paused counts as headroom for more urgent work.

--- a/packages/policy/admission_pause.cpp
+++ b/packages/policy/admission_pause.cpp
@@ -20,13 +20,12 @@
 
 // Work gives way to more urgent work while it has more than its floor, and heavy accounts to light ones.
 bool gives_way(const admission_queue& queue, const admission_request& running, core::priority priority,
-               bool light, core::steady_time now) {
+               core::steady_time now) {
     if (running.priority > priority) {
         return is_above_floor(queue, running.priority);
     }
     const auto& activities = queue.activities.at(static_cast<std::size_t>(priority));
-    return light && running.priority == priority &&
-           is_heavy(activities, running.account, queue.capacity, now);
+    return running.priority == priority && is_heavy(activities, running.account, queue.capacity, now);
 }
 
 bool can_wait(const admission_queue& queue, const running_request& running, core::steady_time now) {
@@ -42,12 +41,12 @@
 
 } // namespace
 
-std::optional<std::uint64_t> find_pausable(const admission_queue& queue, core::priority priority, bool light,
+std::optional<std::uint64_t> find_pausable(const admission_queue& queue, core::priority priority,
                                            core::steady_time now) {
     const running_request* best = nullptr;
     for (const auto& [id, running] : queue.running) {
         if ((best == nullptr || is_better_choice(running, *best)) &&
-            gives_way(queue, running.request, priority, light, now) && can_wait(queue, running, now)) {
+            gives_way(queue, running.request, priority, now) && can_wait(queue, running, now)) {
             best = &running;
         }
     }
--- a/packages/policy/admission_pause.h
+++ b/packages/policy/admission_pause.h
@@ -6,9 +6,9 @@
 
 namespace figspoke::policy {
 
-/// Returns the running request to pause so that a request of the priority can start, or empty where none may
-/// be paused. `light` tells that the request is of an account that asks for no more than its share.
-std::optional<std::uint64_t> find_pausable(const admission_queue& queue, core::priority priority, bool light,
+/// Returns the running request to pause so that a request of the priority can start, of an account that asks
+/// for no more than its share; empty where none may be paused.
+std::optional<std::uint64_t> find_pausable(const admission_queue& queue, core::priority priority,
                                            core::steady_time now);
 
 /// Returns the entry with which a paused request waits for the rest of its work.
--- a/packages/policy/admission_queue.cpp
+++ b/packages/policy/admission_queue.cpp
@@ -53,6 +53,23 @@
     return !is_heavy(queue.activities.at(index_of(priority)), account, queue.capacity, queue.updated);
 }
 
+bool is_pausable(const admission_queue& queue, const admission_request& request, int pauses) {
+    return request.pausable && pauses < queue.settings.max_pauses;
+}
+
+// Slots of less urgent work above its floor that pausing would free at once: they count as headroom.
+// Otherwise work that has to leave headroom would be kept out by less urgent work that needn't.
+double slots_by_pausing(const admission_queue& queue, core::priority priority) {
+    double slots = 0;
+    for (std::size_t i = index_of(priority) + 1; i < core::priority_count; ++i) {
+        const double above = static_cast<double>(queue.shares.priorities.at(i).running) -
+                             queue.settings.floors.at(i) * queue.capacity;
+        slots +=
+            std::min(static_cast<double>(queue.pausable_running.at(i)), std::max(0.0, std::floor(above)));
+    }
+    return slots;
+}
+
 // A slot that is taken can't be given back before its request ends, unless the request can be paused. A few
 // are therefore left free by work that has its share already, so that urgent requests and light accounts
 // needn't wait for one.
@@ -61,7 +78,7 @@
     if (!urgent && is_below_floor(queue.shares, queue.settings, queue.capacity, request.priority)) {
         return 0;
     }
-    if (request.pausable && pauses < queue.settings.max_pauses) {
+    if (is_pausable(queue, request, pauses)) {
         return 0;
     }
     double protected_rate = urgent ? 0 : rate_at(queue.urgent_arrivals, queue.updated);
@@ -70,8 +87,9 @@
             rate_at(queue.activities.at(index_of(request.priority)).light_arrivals, queue.updated);
     }
     const auto most = static_cast<std::size_t>(std::lround(queue.settings.headroom * queue.capacity));
-    return static_cast<double>(slots_for_arrivals(protected_rate, rate_at(queue.completions, queue.updated),
-                                                  queue.settings.tolerated_wait, most));
+    const auto needed = static_cast<double>(slots_for_arrivals(
+        protected_rate, rate_at(queue.completions, queue.updated), queue.settings.tolerated_wait, most));
+    return std::max(0.0, needed - slots_by_pausing(queue, request.priority));
 }
 
 bool has_slots(const admission_queue& queue, double left_free) {
@@ -86,7 +104,9 @@
 
 void start(admission_queue& queue, const waiting_request& entry, core::steady_time now) {
     queue.running[entry.request.id] = {entry.request, now, entry.pauses};
-    ++queue.shares.priorities.at(index_of(entry.request.priority)).running;
+    const std::size_t index = index_of(entry.request.priority);
+    ++queue.shares.priorities.at(index).running;
+    queue.pausable_running.at(index) += is_pausable(queue, entry.request, entry.pauses) ? 1 : 0;
 }
 
 std::optional<waiting_request> pop_startable(admission_queue& queue, core::priority priority) {
@@ -117,11 +137,13 @@
 }
 
 // Ends the time of a request in its slot; returns the time.
-double release_slot(admission_queue& queue, const admission_request& request, core::steady_time started,
-                    core::steady_time now) {
-    const double actual = core::to_seconds(now - started);
-    settle(queue.waiting.at(index_of(request.priority)), request.account, actual - request.work);
-    --queue.shares.priorities.at(index_of(request.priority)).running;
+double release_slot(admission_queue& queue, const running_request& running, core::steady_time now) {
+    const admission_request& request = running.request;
+    const std::size_t index = index_of(request.priority);
+    const double actual = core::to_seconds(now - running.started);
+    settle(queue.waiting.at(index), request.account, actual - request.work);
+    --queue.shares.priorities.at(index).running;
+    queue.pausable_running.at(index) -= is_pausable(queue, request, running.pauses) ? 1 : 0;
     queue.running.erase(request.id);
     return actual;
 }
@@ -129,32 +151,31 @@
 void pause(admission_queue& queue, std::uint64_t id, core::steady_time now) {
     const running_request running = queue.running.at(id);
     waiting_request entry = paused_entry(queue, running, now);
-    release_slot(queue, running.request, running.started, now);
+    release_slot(queue, running, now);
     queue.waiting_places[id] = {running.request.priority, running.request.account};
     push_front(queue.waiting.at(index_of(running.request.priority)), std::move(entry));
 }
 
-// Takes the next request for which another may be paused and frees a slot for it.
+// Takes the next request for which another may be paused and frees a slot for it. Only accounts that ask for
+// no more than their share cause pauses; a flood of urgent work would otherwise pause whatever the others
+// start.
 std::optional<waiting_request> select_by_pausing(admission_queue& queue, core::steady_time now,
                                                  std::vector<admission_event>& events) {
-    const bool over_capacity = static_cast<double>(queue.running.size()) > std::max(1.0, queue.capacity);
+    if (static_cast<double>(queue.running.size()) > std::max(1.0, queue.capacity)) {
+        return std::nullopt;
+    }
     for (const auto priority : {core::priority::urgent, core::priority::normal}) {
         fair_queue& waiting = queue.waiting.at(index_of(priority));
-        for (const bool light : {true, false}) {
-            if (waiting.size == 0 || over_capacity) {
-                continue;
-            }
-            const auto victim = find_pausable(queue, priority, light, now);
-            if (!victim || (!light && priority != core::priority::urgent)) {
-                continue;
-            }
-            if (auto entry = pop(waiting, [&](const std::string& account) {
-                    return !light || is_light(queue, priority, account);
-                })) {
-                pause(queue, *victim, now);
-                events.push_back({*victim, std::nullopt, admission_action::pause});
-                return entry;
-            }
+        const auto victim = waiting.size > 0 ? find_pausable(queue, priority, now) : std::nullopt;
+        if (!victim) {
+            continue;
+        }
+        auto entry =
+            pop(waiting, [&](const std::string& account) { return is_light(queue, priority, account); });
+        if (entry) {
+            pause(queue, *victim, now);
+            events.push_back({*victim, std::nullopt, admission_action::pause});
+            return entry;
         }
     }
     return std::nullopt;
@@ -338,7 +359,7 @@
     }
     advance_to(queue, now);
     const running_request running = found->second;
-    const double actual = release_slot(queue, running.request, running.started, now);
+    const double actual = release_slot(queue, running, now);
     constexpr double keep = 0.98; // about the last 50 requests
     const double ratio = actual / std::max(running.request.work, 1e-3);
     queue.slowdown = keep * queue.slowdown + (1 - keep) * std::clamp(ratio, 0.1, 10.0);
--- a/packages/policy/admission_queue.h
+++ b/packages/policy/admission_queue.h
@@ -41,6 +41,8 @@
     admission_shares shares;
     std::unordered_map<std::uint64_t, waiting_place> waiting_places;
     std::unordered_map<std::uint64_t, running_request> running;
+    /// Running requests of each priority that may be paused.
+    std::array<std::size_t, core::priority_count> pausable_running{};
     std::array<account_activities, core::priority_count> activities;
     event_rate urgent_arrivals;
     event_rate completions;
