Leave no headroom for arrivals that hardly ever come

The rate of light arrivals decays and never reaches zero, and any rate above zero asked for one free slot of 14. Ruled out: owed service (it was at its bound in favour of urgent work). Change: a rate below one arrival in 50 s asks for none. The new figure urgent_floor_flood shows what urgent work is served in that flood.

--- a/packages/policy/admission_headroom.cpp
+++ b/packages/policy/admission_headroom.cpp
@@ -10,6 +10,9 @@
 // Below the 5 in 100 of a p95 target, since arrivals and service are burstier than the model.
 constexpr double waiting_share = 0.03;
 
+// Less than one arrival in 50 s isn't worth a slot; a rate that decays never reaches zero.
+constexpr double negligible_per_s = 0.02;
+
 } // namespace
 
 void note_event(event_rate& rate, core::steady_time now) {
@@ -27,7 +30,7 @@
 // probability of r^n (1 - r) / (1 - r^(n + 1)); an arrival then waits for a completion.
 std::size_t slots_for_arrivals(double arrivals_per_s, double completions_per_s,
                                std::chrono::milliseconds tolerated, std::size_t most) {
-    if (arrivals_per_s <= 0 || completions_per_s <= 0) {
+    if (arrivals_per_s < negligible_per_s || completions_per_s <= 0) {
         return 0;
     }
     // The form below is undefined at a ratio of exactly 1.
--- a/test/performance/admission_measure.cpp
+++ b/test/performance/admission_measure.cpp
@@ -43,6 +43,7 @@
     line("floor_kept_urgent_flood", floor_kept_urgent_flood, ">=0.95", "share_of_floor");
     line("small_caller_p95", small_caller_p95, "<=1.3", "ratio_to_alone");
     line("goodput_flood", goodput_flood, ">=0.9", "share_of_capacity");
+    line("urgent_floor_flood", urgent_floor_flood, "none", "share_of_floor");
     line("goodput_batch_flood", goodput_batch_flood, "none", "share_of_capacity");
 }
 
--- a/test/support/admission_workloads.h
+++ b/test/support/admission_workloads.h
@@ -23,7 +23,7 @@
     return streams;
 }
 
-inline double is_urgent(const sim_stream& stream) {
+inline bool is_urgent(const sim_stream& stream) {
     return stream.priority == core::priority::urgent;
 }
 
@@ -63,18 +63,34 @@
     return first_token_p95(streams, simulate(settings, streams), is_small) / alone;
 }
 
-/// Work finished before its deadline as a part of capacity, at ten times the capacity over all priorities.
-inline double goodput_flood(const sim_settings& settings) {
+/// Ten times the capacity over all priorities.
+inline std::vector<sim_stream> full_flood_streams() {
     auto streams = urgent_streams(2);
     add_streams(streams, core::priority::normal, 10, 4, 2, 10);
     add_streams(streams, core::priority::batch, 10, 4, 4, 60);
+    return streams;
+}
+
+/// Work finished before its deadline as a part of capacity, at ten times the capacity over all priorities.
+inline double goodput_flood(const sim_settings& settings) {
     double in_time = 0;
-    for (const auto& figures : simulate(settings, streams)) {
+    for (const auto& figures : simulate(settings, full_flood_streams())) {
         in_time += figures.in_time_s;
     }
     return in_time / settings.duration_s / settings.slots;
 }
 
+/// The part of its own floor that urgent work is served in the same flood.
+inline double urgent_floor_flood(const sim_settings& settings) {
+    const auto streams = full_flood_streams();
+    const auto figures = simulate(settings, streams);
+    double served = 0;
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        served += is_urgent(streams[i]) ? figures[i].served_s : 0;
+    }
+    return served / settings.duration_s / settings.slots / settings.admission.floors[0];
+}
+
 /// Goodput while batch work floods and urgent work asks for a quarter of capacity: the price of short waits.
 inline double goodput_batch_flood(const sim_settings& settings) {
     auto streams = urgent_streams(0.25);
