Explore the versions with the largest expected gain

Cause: exploration picks among all unrated versions alike, also those that would save little or hardly meet the target, while ratings are scarce. Change: the chance of a version is proportional to its saving times the chance that it meets the target; where nothing meets the target, to the chance that it is better than the chosen plan.

--- a/packages/policy/plan_choice.cpp
+++ b/packages/policy/plan_choice.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <numeric>
 
 #include "policy/plan_candidates.h"
 
@@ -96,28 +98,41 @@
     return choose_least_cost(plans, request.quality_target);
 }
 
-// A version is worth exploring where its ratings are too few or out of date, and where it would lower the
-// cost or, below the target, could raise the quality.
-bool is_worth_exploring(const plan_candidate& plan, const plan_settings& settings, const choice& current) {
-    if (!is_direct(plan) || &plan == current.plan) {
-        return false;
+// Chance that the plan's pass rate is at or over a bound, with a normal posterior.
+double chance_over(const quality_estimate& quality, double bound) {
+    const double deviation = std::max(quality.deviation, 1e-6);
+    return 0.5 * std::erfc((bound - quality.mean) / deviation / std::sqrt(2.0));
+}
+
+// Expected gain of finding out a version's pass rate: the saving where it may meet the target, or where
+// nothing meets it, the chance that the version is better than the chosen plan.
+double exploration_value(const plan_candidate& plan, const plan_settings& settings, const choice& current,
+                         double target) {
+    const bool unknown = plan.quality.ratings < settings.unrated_below || plan.quality.drifting;
+    if (!is_direct(plan) || &plan == current.plan || !unknown) {
+        return 0;
+    }
+    if (current.reason == plan_reason::best_below_target) {
+        return chance_over(plan.quality, std::min(target, current.plan->quality.mean));
     }
-    const bool useful = plan.cost < current.plan->cost || current.reason == plan_reason::best_below_target;
-    return useful && (plan.quality.ratings < settings.unrated_below || plan.quality.drifting);
+    return std::max(0.0, current.plan->cost - plan.cost) * chance_over(plan.quality, target);
 }
 
-choice explore(candidates& plans, const plan_settings& settings, const choice& current, double pick) {
-    std::vector<plan_candidate*> targets;
-    for (auto& plan : plans) {
-        if (is_open(plan) && is_worth_exploring(plan, settings, current)) {
-            targets.push_back(&plan);
-        }
+// Picks a version to explore with a chance proportional to its value.
+choice explore(candidates& plans, const plan_settings& settings, const choice& current, double target,
+               double pick) {
+    std::vector<double> values;
+    for (const auto& plan : plans) {
+        values.push_back(is_open(plan) ? exploration_value(plan, settings, current, target) : 0);
     }
-    if (targets.empty()) {
-        return current;
+    double left = pick * std::accumulate(values.begin(), values.end(), 0.0);
+    for (std::size_t i = 0; i < plans.size(); ++i) {
+        if (values[i] > 0 && left < values[i]) {
+            return {&plans[i], plan_reason::exploration};
+        }
+        left -= values[i];
     }
-    const auto index = static_cast<std::size_t>(pick * static_cast<double>(targets.size()));
-    return {targets[std::min(index, targets.size() - 1)], plan_reason::exploration};
+    return current;
 }
 
 void explain_others(candidates& plans, const choice& chosen, double target, bool is_baseline) {
@@ -217,7 +232,7 @@
     const bool is_baseline = chosen.reason == plan_reason::baseline;
     if (!is_baseline && !request.pinned_version && request.may_explore &&
         draws.explore < settings.exploration) {
-        chosen = explore(plans, settings, chosen, draws.pick);
+        chosen = explore(plans, settings, chosen, request.quality_target, draws.pick);
     }
     explain_others(plans, chosen, request.quality_target, is_baseline);
     return make_decision(inputs, settings, request, chosen, std::move(plans));
