Bound exploration by a budget instead of by chance alone

Cause: 2% of the requests may explore, but exploration is worthwhile for about half of them, so only 1% does and ratings stay scarce. Change: a request for which exploration is worthwhile explores with a chance of 5%, within a saved-up budget of 2% of all requests.

--- a/test/performance/routing/cost_trial.cpp
+++ b/test/performance/routing/cost_trial.cpp
@@ -9,6 +9,7 @@
 
 #include "performance/routing/true_quality.h"
 #include "performance/routing/workload.h"
+#include "policy/exploration_budget.h"
 #include "policy/plan_candidates.h"
 
 namespace figspoke::trials {
@@ -47,6 +48,7 @@
     cost_settings settings;
     core::config_snapshot config = cost_config();
     std::vector<policy::quality_evidence> evidence;
+    std::vector<policy::exploration_budget> budgets;
     std::map<std::string, version_queue> queues;
     std::priority_queue<pending_rating> ratings;
     true_quality truth;
@@ -158,13 +160,17 @@
         return choose_knowing(sim, inputs, from);
     }
     const auto seed = sim.settings.seed;
+    auto plan = sim.settings.plan;
+    plan.exploration = policy::exploration_chance(sim.budgets[node]);
     const auto decision =
-        policy::choose_plan(inputs, sim.settings.plan, plan_request_of(from),
+        policy::choose_plan(inputs, plan, plan_request_of(from),
                             {uniform_of(seed, from.id, "explore"), uniform_of(seed, from.id, "pick")});
     if (!decision) {
         return {};
     }
-    return {decision->version, decision->escalate_to, decision->reason == policy::plan_reason::exploration};
+    const bool explored = decision->reason == policy::plan_reason::exploration;
+    policy::record_plan(sim.budgets[node], explored);
+    return {decision->version, decision->escalate_to, explored};
 }
 
 struct step_result {
@@ -256,6 +262,7 @@
     sim.settings = settings;
     sim.truth.seed = settings.seed;
     sim.evidence.resize(static_cast<std::size_t>(settings.nodes));
+    sim.budgets.resize(sim.evidence.size());
     for (auto& evidence : sim.evidence) {
         evidence.settings = settings.evidence;
     }
