--- a/packages/adapters/mesh_codec.cpp
+++ b/packages/adapters/mesh_codec.cpp
@@ -116,6 +116,9 @@
     map["k"] = digest.ask;
     map["e"] = digest.echo;
     map["o"] = digest.roster_version;
+    if (digest.full) {
+        map["f"] = true;
+    }
     if (digest.resync) {
         map["y"] = true;
     }
@@ -137,6 +140,7 @@
     digest.ask = unsigned_at(map, "k");
     digest.echo = unsigned_at(map, "e");
     digest.roster_version = unsigned_at(map, "o");
+    digest.full = map.value("f", false);
     digest.resync = map.value("y", false);
     if (map.contains("a")) {
         digest.table_age = duration_of(map.at("a"));
--- a/packages/state/member_digest.cpp
+++ b/packages/state/member_digest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "state/beat_pack.h"
 
@@ -23,7 +24,7 @@
 }
 
 bool has_peer(const sent_member& sent, const member_entry& entry) {
-    return age_key(entry) <= std::tie(sent.peer_incarnation, sent.peer_heartbeat);
+    return sent.from_peer && age_key(entry) <= std::tie(sent.peer_incarnation, sent.peer_heartbeat);
 }
 
 bool was_sent(const sent_member& sent, const member_entry& entry) {
@@ -115,27 +116,28 @@
     return true;
 }
 
-// Returns whether the digest follows the last one, so that its short entries count.
-bool follow_sequence(digest_link& link, std::uint64_t sequence) {
-    if (sequence == 0) {
+// Returns whether the digest follows the last one, so that its short entries count. Sequence numbers go on
+// after a full digest: a late one must not be taken for the beginning of a newer sequence.
+bool follow_sequence(digest_link& link, const member_digest& digest) {
+    if (digest.sequence < link.expected_sequence) {
+        return false;
+    }
+    if (digest.full) {
         link.received.clear();
         link.needs_resync = false;
         link.resync_wait = 0;
-        link.expected_sequence = 1;
-        return true;
-    }
-    if (link.needs_resync || link.expected_sequence != sequence) {
+    } else if (digest.sequence != link.expected_sequence) {
         link.needs_resync = true;
-        return false;
     }
-    link.expected_sequence = sequence + 1;
-    return true;
+    link.expected_sequence = digest.sequence + 1;
+    return !link.needs_resync;
 }
 
 bool merge_received(digest_link& link, const member_entry& entry, core::milliseconds silence,
                     membership& known, core::steady_time now) {
     auto& sent = link.sent[entry.id];
-    if (std::tie(sent.peer_incarnation, sent.peer_heartbeat) < age_key(entry)) {
+    if (!sent.from_peer || std::tie(sent.peer_incarnation, sent.peer_heartbeat) < age_key(entry)) {
+        sent.from_peer = true;
         sent.peer_incarnation = entry.incarnation;
         sent.peer_heartbeat = entry.heartbeat;
     }
@@ -198,7 +200,7 @@
 }
 
 void restart_sending(digest_link& link) {
-    link.next_sequence = 0;
+    link.send_full = true;
     link.next_index = 0;
     link.sent.clear();
 }
@@ -210,6 +212,7 @@
     drop_forgotten(link, known);
     member_digest digest;
     digest.sequence = link.next_sequence++;
+    digest.full = std::exchange(link.send_full, false);
     digest.resync = take_resync(link);
     digest.table_revision = freshness.revision;
     digest.table_age = table_age(freshness, now);
@@ -226,7 +229,7 @@
         restart_sending(link);
     }
     digest_news news;
-    const bool in_order = follow_sequence(link, digest.sequence);
+    const bool in_order = follow_sequence(link, digest);
     if (!receive_members(link, digest, in_order, known, news, now)) {
         return std::nullopt;
     }
--- a/packages/state/member_digest.h
+++ b/packages/state/member_digest.h
@@ -23,8 +23,10 @@
 
 /// One digest on one link.
 struct member_digest {
-    /// Position in the link's sequence; 0 begins anew with all members.
+    /// Position in the link's sequence.
     std::uint64_t sequence = 0;
+    /// Begins anew with all members and with new indexes.
+    bool full = false;
     /// The sender missed a digest and needs all members again.
     bool resync = false;
     std::uint64_t table_revision = 0;
@@ -51,7 +53,8 @@
     std::uint8_t load = 0;
     member_state state = member_state::joining;
     bool complete = false;
-    /// Newest that the peer itself sent.
+    /// Newest that the peer itself sent, if any.
+    bool from_peer = false;
     std::uint64_t peer_incarnation = 0;
     std::uint64_t peer_heartbeat = 0;
 };
@@ -59,11 +62,12 @@
 /// The digest state of one link, for one connection.
 struct digest_link {
     std::uint64_t next_sequence = 0;
+    bool send_full = true;
     std::uint64_t next_index = 0;
     std::unordered_map<std::string, sent_member> sent;
     /// Entries as received on this link, by the sender's index.
     std::vector<member_entry> received;
-    std::optional<std::uint64_t> expected_sequence;
+    std::uint64_t expected_sequence = 0;
     bool needs_resync = false;
     /// Digests to send before the peer is asked again for all members.
     int resync_wait = 0;
--- a/packages/state/membership.cpp
+++ b/packages/state/membership.cpp
@@ -36,7 +36,7 @@
 // prefer the running one.
 bool refute(membership& known, const member_entry& entry, core::steady_time now) {
     auto& own = self_record(known);
-    if (age_key(entry) <= age_key(own.entry)) {
+    if (!supersedes(entry, own.entry)) {
         return false;
     }
     own.entry.incarnation = entry.incarnation + 1;
--- a/test/correctness/process/mesh_test.cpp
+++ b/test/correctness/process/mesh_test.cpp
@@ -202,7 +202,7 @@
         std::string("\xa1\x61"),
         std::string(1000000, '\x81'),
         std::string(3000000, 'x'),
-        encode_message("raw", digest_message{{1, false, 0, {}, 0, 0, 0, {}, "\xff"}}).substr(0, 20),
+        encode_message("raw", digest_message{{1, false, false, 0, {}, 0, 0, 0, {}, "\xff"}}).substr(0, 20),
     };
     std::uint64_t malformed = 0;
     for (const auto& bytes : bad) {
--- /dev/null
+++ b/test/correctness/state_membership_majority_test.cpp
@@ -0,0 +1,315 @@
+#include <set>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "state/pause_detector.h"
+#include "state/roster.h"
+#include "state/table_freshness.h"
+
+using namespace figspoke;
+using namespace figspoke::state;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct sim_node {
+    membership known;
+    roster held;
+    table_freshness freshness;
+    int side = 0;
+    bool is_alive = true;
+};
+
+// Nodes on up to three sides of a partition, and a key-value service that one side reaches.
+struct partition_world {
+    core::steady_time now{1000s};
+    health_timeouts timeouts;
+    std::vector<sim_node> nodes;
+    gone_ids gone;
+    roster stored;
+    int kv_side = 0;
+    std::uint64_t next_incarnation = 1;
+
+    explicit partition_world(std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i) {
+            nodes.emplace_back();
+            restart(i);
+        }
+    }
+
+    void restart(std::size_t i) {
+        member_entry self;
+        self.id = "n" + std::to_string(i);
+        self.incarnation = next_incarnation++;
+        gone.erase(self.id);
+        auto& node = nodes[i];
+        const int side = node.side;
+        node = {make_membership(self, now), {}, {}, side, true};
+        raise_revision(node.freshness, 1);
+        update_self(node.known, {member_state::serving, 1, 0, 0, {}}, now);
+    }
+
+    void hold(sim_node& node, const roster& offered) const {
+        if (offered.version > node.held.version) {
+            node.held = offered;
+            update_self(node.known, {member_state::serving, 1, offered.version, 0, {}}, now);
+        }
+    }
+
+    void tell(const sim_node& from, sim_node& to) const {
+        for (const auto& [id, record] : from.known.members) {
+            if (health_of(from.known, record, timeouts, now) != member_health::failed) {
+                merge_entry(to.known, record.entry, core::to_ms(now - record.last_advanced), now);
+            }
+        }
+        hold(to, from.held);
+    }
+
+    void gossip(bool use_kv) {
+        for (auto& node : nodes) {
+            if (node.is_alive) {
+                beat(node.known, now);
+                if (use_kv && node.side == kv_side) {
+                    hold(node, stored);
+                }
+            }
+        }
+        for (auto& from : nodes) {
+            for (auto& to : nodes) {
+                if (from.is_alive && to.is_alive && from.side == to.side && &from != &to) {
+                    tell(from, to);
+                }
+            }
+        }
+    }
+
+    void settle(bool use_kv) {
+        // Beyond all timeouts; the second exchange carries on what the first brought.
+        now += 6s;
+        gossip(use_kv);
+        gossip(use_kv);
+    }
+
+    majority_view view(const sim_node& node) const { return {node.known, node.held, gone, timeouts}; }
+
+    void propose(std::size_t i) {
+        auto& node = nodes[i];
+        if (!node.is_alive || node.side != kv_side) {
+            return;
+        }
+        hold(node, stored);
+        if (const auto next = next_roster(view(node), now)) {
+            stored = *next;
+            hold(node, stored);
+        }
+    }
+
+    void leave(std::size_t i) {
+        auto& node = nodes[i];
+        if (node.is_alive) {
+            update_self(node.known, {member_state::left, 1, 0, 0, {}}, now);
+            gossip(false);
+            node.is_alive = false;
+        }
+    }
+
+    void record_changes(std::size_t i) {
+        for (int round = 0; round < 2; ++round) {
+            settle(true);
+            propose(i);
+        }
+    }
+
+    void heal() {
+        kv_side = 0;
+        for (auto& node : nodes) {
+            node.side = 0;
+        }
+    }
+
+    // Restarts, exchanges and records are more frequent than failures, so that most fleets are alive.
+    void step(int code) {
+        const auto i = std::size_t(code / 16) % nodes.size();
+        switch (code % 16) {
+        case 0:
+        case 1:
+        case 2:
+            restart(i);
+            break;
+        case 3:
+            nodes[i].is_alive = false;
+            break;
+        case 4:
+            leave(i);
+            break;
+        case 5:
+        case 6:
+            nodes[i].side = code / 128 % 2;
+            break;
+        case 7:
+            kv_side = code / 16 % 3;
+            break;
+        case 8:
+            report_gone();
+            break;
+        case 9:
+            heal();
+            break;
+        case 10:
+            propose(i);
+            gossip(true);
+            break;
+        default:
+            record_changes(i);
+        }
+    }
+
+    void report_gone() {
+        for (const auto& node : nodes) {
+            if (!node.is_alive) {
+                gone.insert(node.known.self);
+            }
+        }
+    }
+
+    std::set<int> serving_sides() const {
+        std::set<int> sides;
+        for (const auto& node : nodes) {
+            if (node.is_alive &&
+                decide_service(node.freshness, view(node), now) != service_decision::isolated) {
+                sides.insert(node.side);
+            }
+        }
+        return sides;
+    }
+};
+
+void start_fleet(partition_world& world) {
+    for (int round = 0; round < 5; ++round) {
+        world.settle(true);
+        world.propose(0);
+    }
+}
+
+} // namespace
+
+TEST_CASE("no two sides of a partition both serve without the key-value service") {
+    // Guards against a count of members that shrinks or grows on one side only, through failures, departures,
+    // restarts under the same id, or new nodes.
+    CHECK(rc::check([] {
+        partition_world world(2 + *rc::gen::arbitrary<std::size_t>() % 6);
+        start_fleet(world);
+        const auto steps = *rc::gen::container<std::vector<int>>(100, rc::gen::arbitrary<int>());
+        for (const int code : steps) {
+            world.step(code & 0xffff);
+            auto cut_off = world;
+            cut_off.settle(false);
+            RC_ASSERT(cut_off.serving_sides().size() <= 1);
+        }
+    }));
+}
+
+TEST_CASE("the larger side goes on without the key-value service, and an even split has one winner") {
+    // Guards against a rule that is safe because nobody ever serves.
+    partition_world world(6);
+    start_fleet(world);
+    CHECK(world.stored.voters.size() == 6);
+    world.kv_side = 3;
+    for (const std::size_t i : {3, 4, 5}) {
+        world.nodes[i].side = 1;
+    }
+    world.settle(true);
+    CHECK(world.serving_sides() == std::set<int>{0});
+    world.nodes[2].side = 1;
+    world.settle(true);
+    CHECK(world.serving_sides() == std::set<int>{1});
+}
+
+TEST_CASE("after most nodes were replaced the new ones hold the majority") {
+    // Guards against a fleet that can't serve in an outage because it still counts replaced nodes.
+    partition_world world(5);
+    start_fleet(world);
+    for (const std::size_t i : {1, 2, 3, 4}) {
+        world.restart(i);
+        start_fleet(world);
+    }
+    world.kv_side = 3;
+    world.settle(true);
+    CHECK(world.serving_sides() == std::set<int>{0});
+}
+
+TEST_CASE("a node that wakes from a pause doesn't serve by what it knew before") {
+    // Guards against a withdrawn version that is served in the first moments after a pause.
+    CHECK(rc::check([] {
+        partition_world world(3);
+        start_fleet(world);
+        auto& node = world.nodes[0];
+        pause_detector detector;
+        note_tick(detector, world.now);
+        note_table_read(node.freshness, 1, world.now);
+        const core::milliseconds pause(*rc::gen::inRange(1001, 5000));
+        const auto woke = world.now + pause;
+        auto view = world.view(node);
+        view.since = reliable_since(detector, woke);
+        RC_ASSERT(decide_service(node.freshness, view, woke) == service_decision::isolated);
+        RC_ASSERT(note_tick(detector, woke) == pause);
+        view.since = reliable_since(detector, woke + 50ms);
+        RC_ASSERT(decide_service(node.freshness, view, woke + 50ms) == service_decision::isolated);
+        note_table_read(node.freshness, 1, woke + 10ms);
+        RC_ASSERT(decide_service(node.freshness, view, woke + 50ms) == service_decision::serve_fresh);
+    }));
+}
+
+TEST_CASE("an edit is accepted when confirmed, or unreachable from a majority side") {
+    // Guards against an edit that is reported as accepted while a node may still serve the older table.
+    partition_world world(5);
+    start_fleet(world);
+    const auto accepted = [&](core::steady_time stored_at) {
+        return is_edit_accepted(2, stored_at, world.view(world.nodes[0]), world.now);
+    };
+    const auto confirm = [&](std::size_t i) {
+        update_self(world.nodes[i].known, {member_state::serving, 2, 0, 0, {}}, world.now);
+        world.gossip(true);
+    };
+    for (const std::size_t i : {0, 1, 2}) {
+        confirm(i);
+    }
+    world.nodes[3].side = 1;
+    CHECK_FALSE(accepted(world.now));
+    confirm(4);
+    CHECK_FALSE(accepted(world.now));
+    const auto stored_at = world.now;
+    world.settle(false);
+    CHECK(accepted(stored_at));
+    CHECK_FALSE(accepted(world.now - 3s));
+    for (const std::size_t i : {1, 2}) {
+        world.nodes[i].is_alive = false;
+    }
+    world.settle(false);
+    CHECK_FALSE(accepted(stored_at));
+}
+
+TEST_CASE("an edit isn't accepted on a minority side, and revisions never go down") {
+    partition_world world(5);
+    start_fleet(world);
+    for (const std::size_t i : {1, 2, 3}) {
+        world.nodes[i].side = 1;
+    }
+    for (const std::size_t i : {0, 4}) {
+        update_self(world.nodes[i].known, {member_state::serving, 2, 0, 0, {}}, world.now);
+    }
+    const auto stored_at = world.now;
+    world.settle(true);
+    CHECK_FALSE(is_edit_accepted(2, stored_at, world.view(world.nodes[0]), world.now));
+    CHECK(rc::check([](const std::vector<std::uint64_t>& revisions) {
+        table_freshness freshness;
+        for (const auto revision : revisions) {
+            const auto before = freshness.revision;
+            RC_ASSERT(raise_revision(freshness, revision) == (revision > before));
+            RC_ASSERT(freshness.revision == std::max(before, revision));
+        }
+    }));
+}
