Name the spreadsheet's row in import errors and refuse damaged revisions

Cause: the CSV parser dropped blank lines, so an error below a blank row named a row too high. A revision cell such as "-1" or "+3" was read as some number and later reported as another operator's change. Change: blank lines stay as lines without cells; a revision consists of digits.

--- a/packages/cli/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace figspoke::cli {}
--- a/packages/core/csv.cpp
+++ b/packages/core/csv.cpp
@@ -95,9 +95,7 @@
     void end_line() {
         const bool blank =
             std::all_of(cells_.begin(), cells_.end(), [](const std::string& cell) { return cell.empty(); });
-        if (!blank) {
-            lines_.push_back(std::move(cells_));
-        }
+        lines_.push_back(blank ? std::vector<std::string>() : std::move(cells_));
         cells_.clear();
     }
 
--- a/packages/core/csv.h
+++ b/packages/core/csv.h
@@ -8,7 +8,8 @@
 
 namespace figspoke::core {
 
-/// The cells of a CSV text, line by line.
+/// The cells of a CSV text, line by line. A line without content has no cells, so that the position of each
+/// line is the row number that a spreadsheet shows.
 using csv_lines = std::vector<std::vector<std::string>>;
 
 /// Parses CSV as spreadsheets write it: quoted cells, CR LF or LF, an optional byte order mark, comma or
--- a/packages/core/table_csv.cpp
+++ b/packages/core/table_csv.cpp
@@ -1,7 +1,7 @@
 #include "core/table_csv.h"
 
 #include <algorithm>
-#include <cstdlib>
+#include <charconv>
 #include <set>
 
 #include "core/csv.h"
@@ -57,6 +57,17 @@
     return {};
 }
 
+// Returns 0 for an empty cell and nothing where the cell is no revision.
+std::optional<std::uint64_t> read_revision(const std::string& cell) {
+    std::uint64_t revision = 0;
+    const char* end = cell.data() + cell.size();
+    const auto read = std::from_chars(cell.data(), end, revision);
+    if (!cell.empty() && (read.ec != std::errc() || read.ptr != end)) {
+        return std::nullopt;
+    }
+    return revision;
+}
+
 result<row_edit> read_edit(const std::vector<std::string>& header, const std::vector<std::string>& cells,
                            std::size_t line) {
     row_edit edit;
@@ -73,12 +84,12 @@
         } else if (header[i] == "name") {
             edit.key.name = cells[i];
         } else if (header[i] == "revision") {
-            char* end = nullptr;
-            edit.seen_revision = std::strtoull(cells[i].c_str(), &end, 10);
-            if (*end != '\0') {
+            const auto revision = read_revision(cells[i]);
+            if (!revision) {
                 return line_error(line, "column \"revision\" has the value \"" + cells[i] +
                                             "\"; accepted is a whole number, or nothing for a new row");
             }
+            edit.seen_revision = *revision;
         } else if (!cells[i].empty()) {
             (*edit.columns)[header[i]] = cells[i];
         }
@@ -106,7 +117,7 @@
     if (!lines) {
         return tl::make_unexpected(lines.error());
     }
-    if (lines->empty()) {
+    if (lines->empty() || lines->front().empty()) {
         return line_error(1, "the header line is missing");
     }
     const auto& header = lines->front();
@@ -116,6 +127,9 @@
     std::vector<row_edit> edits;
     std::set<row_key> seen;
     for (std::size_t i = 1; i < lines->size(); ++i) {
+        if ((*lines)[i].empty()) {
+            continue;
+        }
         auto edit = read_edit(header, (*lines)[i], i + 1);
         if (!edit) {
             return tl::make_unexpected(edit.error());
