--- /dev/null
+++ b/packages/cli/await_edit.cpp
@@ -0,0 +1,52 @@
+#include "cli/await_edit.h"
+
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include "cli/node_call.h"
+
+namespace figspoke::cli {
+namespace {
+
+using clock = std::chrono::steady_clock;
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds poll_period{25};
+
+std::chrono::milliseconds since(clock::time_point start) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - start);
+}
+
+void ask_once(edit_progress& progress, const options& flags, std::uint64_t revision,
+              clock::time_point stored_at) {
+    const auto age = since(stored_at);
+    const auto answer = get_json(flags.node, "/admin/edit?revision=" + std::to_string(revision) +
+                                                 "&age_ms=" + std::to_string(age.count()));
+    progress.elapsed = since(stored_at);
+    progress.failure = answer ? "" : answer.error().message;
+    if (!answer) {
+        return;
+    }
+    try {
+        progress.accepted = answer->at("accepted").get<bool>();
+        progress.confirmed = answer->at("confirmed").get<std::vector<std::string>>();
+        progress.waiting_for = answer->at("waiting_for").get<std::vector<std::string>>();
+    } catch (const json::exception& failure) {
+        progress.failure = "node " + flags.node + " gave a malformed answer: " + failure.what();
+    }
+}
+
+} // namespace
+
+edit_progress await_edit(const options& flags, std::uint64_t revision, clock::time_point stored_at) {
+    edit_progress progress;
+    ask_once(progress, flags, revision, stored_at);
+    while (!progress.accepted && since(stored_at) < flags.wait) {
+        std::this_thread::sleep_for(poll_period);
+        ask_once(progress, flags, revision, stored_at);
+    }
+    return progress;
+}
+
+} // namespace figspoke::cli
--- /dev/null
+++ b/packages/cli/await_edit.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cli/options.h"
+
+namespace figspoke::cli {
+
+/// How far a stored edit has come.
+struct edit_progress {
+    bool accepted = false;
+    std::vector<std::string> confirmed;
+    std::vector<std::string> waiting_for;
+    /// Time from the write to the last answer.
+    std::chrono::milliseconds elapsed{0};
+    /// Why the node could not be asked; empty where it answered.
+    std::string failure;
+};
+
+/// Asks the options' node until the revision is accepted, for at most the options' waiting time.
+edit_progress await_edit(const options& flags, std::uint64_t revision,
+                         std::chrono::steady_clock::time_point stored_at);
+
+} // namespace figspoke::cli
--- /dev/null
+++ b/packages/cli/store_edits.cpp
@@ -0,0 +1,72 @@
+#include "cli/store_edits.h"
+
+#include <algorithm>
+#include <thread>
+
+#include "cli/kv_table.h"
+#include "core/hash.h"
+
+namespace figspoke::cli {
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds retry_period{100};
+// A short waiting time for acceptance must not cut off the read that follows an unclear answer.
+constexpr std::chrono::milliseconds least_patience{5000};
+constexpr std::size_t edit_id_bytes = 16;
+
+core::result<void> read_once(core::table_commit& commit, const std::string& kv) {
+    const auto stored = read_table(kv);
+    if (!stored) {
+        return tl::make_unexpected(stored.error());
+    }
+    core::on_table_read(commit, stored->table, stored->version);
+    return {};
+}
+
+core::result<void> write_once(core::table_commit& commit, const std::string& kv) {
+    const auto answer = write_table(kv, commit.next, commit.expected_version);
+    if (!answer) {
+        return tl::make_unexpected(answer.error());
+    }
+    core::on_table_written(commit, *answer);
+    return {};
+}
+
+core::error give_up(const core::table_commit& commit, const core::error& cause) {
+    if (!commit.in_doubt) {
+        return cause;
+    }
+    return {core::error_kind::outcome_unknown,
+            "edit " + commit.origin.edit_id +
+                " may or may not be stored; look for it in `figspoke table log` (" + cause.message + ")",
+            std::nullopt};
+}
+
+} // namespace
+
+core::result<core::table_commit> store_edits(const options& flags, std::vector<core::row_edit> edits) {
+    core::table_commit commit;
+    commit.edits = std::move(edits);
+    commit.origin = {flags.author, core::random_hex(edit_id_bytes)};
+    const auto limit = clock::now() + std::max(flags.wait, least_patience);
+    while (commit.step != core::commit_step::done) {
+        const auto step = commit.step == core::commit_step::read ? read_once(commit, flags.kv)
+                                                                 : write_once(commit, flags.kv);
+        if (step) {
+            continue;
+        }
+        const bool may_pass = step.error().kind == core::error_kind::store_unavailable;
+        if (!may_pass || clock::now() >= limit) {
+            return tl::make_unexpected(give_up(commit, step.error()));
+        }
+        std::this_thread::sleep_for(retry_period);
+    }
+    if (commit.failure) {
+        return tl::make_unexpected(*commit.failure);
+    }
+    return commit;
+}
+
+} // namespace figspoke::cli
