Test the operators' command line on running nodes

Cause: conflicts, lost replies, imports and a drain were tested in pure code only. Change: four cases over three nodes and the stand-ins.

--- a/test/correctness/core_table_csv_test.cpp
+++ b/test/correctness/core_table_csv_test.cpp
@@ -40,7 +40,11 @@
             text += i == 0 ? "" : std::string(1, how.separator);
             text += how.quotes_all || needs_quotes ? quoted(cells[i]) : cells[i];
         }
-        text += line_end + (how.adds_blank_lines ? std::string(3, how.separator) + line_end : "");
+        text += line_end;
+        if (how.adds_blank_lines) {
+            text.append(3, how.separator);
+            text += line_end;
+        }
     }
     return text;
 }
--- /dev/null
+++ b/test/correctness/process/cli_test.cpp
@@ -0,0 +1,154 @@
+#include <doctest/doctest.h>
+
+#include "support/process/fleet.h"
+
+using namespace figspoke;
+using namespace figspoke::test;
+using nlohmann::json;
+
+namespace {
+
+struct told {
+    int code = -1;
+    json data;
+};
+
+// One run of `figspoke` with `--json` against a fleet.
+struct tool_run {
+    tool_run(const fleet& nodes, const std::string& name, std::vector<std::string> arguments, int node = 0)
+        : process(program_path("cli/figspoke"), with_flags(nodes, name, std::move(arguments), node),
+                  nodes.directory(), name) {}
+
+    static std::vector<std::string> with_flags(const fleet& nodes, const std::string& author,
+                                               std::vector<std::string> arguments, int node) {
+        const std::vector<std::string> flags = {"--json", "--kv=" + nodes.kv(), "--node=" + nodes.node(node),
+                                                "--author=" + author};
+        arguments.insert(arguments.begin(), flags.begin(), flags.end());
+        return arguments;
+    }
+
+    told finish() {
+        const auto code = process.wait_for_exit(std::chrono::seconds(40));
+        REQUIRE(code);
+        INFO(process.output() << process.errors());
+        return {*code, json::parse(process.output(), nullptr, false)};
+    }
+
+    child_process process;
+};
+
+fleet_spec small_fleet() {
+    fleet_spec spec;
+    spec.upstreams = {{"engine-1", {"small@1"}, {}, {}}};
+    return spec;
+}
+
+int count_in_log(const core::table& table, const std::string& edit_id) {
+    int count = 0;
+    for (const auto& change : table.log) {
+        count += change.edit_id == edit_id ? 1 : 0;
+    }
+    return count;
+}
+
+std::string weight_of(const core::table& table) {
+    return table.rows.at({"account", "tester"}).columns.at("weight");
+}
+
+} // namespace
+
+TEST_CASE("of two operators who race on one row each is told the truth") {
+    // Guards against an edit that overwrites one which its operator never saw, or that is told as done and
+    // isn't in the table.
+    fleet nodes(small_fleet());
+    set_control(nodes.kv(), {{"delay_ms", 500}});
+    tool_run ann(nodes, "ann", {"table", "set", "account/tester", "weight=2"}, 0);
+    tool_run bob(nodes, "bob", {"table", "set", "account/tester", "weight=3"}, 1);
+    tool_run cid(nodes, "cid", {"table", "set", "account/other", "key_sha256=00", "allowed=small@1"}, 2);
+    const auto by_ann = ann.finish();
+    const auto by_bob = bob.finish();
+    CHECK(cid.finish().code == 0);
+    const auto table = nodes.read_table();
+    CHECK(table.rows.count({"account", "other"}) == 1);
+    CHECK(table.log.size() == 1U + (by_ann.code == 0 ? 1 : 0) + (by_bob.code == 0 ? 1 : 0));
+    CHECK((by_ann.code == 0 || by_bob.code == 0));
+    for (const auto& [mine, other] : {std::pair(by_ann, "bob"), std::pair(by_bob, "ann")}) {
+        if (mine.code == 0) {
+            CHECK(count_in_log(table, mine.data["edit_id"]) == 1);
+            CHECK(mine.data["confirmed"].size() == 3);
+        } else {
+            CHECK(mine.code == 3);
+            CHECK(mine.data["error"].get<std::string>().find(std::string("changed by ") + other) !=
+                  std::string::npos);
+        }
+    }
+}
+
+TEST_CASE("an edit whose reply is lost is found in the log and not made again") {
+    // Guards against a second write after an unclear answer, and against a wrong report of a slow node.
+    fleet nodes(small_fleet());
+    set_control(nodes.kv(), {{"drop_replies", 1}});
+    tool_run set(nodes, "ann", {"table", "set", "account/tester", "weight=2"});
+    const auto stored = set.finish();
+    CHECK(stored.code == 0);
+    CHECK(count_in_log(nodes.read_table(), stored.data["edit_id"]) == 1);
+    tool_run unwatched(nodes, "bob", {"table", "set", "account/tester", "weight=3", "--wait_ms=0"});
+    const auto pending = unwatched.finish();
+    CHECK((pending.code == 4 || pending.data["accepted"] == true));
+    CHECK(weight_of(nodes.read_table()) == "3");
+    set_control(nodes.kv(), {{"down", true}});
+    tool_run get(nodes, "cid", {"table", "get"});
+    CHECK(get.finish().code == 2);
+    set_control(nodes.kv(), {{"down", false}});
+}
+
+TEST_CASE("a file is imported whole or not at all") {
+    // Guards against half an import and against a file that undoes what others did after the export.
+    fleet nodes(small_fleet());
+    const auto path = nodes.directory() + "/rows.csv";
+    tool_run exported(nodes, "export", {"table", "export"});
+    const auto csv = exported.finish().data["csv"].get<std::string>();
+    write_file(path, csv + "account,new,,00,,,,,,small@1\r\naccount,bad,,00,heavy,,,,,small@1\r\n");
+    tool_run bad(nodes, "bad", {"table", "import", path});
+    CHECK(bad.finish().code == 1);
+    CHECK(nodes.read_table().revision == 1);
+    write_file(path, csv + "account,new,,00,,,,,,small@1\r\n");
+    tool_run dry(nodes, "dry", {"table", "import", path, "--dry_run"});
+    CHECK(dry.finish().data["changes"].size() == 1);
+    CHECK(nodes.read_table().revision == 1);
+    tool_run good(nodes, "good", {"table", "import", path});
+    const auto done = good.finish();
+    CHECK(done.code == 0);
+    CHECK(done.data["confirmed"].size() == 3);
+    CHECK(nodes.read_table().revision == 2);
+    write_file(path, csv);
+    tool_run old(nodes, "old", {"table", "import", path, "--remove_missing"});
+    CHECK(old.finish().code == 3);
+    tool_run diff(nodes, "diff", {"table", "diff", path});
+    CHECK(diff.finish().code == 6);
+    CHECK(nodes.read_table().rows.count({"account", "new"}) == 1);
+}
+
+TEST_CASE("a drained node finishes its stream and ends, and the others say so") {
+    // Guards against a drain that cuts off a caller or is reported before the node has ended.
+    auto spec = small_fleet();
+    spec.upstreams.front().flags = {"--token_ms=40"};
+    fleet nodes(spec);
+    const json body = {{"model", "auto"},
+                       {"messages", json::array({{{"role", "user"}, {"content", "a long draft"}}})},
+                       {"stream", true},
+                       {"max_tokens", 150}};
+    child_process drainer(program_path("cli/figspoke"),
+                          {"--json", "--node=" + nodes.node(2), "--wait_ms=30000", "drain"},
+                          nodes.directory(), "drainer");
+    const auto answer = nodes.chat(2, body);
+    REQUIRE_MESSAGE(answer.status == 200, answer.body);
+    CHECK(split_events(answer.body).back() == "[DONE]");
+    CHECK(drainer.wait_for_exit(std::chrono::seconds(40)) == 0);
+    CHECK(json::parse(drainer.output())["ended"] == true);
+    CHECK(nodes.node_process(2).wait_for_exit() == 0);
+    tool_run status(nodes, "status", {"status"});
+    for (const auto& member : status.finish().data["members"]) {
+        CHECK((member["id"] != "node2" || member["state"] == "left"));
+    }
+}
