--- a/packages/cli/await_edit.cpp
+++ b/packages/cli/await_edit.cpp
@@ -18,12 +18,13 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - start);
 }
 
-void ask_once(edit_progress& progress, const options& flags, std::uint64_t revision,
-              clock::time_point stored_at) {
-    const auto age = since(stored_at);
-    const auto answer = get_json(flags.node, "/admin/edit?revision=" + std::to_string(revision) +
+// The node is told the least age that the edit can have: a higher one could end its wait for nodes that are
+// unreachable too early.
+void ask_once(edit_progress& progress, const options& flags, const stored_edit& edit) {
+    const auto age = since(edit.known_at);
+    const auto answer = get_json(flags.node, "/admin/edit?revision=" + std::to_string(edit.commit.revision) +
                                                  "&age_ms=" + std::to_string(age.count()));
-    progress.elapsed = since(stored_at);
+    progress.elapsed = since(edit.write_sent);
     progress.failure = answer ? "" : answer.error().message;
     if (!answer) {
         return;
@@ -39,12 +40,12 @@
 
 } // namespace
 
-edit_progress await_edit(const options& flags, std::uint64_t revision, clock::time_point stored_at) {
+edit_progress await_edit(const options& flags, const stored_edit& edit) {
     edit_progress progress;
-    ask_once(progress, flags, revision, stored_at);
-    while (!progress.accepted && since(stored_at) < flags.wait) {
+    ask_once(progress, flags, edit);
+    while (!progress.accepted && since(edit.known_at) < flags.wait) {
         std::this_thread::sleep_for(poll_period);
-        ask_once(progress, flags, revision, stored_at);
+        ask_once(progress, flags, edit);
     }
     return progress;
 }
--- a/packages/cli/await_edit.h
+++ b/packages/cli/await_edit.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <chrono>
-#include <cstdint>
 #include <string>
 #include <vector>
 
 #include "cli/options.h"
+#include "cli/store_edits.h"
 
 namespace figspoke::cli {
 
@@ -14,14 +14,13 @@
     bool accepted = false;
     std::vector<std::string> confirmed;
     std::vector<std::string> waiting_for;
-    /// Time from the write to the last answer.
+    /// Time from the sending of the write to the last answer.
     std::chrono::milliseconds elapsed{0};
     /// Why the node could not be asked; empty where it answered.
     std::string failure;
 };
 
-/// Asks the options' node until the revision is accepted, for at most the options' waiting time.
-edit_progress await_edit(const options& flags, std::uint64_t revision,
-                         std::chrono::steady_clock::time_point stored_at);
+/// Asks the options' node until the edit is accepted, for at most the options' waiting time.
+edit_progress await_edit(const options& flags, const stored_edit& edit);
 
 } // namespace figspoke::cli
--- a/packages/cli/finish_edit.cpp
+++ b/packages/cli/finish_edit.cpp
@@ -1,13 +1,10 @@
 #include "cli/finish_edit.h"
 
 #include "cli/await_edit.h"
-#include "cli/store_edits.h"
 
 namespace figspoke::cli {
 namespace {
 
-using clock = std::chrono::steady_clock;
-
 std::string join(const std::vector<std::string>& items) {
     std::string joined;
     for (const auto& item : items) {
@@ -68,17 +65,17 @@
 }
 
 outcome finish_edit(const options& flags, std::vector<core::row_edit> edits) {
-    const auto commit = store_edits(flags, std::move(edits));
-    if (!commit) {
-        return failed(commit.error());
+    const auto stored = store_edits(flags, std::move(edits));
+    if (!stored) {
+        return failed(stored.error());
     }
     edit_progress progress;
     if (flags.node.empty()) {
         progress.failure = "no node was asked, since --node is not given";
     } else {
-        progress = await_edit(flags, commit->revision, clock::now());
+        progress = await_edit(flags, *stored);
     }
-    return describe(*commit, progress);
+    return describe(stored->commit, progress);
 }
 
 } // namespace figspoke::cli
--- a/packages/cli/help_text.cpp
+++ b/packages/cli/help_text.cpp
@@ -56,7 +56,7 @@
   4  stored (or draining), but not finished within --wait_ms; it goes on by itself
   5  no clear answer: the edit may or may not be stored; the message names its id for `figspoke table log`
   6  table diff found differences
-  7  the row does not exist, or a service refused the request
+  7  the row does not exist, a service refused the request, or a drained node did not end gracefully
 )";
 }
 
--- a/packages/cli/load_plan.cpp
+++ b/packages/cli/load_plan.cpp
@@ -64,7 +64,7 @@
     }
     if (!(options.rate > 0) || options.duration.count() <= 0 || requests > max_requests) {
         return "--rate and --duration_s are " + std::to_string(options.rate) + " and " +
-               std::to_string(options.duration.count() / 1000.0) +
+               std::to_string(std::chrono::duration<double>(options.duration).count()) +
                "; accepted are numbers above 0 with at most 1000000 requests in all";
     }
     if (!is_share(options.urgent) || !is_share(options.batch) || options.urgent + options.batch > 1) {
--- a/packages/cli/outcome.h
+++ b/packages/cli/outcome.h
@@ -23,7 +23,7 @@
     unclear = 5,
     /// `table diff` found differences.
     differs = 6,
-    /// The row does not exist, or a service refused the request.
+    /// The row does not exist, a service refused the request, or a node did not end gracefully.
     refused = 7,
 };
 
--- a/packages/cli/row_words.cpp
+++ b/packages/cli/row_words.cpp
@@ -20,6 +20,15 @@
                                                   [&](const auto& column) { return column.name == name; });
 }
 
+tl::unexpected<core::error> unknown_column(const std::string& kind, const std::string& name) {
+    std::string message = "column \"";
+    message += name;
+    message += "\" does not exist in rows of kind \"";
+    message += kind;
+    message += "\"";
+    return core::fail(error_kind::bad_request, message);
+}
+
 core::result<std::string> hash_key_file(const std::string& path) {
     auto key = core::read_secret(path);
     if (!key) {
@@ -62,8 +71,7 @@
             value = std::move(*hashed);
         }
         if (!is_column(kind, name)) {
-            return core::fail(error_kind::bad_request,
-                              "column \"" + name + "\" does not exist in rows of kind \"" + kind + "\"");
+            return unknown_column(kind, name);
         }
         columns[name] = value;
     }
--- a/packages/cli/store_edits.cpp
+++ b/packages/cli/store_edits.cpp
@@ -46,12 +46,17 @@
 
 } // namespace
 
-core::result<core::table_commit> store_edits(const options& flags, std::vector<core::row_edit> edits) {
+core::result<stored_edit> store_edits(const options& flags, std::vector<core::row_edit> edits) {
     core::table_commit commit;
     commit.edits = std::move(edits);
     commit.origin = {flags.author, core::random_hex(edit_id_bytes)};
-    const auto limit = clock::now() + std::max(flags.wait, least_patience);
+    const auto start = clock::now();
+    const auto limit = start + std::max(flags.wait, least_patience);
+    std::optional<clock::time_point> write_sent;
     while (commit.step != core::commit_step::done) {
+        if (commit.step == core::commit_step::write && !write_sent) {
+            write_sent = clock::now();
+        }
         const auto step = commit.step == core::commit_step::read ? read_once(commit, flags.kv)
                                                                  : write_once(commit, flags.kv);
         if (step) {
@@ -66,7 +71,7 @@
     if (commit.failure) {
         return tl::make_unexpected(*commit.failure);
     }
-    return commit;
+    return stored_edit{std::move(commit), write_sent.value_or(start), clock::now()};
 }
 
 } // namespace figspoke::cli
--- a/packages/cli/table_get.cpp
+++ b/packages/cli/table_get.cpp
@@ -15,7 +15,10 @@
 std::string one_line(const core::row& row) {
     std::string text = to_string(row.key) + " revision=" + std::to_string(row.revision);
     for (const auto& [name, value] : row.columns) {
-        text += " " + name + "=" + value;
+        text += " ";
+        text += name;
+        text += "=";
+        text += value;
     }
     return text + "\n";
 }
