--- a/packages/node/journal_routing.cpp
+++ b/packages/node/journal_routing.cpp
@@ -13,7 +13,7 @@
 using nlohmann::json;
 using clock = std::chrono::steady_clock;
 
-constexpr std::chrono::milliseconds forward_timeout{1500};
+constexpr std::chrono::milliseconds append_timeout{1500};
 constexpr std::chrono::milliseconds repeat_delay{20};
 
 std::optional<state::member_entry> find_owner(node_state& node, std::uint32_t shard) {
@@ -70,11 +70,11 @@
         return;
     }
     if (owner->id == node.settings.node.id) {
-        append_local(node.journal, shard, std::move(entry), std::move(callback));
+        append_local(node.journal, shard, std::move(entry), append_timeout, std::move(callback));
         return;
     }
     node.nodes.mesh->call({owner->id, owner->mesh_address}, "append", encode_request(shard, entry),
-                          forward_timeout,
+                          append_timeout,
                           [callback = std::move(callback)](const adapters::mesh_result& answer) {
                               callback(answer ? decode_outcome(*answer) : unclear_outcome());
                           });
@@ -101,7 +101,7 @@
         reply(encode_outcome(unclear_outcome()));
         return;
     }
-    append_local(node.journal, shard, *entry,
+    append_local(node.journal, shard, *entry, append_timeout,
                  [reply](const append_outcome& outcome) { reply(encode_outcome(outcome)); });
 }
 
--- a/packages/node/journal_service.cpp
+++ b/packages/node/journal_service.cpp
@@ -24,7 +24,7 @@
     for (auto& settled : state::take_settled(slot.writer)) {
         const auto found = slot.waiting.find(settled.ticket);
         if (found != slot.waiting.end()) {
-            due.emplace_back(std::move(found->second),
+            due.emplace_back(std::move(found->second.callback),
                              append_outcome{settled.fate, std::move(settled.result)});
             slot.waiting.erase(found);
         }
@@ -49,6 +49,36 @@
     notify(std::move(due));
 }
 
+void give_up_entry(shard_slot& slot, std::uint64_t ticket) {
+    append_callback callback;
+    {
+        const std::lock_guard lock(slot.mutex);
+        const auto found = slot.waiting.find(ticket);
+        if (found == slot.waiting.end()) {
+            return;
+        }
+        callback = std::move(found->second.callback);
+        slot.waiting.erase(found);
+        state::withdraw_entry(slot.writer, ticket);
+    }
+    append_outcome outcome;
+    outcome.fate = state::entry_fate::unclear;
+    callback(std::move(outcome));
+}
+
+// During an outage of the key-value service no entry settles. Without this bound an order would wait for the
+// end of the outage instead of being refused, and would then run although its caller may have left.
+std::unique_ptr<boost::asio::steady_timer> start_patience(shard_slot& slot, std::uint64_t ticket,
+                                                          std::chrono::milliseconds timeout) {
+    auto timer = std::make_unique<boost::asio::steady_timer>(slot.executor, timeout);
+    timer->async_wait([&slot, ticket](const boost::system::error_code& code) {
+        if (!code) {
+            give_up_entry(slot, ticket);
+        }
+    });
+    return timer;
+}
+
 std::string shard_key(const state::writer_settings& settings) {
     return "figspoke/journal/" + std::to_string(settings.shard);
 }
@@ -167,7 +197,7 @@
 }
 
 void append_local(journal_service& journal, std::uint32_t shard, state::journal_entry entry,
-                  append_callback callback) {
+                  std::chrono::milliseconds timeout, append_callback callback) {
     auto& slot = *journal.shards.at(shard);
     append_outcome refused;
     bool accepted = false;
@@ -177,7 +207,8 @@
         const auto submitted = state::submit_entry(slot.writer, ticket, std::move(entry), clock::now());
         accepted = submitted == state::submit_result::accepted;
         if (accepted) {
-            slot.waiting.emplace(ticket, std::move(callback));
+            auto timer = start_patience(slot, ticket, timeout);
+            slot.waiting.emplace(ticket, waiting_append{std::move(callback), std::move(timer)});
         } else if (submitted == state::submit_result::full) {
             refused.fate = state::entry_fate::settled;
             refused.result.outcome = state::entry_outcome::backlog_full;
--- a/packages/node/journal_service.h
+++ b/packages/node/journal_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -11,6 +12,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "adapters/kv_client.h"
 #include "adapters/wakeup.h"
@@ -28,14 +30,21 @@
 
 using append_callback = std::function<void(append_outcome)>;
 
+/// A caller that waits for its entry, and the end of its patience.
+struct waiting_append {
+    append_callback callback;
+    std::unique_ptr<boost::asio::steady_timer> timer;
+};
+
 /// The writer of one shard on this node with the callers that wait for their entries.
 struct shard_slot {
-    shard_slot(const boost::asio::any_io_executor& executor, state::journal_writer initial)
-        : writer(std::move(initial)), wake(executor) {}
+    shard_slot(const boost::asio::any_io_executor& owner, state::journal_writer initial)
+        : executor(owner), writer(std::move(initial)), wake(owner) {}
 
+    boost::asio::any_io_executor executor;
     std::mutex mutex;
     state::journal_writer writer;
-    std::unordered_map<std::uint64_t, append_callback> waiting;
+    std::unordered_map<std::uint64_t, waiting_append> waiting;
     std::uint64_t next_ticket = 1;
     adapters::wakeup wake;
 };
@@ -55,8 +64,10 @@
 void set_owned_shards(journal_service& journal, const std::set<std::uint32_t>& owned);
 
 /// Appends an entry to a shard that this node owns. The callback may be called at once or from any thread.
+/// After the timeout it gets the fate `unclear`, and the entry is withdrawn unless its batch is being
+/// written.
 void append_local(journal_service& journal, std::uint32_t shard, state::journal_entry entry,
-                  append_callback callback);
+                  std::chrono::milliseconds timeout, append_callback callback);
 
 /// The number of shards that this node owns or is taking over.
 std::size_t owned_shard_count(journal_service& journal);
--- a/packages/node/service_flow.cpp
+++ b/packages/node/service_flow.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/detached.hpp>
 
+#include "adapters/await.h"
 #include "adapters/decision_log.h"
 #include "node/error_reply.h"
 #include "node/journal_routing.h"
@@ -19,6 +20,7 @@
 constexpr std::chrono::milliseconds claim_timeout{3000};
 constexpr std::chrono::milliseconds result_timeout{3000};
 constexpr std::chrono::minutes late_result_timeout{10};
+constexpr std::chrono::milliseconds late_result_pause{100};
 // After a longer time since the claim the process was probably paused, and peers may have reported the
 // outcome as unknown already.
 constexpr std::chrono::milliseconds claim_validity{2000};
@@ -50,18 +52,27 @@
     return result;
 }
 
+// Tells whether the shard has the result. One without room has not recorded it.
+bool append_result(node_state& node, const state::order_result& result, std::chrono::milliseconds timeout,
+                   const yield_context& yield) {
+    const auto outcome = await_append(node, shard_of(node, result.order_id), result, timeout, yield);
+    return outcome.fate == state::entry_fate::settled &&
+           outcome.result.outcome != state::entry_outcome::backlog_full;
+}
+
 // Records how an order ended. Where the key-value service is slow, recording goes on in the background: until
 // then a repeat is told that the order is in progress, which is safe.
 void record_result(node_state& node, const state::order_result& result, const yield_context& yield) {
-    const auto shard = shard_of(node, result.order_id);
-    const auto outcome = await_append(node, shard, result, result_timeout, yield);
-    if (outcome.fate == state::entry_fate::settled) {
+    if (append_result(node, result, result_timeout, yield)) {
         return;
     }
     boost::asio::spawn(
         node.context,
-        [&node, shard, result](const yield_context& later) {
-            await_append(node, shard, result, late_result_timeout, later);
+        [&node, result](const yield_context& later) {
+            const auto limit = clock::now() + late_result_timeout;
+            while (!append_result(node, result, result_timeout, later) && clock::now() < limit) {
+                adapters::sleep_for(late_result_pause, later);
+            }
         },
         boost::asio::detached);
 }
