--- a/packages/cli/table_import.cpp
+++ b/packages/cli/table_import.cpp
@@ -47,6 +47,31 @@
     return {};
 }
 
+core::result<std::vector<row_edit>> read_import(const options& flags, const std::string& path,
+                                                const core::table& current) {
+    auto edits = read_edits_file(path);
+    if (edits && flags.remove_missing) {
+        if (auto added = add_removals(*edits, current); !added) {
+            return tl::make_unexpected(added.error());
+        }
+    }
+    return edits;
+}
+
+outcome store_import(const options& flags, std::vector<row_edit> edits, const nlohmann::json& changes) {
+    outcome told;
+    if (flags.dry_run) {
+        told.text = changes.empty() ? "nothing would change\n" : "nothing is stored; this would change:\n";
+    } else {
+        told = finish_edit(flags, std::move(edits));
+    }
+    if (told.code == exit_code::done || told.code == exit_code::pending) {
+        told.text += render_changes(changes);
+        told.data["changes"] = changes;
+    }
+    return told;
+}
+
 } // namespace
 
 outcome table_import(const options& flags, const words& given) {
@@ -54,36 +79,19 @@
         return failed(exit_code::usage,
                       "table import needs one file, such as `figspoke table import rows.csv`");
     }
-    auto edits = read_edits_file(given[0]);
-    if (!edits) {
-        return failed(edits.error());
-    }
     const auto stored = read_table(flags.kv);
     if (!stored) {
         return failed(stored.error());
     }
-    if (flags.remove_missing) {
-        if (auto added = add_removals(*edits, stored->table); !added) {
-            return failed(added.error());
-        }
+    auto edits = read_import(flags, given[0], stored->table);
+    if (!edits) {
+        return failed(edits.error());
     }
     const auto next = core::apply_edits(stored->table, *edits, {flags.author, "preview"});
     if (!next) {
         return failed(next.error());
     }
-    const auto changes = list_changes(stored->table, *next);
-    outcome told;
-    if (flags.dry_run) {
-        told.text = changes.empty() ? "nothing would change\n" : "nothing is stored; this would change:\n";
-    } else {
-        told = finish_edit(flags, std::move(*edits));
-    }
-    const bool is_listed = flags.dry_run || told.code == exit_code::done || told.code == exit_code::pending;
-    if (is_listed) {
-        told.text += render_changes(changes);
-        told.data["changes"] = changes;
-    }
-    return told;
+    return store_import(flags, std::move(*edits), list_changes(stored->table, *next));
 }
 
 } // namespace figspoke::cli
--- a/packages/core/table_commit.cpp
+++ b/packages/core/table_commit.cpp
@@ -27,6 +27,17 @@
     return value.log.size() < max_table_log || value.log.front().revision <= written;
 }
 
+// At the same version the write in doubt may still arrive. The next write names that version too, so at most
+// one of them takes effect. At another version it can't arrive any more. Returns false where nothing tells
+// whether it did.
+bool resolve_doubt(table_commit& commit, const table& current, std::uint64_t version) {
+    if (!commit.in_doubt || version == commit.expected_version) {
+        return true;
+    }
+    commit.in_doubt = !log_reaches(current, commit.next.revision);
+    return !commit.in_doubt;
+}
+
 } // namespace
 
 void on_table_read(table_commit& commit, const table& current, std::uint64_t version) {
@@ -34,16 +45,11 @@
         finish(commit, revision, true);
         return;
     }
-    // At the same version the write in doubt may still arrive. The next write names that version too, so
-    // at most one of them takes effect.
-    if (commit.in_doubt && version != commit.expected_version) {
-        if (!log_reaches(current, commit.next.revision)) {
-            finish(commit, {error_kind::outcome_unknown,
-                            "the log no longer tells whether edit " + commit.origin.edit_id + " was stored",
-                            std::nullopt});
-            return;
-        }
-        commit.in_doubt = false;
+    if (!resolve_doubt(commit, current, version)) {
+        finish(commit, {error_kind::outcome_unknown,
+                        "the log no longer tells whether edit " + commit.origin.edit_id + " was stored",
+                        std::nullopt});
+        return;
     }
     auto next = apply_edits(current, commit.edits, commit.origin);
     if (!next) {
