Bound the time that an edit spends on unclear answers

Cause: a key-value service that answered reads and refused every write was asked without pause and without end.

--- a/packages/cli/store_edits.cpp
+++ b/packages/cli/store_edits.cpp
@@ -34,16 +34,20 @@
     return {};
 }
 
-core::error give_up(const core::table_commit& commit, const core::error& cause) {
+core::error give_up(const core::table_commit& commit, const std::string& cause) {
     if (!commit.in_doubt) {
-        return cause;
+        return {core::error_kind::store_unavailable, cause, std::nullopt};
     }
     return {core::error_kind::outcome_unknown,
             "edit " + commit.origin.edit_id +
-                " may or may not be stored; look for it in `figspoke table log` (" + cause.message + ")",
+                " may or may not be stored; look for it in `figspoke table log` (" + cause + ")",
             std::nullopt};
 }
 
+core::result<void> run_step(core::table_commit& commit, const std::string& kv) {
+    return commit.step == core::commit_step::read ? read_once(commit, kv) : write_once(commit, kv);
+}
+
 } // namespace
 
 core::result<stored_edit> store_edits(const options& flags, std::vector<core::row_edit> edits) {
@@ -57,16 +61,18 @@
         if (commit.step == core::commit_step::write && !write_sent) {
             write_sent = clock::now();
         }
-        const auto step = commit.step == core::commit_step::read ? read_once(commit, flags.kv)
-                                                                 : write_once(commit, flags.kv);
-        if (step) {
-            continue;
+        const auto step = run_step(commit, flags.kv);
+        if (!step && step.error().kind != core::error_kind::store_unavailable) {
+            return tl::make_unexpected(step.error());
+        }
+        // A service that answers reads and refuses writes would otherwise be asked forever.
+        if (commit.step != core::commit_step::done && clock::now() >= limit) {
+            return tl::make_unexpected(
+                give_up(commit, step ? "no write was answered in time" : step.error().message));
         }
-        const bool may_pass = step.error().kind == core::error_kind::store_unavailable;
-        if (!may_pass || clock::now() >= limit) {
-            return tl::make_unexpected(give_up(commit, step.error()));
+        if (!step || commit.in_doubt) {
+            std::this_thread::sleep_for(retry_period);
         }
-        std::this_thread::sleep_for(retry_period);
     }
     if (commit.failure) {
         return tl::make_unexpected(*commit.failure);
