Judge the wait of a priority by its floor too

The expected wait counted the whole urgent queue as ahead, so normal work was refused early although its floor would have served it. Ruled out: pausing (the same with nothing pausable). Change: the expected wait is at most the work ahead in the own priority over the slots of its floor.

--- a/packages/policy/admission_wait.cpp
+++ b/packages/policy/admission_wait.cpp
@@ -41,7 +41,10 @@
     if (slots <= 0) {
         return to_duration(longest_s);
     }
-    const double wait = ahead / slots + higher / std::max(queue.capacity, slots);
+    double wait = ahead / slots + higher / std::max(queue.capacity, slots);
+    // A priority gets its floor however much more urgent work waits.
+    const double floor_slots = queue.settings.floors.at(index) * queue.capacity;
+    wait = floor_slots > 0 ? std::min(wait, ahead / floor_slots) : wait;
     return to_duration(wait * queue.slowdown * queue.settings.wait_margin);
 }
 
