Charge overruns only to accounts that were charged the work

Cause: requests that start without waiting aren't charged, but the excess of their slot time over the estimate was. The errors of hours without contention added up to a debt, since credit is cut and debt isn't, and the account was passed over at the first contention. Change: the excess is settled only for requests that waited. Run: the new test fails without the change (1 start of 6 instead of 2 at least) and passes with it; pure_tests 23 cases pass.

--- a/packages/policy/admission_queue.cpp
+++ b/packages/policy/admission_queue.cpp
@@ -102,8 +102,8 @@
     return has_slots(queue, 0) && has_slots(queue, slots_left_free(queue, request, pauses));
 }
 
-void start(admission_queue& queue, const waiting_request& entry, core::steady_time now) {
-    queue.running[entry.request.id] = {entry.request, now, entry.pauses};
+void start(admission_queue& queue, const waiting_request& entry, bool charged, core::steady_time now) {
+    queue.running[entry.request.id] = {entry.request, now, entry.pauses, charged};
     const std::size_t index = index_of(entry.request.priority);
     ++queue.shares.priorities.at(index).running;
     queue.pausable_running.at(index) += is_pausable(queue, entry.request, entry.pauses) ? 1 : 0;
@@ -141,7 +141,9 @@
     const admission_request& request = running.request;
     const std::size_t index = index_of(request.priority);
     const double actual = core::to_seconds(now - running.started);
-    settle(queue.waiting.at(index), request.account, actual - request.work);
+    if (running.charged) {
+        settle(queue.waiting.at(index), request.account, actual - request.work);
+    }
     --queue.shares.priorities.at(index).running;
     queue.pausable_running.at(index) -= is_pausable(queue, request, running.pauses) ? 1 : 0;
     queue.running.erase(request.id);
@@ -309,7 +311,7 @@
     // late.
     const bool late = latest_start(queue, request, now, 1) < now;
     if (!late && !has_waiting(queue, request) && can_start(queue, request, 0)) {
-        start(queue, {request, now, now, 0}, now);
+        start(queue, {request, now, now, 0}, false, now);
         return {admission_state::admitted, std::nullopt, std::nullopt};
     }
     const auto latest = latest_start(queue, request, now, queue.settings.run_margin);
@@ -336,7 +338,7 @@
             events.push_back(refused_event(error_kind::deadline_unreachable, queue, entry->request));
             continue;
         }
-        start(queue, *entry, now);
+        start(queue, *entry, true, now);
         events.push_back({entry->request.id, std::nullopt, admission_action::start});
     }
 }
--- a/packages/policy/admission_queue.h
+++ b/packages/policy/admission_queue.h
@@ -23,6 +23,8 @@
     admission_request request;
     core::steady_time started;
     int pauses = 0;
+    /// Whether the request waited, so that its account was charged its work.
+    bool charged = false;
 };
 
 /// Where a waiting request is queued.
--- a/test/correctness/policy_admission_queue_test.cpp
+++ b/test/correctness/policy_admission_queue_test.cpp
@@ -176,3 +176,45 @@
     CHECK(decision.displaced->id == 4);
     CHECK(decision.displaced->error->kind == core::error_kind::overloaded);
 }
+
+TEST_CASE("overruns on an idle node are not held against an account") {
+    // Guards against an account that starves at the first contention because of hours of underestimated work.
+    auto settings = default_admission_settings(deployment_profile::low_latency);
+    settings.max_wait.fill(std::chrono::minutes(10));
+    auto now = start_time;
+    auto queue = make_admission_queue(settings, 1, now);
+    std::uint64_t id = 0;
+    const auto contend = [&] {
+        std::map<std::string, int> started;
+        for (int i = 0; i < 10; ++i) {
+            submit(queue, make_request(++id, core::priority::normal, i % 2 == 0 ? "under" : "exact", 0.1),
+                   now);
+        }
+        while (!queue.running.empty()) {
+            ++started[queue.running.begin()->second.request.account];
+            now += milliseconds(100);
+            finish(queue, queue.running.begin()->first, now);
+            if (next(queue, now).empty() || started["under"] + started["exact"] == 6) {
+                break;
+            }
+        }
+        return started;
+    };
+    contend();
+    for (const auto& [running_id, running] : std::map(queue.running.begin(), queue.running.end())) {
+        finish(queue, running_id, now);
+    }
+    while (waiting_count(queue) > 0) {
+        for (const auto& event : next(queue, now)) {
+            finish(queue, event.id, now);
+        }
+    }
+    for (int i = 0; i < 100; ++i) {
+        submit(queue, make_request(++id, core::priority::normal, "under", 0.1), now);
+        now += std::chrono::seconds(1);
+        CHECK(finish(queue, id, now));
+    }
+    const auto started = contend();
+    CHECK(started.at("under") >= 2);
+    CHECK(started.at("exact") >= 2);
+}
