Probe failing upstreams with work that can be retried only

Cause: requests that aren't idempotent are used as probes of ejected upstreams; each probe that fails is a request without an answer. Change: is_usable takes whether the request may be a probe.

--- a/packages/policy/upstream_health.cpp
+++ b/packages/policy/upstream_health.cpp
@@ -58,14 +58,14 @@
 
 } // namespace
 
-bool is_usable(const health_table& table, const std::string& name, core::steady_time now) {
+bool is_usable(const health_table& table, const std::string& name, core::steady_time now, bool may_probe) {
     const auto found = table.upstreams.find(name);
     if (found == table.upstreams.end() || found->second.state == health_state::healthy) {
         return true;
     }
     const auto& health = found->second;
     const bool probe_lost = now - health.probed_at >= table.settings.probe_timeout;
-    return now >= health.ejected_until && (health.probes_in_flight == 0 || probe_lost);
+    return may_probe && now >= health.ejected_until && (health.probes_in_flight == 0 || probe_lost);
 }
 
 void record_dispatch(health_table& table, const std::string& name, core::steady_time now) {
--- a/packages/policy/upstream_health.h
+++ b/packages/policy/upstream_health.h
@@ -50,9 +50,11 @@
     std::map<std::string, upstream_health> upstreams;
 };
 
-/// Tells whether a request may be sent: the upstream is healthy, or its ejection has ended and no probe is
-/// in flight. An unknown upstream is healthy.
-bool is_usable(const health_table& table, const std::string& name, core::steady_time now);
+/// Tells whether a request may be sent: the upstream is healthy, or its ejection has ended, no probe is in
+/// flight and the request may be a probe. An unknown upstream is healthy. Work that can't be retried should
+/// not be a probe.
+bool is_usable(const health_table& table, const std::string& name, core::steady_time now,
+               bool may_probe = true);
 
 /// Records that a request was sent; it is a probe where the upstream's ejection has ended.
 void record_dispatch(health_table& table, const std::string& name, core::steady_time now);
--- a/test/performance/routing/retry_trial.cpp
+++ b/test/performance/routing/retry_trial.cpp
@@ -57,18 +57,19 @@
     return upstream % 3 == 0 && now_s >= sim.settings.fails_from_s && now_s < sim.settings.fails_until_s;
 }
 
-std::vector<policy::upstream_candidate> candidates_of(const simulation& sim, std::size_t node, double now_s) {
+std::vector<policy::upstream_candidate> candidates_of(const simulation& sim, const request& of,
+                                                      double now_s) {
     std::vector<policy::upstream_candidate> candidates;
-    const auto& state = sim.nodes[node];
+    const auto& state = sim.nodes[of.node];
     for (std::size_t i = 0; i < sim.settings.upstreams; ++i) {
         policy::upstream_candidate candidate;
         candidate.name = std::to_string(i);
         candidate.slots = 64;
         candidate.load = state.in_flight[i];
-        candidate.usable =
-            sim.settings.unbounded ||
-            (sim.settings.knows_failures ? !fails(sim, i, now_s)
-                                         : policy::is_usable(state.health, candidate.name, time_at(now_s)));
+        candidate.usable = sim.settings.unbounded ||
+                           (sim.settings.knows_failures ? !fails(sim, i, now_s)
+                                                        : policy::is_usable(state.health, candidate.name,
+                                                                            time_at(now_s), of.idempotent));
         candidates.push_back(candidate);
     }
     return candidates;
@@ -76,7 +77,7 @@
 
 // Failing upstreams answer fast with an error, stop answering for a second, or refuse the work.
 void call(simulation& sim, request of, double now_s) {
-    const auto decision = policy::choose_upstream(candidates_of(sim, of.node, now_s), {}, {"", "", of.tried},
+    const auto decision = policy::choose_upstream(candidates_of(sim, of, now_s), {}, {"", "", of.tried},
                                                   {uniform(sim), uniform(sim), 0});
     if (!decision) {
         return;
