Eject an upstream after three failures in a row

Cause: with 7 nodes and 10 failing upstreams, five failures in a row cost 350 requests an attempt, more than the retries saved up can repeat. A failing upstream answers fast and so looks idle to the choice by load. Change: three in a row. At 1% of random failures that ejects a healthy upstream once in a million requests, for 5 s. The test of ejection had the number 5; it now takes the number from the settings and checks the same before and after it.

--- a/packages/policy/upstream_health.h
+++ b/packages/policy/upstream_health.h
@@ -12,7 +12,7 @@
 
 struct health_settings {
     /// Failures in a row that eject an upstream.
-    int consecutive_failures = 5;
+    int consecutive_failures = 3;
     /// Share of failures that ejects an upstream, once `min_requests` decayed requests are known.
     double failure_share = 0.5;
     double min_requests = 10;
--- a/test/correctness/policy_routing_upstream_test.cpp
+++ b/test/correctness/policy_routing_upstream_test.cpp
@@ -114,7 +114,7 @@
     for (const auto* const name : {"a", "b", "c"}) {
         record_outcome(table, name, true, at(0));
     }
-    for (int i = 0; i < 5; ++i) {
+    for (int i = 0; i < table.settings.consecutive_failures; ++i) {
         CHECK(is_usable(table, "a", at(i)));
         record_outcome(table, "a", false, at(i));
     }
