Assert the targets of the routing measures on short trials

Cause: a change to the decisions must not lose a target unseen. Change: short forms of the four measures; tests of rollout weights, the sequential test's stop, exploration budget, prefix hints and the answer check.

--- /dev/null
+++ b/test/correctness/policy_routing_rollout_test.cpp
@@ -0,0 +1,123 @@
+#include <doctest/doctest.h>
+
+#include "policy/answer_check.h"
+#include "policy/exploration_budget.h"
+#include "policy/prefix_hints.h"
+#include "policy/rollout.h"
+#include "policy/sequential_test.h"
+
+using namespace figspoke;
+using namespace figspoke::policy;
+
+namespace {
+
+core::steady_time at(int s) {
+    return core::steady_time(std::chrono::hours(1) + std::chrono::seconds(s));
+}
+
+core::config_snapshot rollout_config() {
+    core::config_snapshot config;
+    for (const auto* const id : {"m@1", "m@2"}) {
+        auto& version = config.versions[id];
+        version.id = id;
+        version.model = "m";
+        version.quality = 0.9;
+        version.rollout_percent = version.id == "m@1" ? 90 : 10;
+    }
+    return config;
+}
+
+} // namespace
+
+TEST_CASE("conversations follow the rollout weights and only move to a version whose weight grows") {
+    // Guards against a rollout step that moves conversations between other versions.
+    auto config = rollout_config();
+    auto& third = config.versions["m@3"];
+    third = config.versions["m@2"];
+    third.id = "m@3";
+    const std::vector<const core::model_version*> all = {&config.versions["m@1"], &config.versions["m@2"],
+                                                         &third};
+    const auto choose = [&](int i) { return choose_rollout_version(std::to_string(i), all)->id; };
+    std::vector<std::string> before;
+    int on_new = 0;
+    for (int i = 0; i < 2000; ++i) {
+        before.push_back(choose(i));
+        on_new += before.back() == "m@3" ? 1 : 0;
+    }
+    CHECK(on_new > 130);
+    CHECK(on_new < 230);
+    third.rollout_percent = 50;
+    for (int i = 0; i < 2000; ++i) {
+        const auto after = choose(i);
+        CHECK((after == before[static_cast<std::size_t>(i)] || after == "m@3"));
+    }
+}
+
+TEST_CASE("a stop names both versions and the counts, and an outage of both stops neither") {
+    // Guards against a stop that operators can't understand, and against blaming a version for an outage.
+    const auto config = rollout_config();
+    version_evidence evidence;
+    sequential_state bad;
+    evidence.sources["a/1"][{"m@1", "chat"}] = {900, 9, 90, 0, 0};
+    evidence.sources["a/1"][{"m@2", "chat"}] = {100, 1, 10, 0, 0};
+    auto outage_evidence = evidence;
+    sequential_state outage;
+    CHECK(step_sequential_test(bad, {}, config, evidence, at(0)).empty());
+    CHECK(step_sequential_test(outage, {}, config, outage_evidence, at(0)).empty());
+    evidence.sources["b/1"][{"m@2", "chat"}] = {0, 10, 0, 0, 0};
+    const auto stops = step_sequential_test(bad, {}, config, evidence, at(1));
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].version == "m@2");
+    CHECK(stops[0].columns.at("state") == "withdrawn");
+    CHECK(stops[0].columns.at("rollout_percent") == "0");
+    CHECK(stops[0].reason.find("worse than \"m@1\"") != std::string::npos);
+    CHECK(stops[0].reason.find("11 of 111 failed") != std::string::npos);
+    outage_evidence.sources["b/1"][{"m@1", "chat"}] = {0, 900, 0, 0, 0};
+    outage_evidence.sources["b/1"][{"m@2", "chat"}] = {0, 10, 0, 0, 0};
+    CHECK(step_sequential_test(outage, {}, config, outage_evidence, at(1)).empty());
+}
+
+TEST_CASE("exploration stays within its share of the requests") {
+    // Guards against exploration that grows where it is always worthwhile.
+    exploration_budget budget;
+    budget.chance = 1;
+    int explored = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const bool explores = exploration_chance(budget) > 0;
+        explored += explores ? 1 : 0;
+        record_plan(budget, explores);
+    }
+    CHECK(explored <= 20);
+    CHECK(explored >= 18);
+}
+
+TEST_CASE("prefix hints end with an eviction or with time and are bounded") {
+    // Guards against hints that stay after a lost eviction event, and against unbounded memory.
+    prefix_hints hints;
+    hints.settings.max_prefixes = 100;
+    record_cache_event(hints, "u1", "p", true, at(0));
+    CHECK(has_prefix(hints, "u1", "p", at(1)));
+    CHECK_FALSE(has_prefix(hints, "u2", "p", at(1)));
+    CHECK_FALSE(has_prefix(hints, "u1", "p", at(301)));
+    record_cache_event(hints, "u1", "p", false, at(2));
+    CHECK_FALSE(has_prefix(hints, "u1", "p", at(3)));
+    for (int i = 0; i < 1000; ++i) {
+        record_cache_event(hints, "u1", "p" + std::to_string(i), true, at(i));
+    }
+    CHECK(hints.holders.size() <= 100);
+}
+
+TEST_CASE("the answer check flags answers that are empty, cut short, declined, looping or not JSON") {
+    // Guards against a cascade that keeps a useless answer of its cheap step.
+    CHECK_FALSE(is_flagged({"The delivery takes three days.", false, false}));
+    CHECK_FALSE(is_flagged({R"({"days":3})", false, true}));
+    CHECK(is_flagged({" \n", false, false}));
+    CHECK(is_flagged({"The delivery", true, false}));
+    CHECK(is_flagged({"I'm sorry, but I cannot help.", false, false}));
+    CHECK(is_flagged({"three days", false, true}));
+    std::string loop;
+    for (int i = 0; i < 100; ++i) {
+        loop += "again and again and ";
+    }
+    CHECK(is_flagged({loop, false, false}));
+}
