Start a new test when a stopped version is activated again

Cause: the ratio that stopped a version stayed over the threshold, so a version that operators activated again would be stopped at once. Change: the ratios of withdrawn and removed versions are set back to 0.

--- a/packages/policy/sequential_test.cpp
+++ b/packages/policy/sequential_test.cpp
@@ -172,11 +172,15 @@
     const auto fresh = take_fresh(state, settings, totals, now);
     add_to_ratios(state, settings, config, totals, fresh);
     std::vector<version_stop> stops;
-    for (const auto& [id, ratios] : state.ratios) {
-        const double ratio = std::max(ratios.failures, ratios.answers);
+    for (auto& [id, ratios] : state.ratios) {
         const auto version = config.versions.find(id);
-        if (ratio < settings.threshold || version == config.versions.end() ||
-            version->second.state == core::version_state::withdrawn) {
+        // An operator who activates a stopped version again starts a new test.
+        if (version == config.versions.end() || version->second.state == core::version_state::withdrawn) {
+            ratios = {};
+            continue;
+        }
+        const double ratio = std::max(ratios.failures, ratios.answers);
+        if (ratio < settings.threshold) {
             continue;
         }
         const auto* stable = stable_version(config, version->second.model);
--- a/test/correctness/policy_routing_rollout_test.cpp
+++ b/test/correctness/policy_routing_rollout_test.cpp
@@ -77,6 +77,21 @@
     CHECK(step_sequential_test(outage, {}, config, outage_evidence, at(1)).empty());
 }
 
+TEST_CASE("a stopped version that is activated again gets a new test") {
+    // Guards against a version that operators can't bring back after a repair.
+    auto config = rollout_config();
+    version_evidence evidence;
+    sequential_state state;
+    evidence.sources["a/1"][{"m@1", "chat"}] = {900, 9, 90, 0, 0};
+    evidence.sources["a/1"][{"m@2", "chat"}] = {0, 20, 0, 0, 0};
+    CHECK(step_sequential_test(state, {}, config, evidence, at(0)).size() == 1);
+    CHECK(step_sequential_test(state, {}, config, evidence, at(1)).size() == 1);
+    config.versions["m@2"].state = core::version_state::withdrawn;
+    CHECK(step_sequential_test(state, {}, config, evidence, at(2)).empty());
+    config.versions["m@2"].state = core::version_state::active;
+    CHECK(step_sequential_test(state, {}, config, evidence, at(3)).empty());
+}
+
 TEST_CASE("exploration stays within its share of the requests") {
     // Guards against exploration that grows where it is always worthwhile.
     exploration_budget budget;
