--- a/packages/policy/upstream_health.h
+++ b/packages/policy/upstream_health.h
@@ -12,7 +12,7 @@
 
 struct health_settings {
     /// Failures in a row that eject an upstream.
-    int consecutive_failures = 5;
+    int consecutive_failures = 3;
     /// Share of failures that ejects an upstream, once `min_requests` decayed requests are known.
     double failure_share = 0.5;
     double min_requests = 10;
@@ -50,9 +50,11 @@
     std::map<std::string, upstream_health> upstreams;
 };
 
-/// Tells whether a request may be sent: the upstream is healthy, or its ejection has ended and no probe is
-/// in flight. An unknown upstream is healthy.
-bool is_usable(const health_table& table, const std::string& name, core::steady_time now);
+/// Tells whether a request may be sent: the upstream is healthy, or its ejection has ended, no probe is in
+/// flight and the request may be a probe. An unknown upstream is healthy. Work that can't be retried should
+/// not be a probe.
+bool is_usable(const health_table& table, const std::string& name, core::steady_time now,
+               bool may_probe = true);
 
 /// Records that a request was sent; it is a probe where the upstream's ejection has ended.
 void record_dispatch(health_table& table, const std::string& name, core::steady_time now);
