--- a/packages/state/gossip_plan.cpp
+++ b/packages/state/gossip_plan.cpp
@@ -26,10 +26,11 @@
     return std::chrono::ceil<milliseconds>(std::chrono::duration<double>(seconds));
 }
 
-health_timeouts timeouts_for(milliseconds heartbeat) {
+health_timeouts timeouts_for(milliseconds heartbeat, milliseconds send) {
     health_timeouts timeouts;
-    // Not above three seconds, the time within which a node notices that it is cut off.
-    timeouts.suspect = std::clamp(4 * heartbeat, milliseconds(1000), milliseconds(3000));
+    // Three lost beats and a relay that is late twice don't raise suspicion. Not above three seconds, the
+    // time within which a node notices that it is cut off.
+    timeouts.suspect = std::clamp(4 * heartbeat + 2 * send, milliseconds(1000), milliseconds(3000));
     timeouts.failed = std::max(milliseconds(5000), 3 * timeouts.suspect);
     return timeouts;
 }
@@ -47,7 +48,7 @@
     const double left = double(bytes_per_s) - digest_bytes / core::to_seconds(plan.send_period);
     const auto wanted = round_up(beat_bytes / std::max(left, double(bytes_per_s) / 10));
     plan.heartbeat_period = std::clamp(std::max(wanted, plan.send_period), min_period, max_period);
-    plan.timeouts = timeouts_for(plan.heartbeat_period);
+    plan.timeouts = timeouts_for(plan.heartbeat_period, plan.send_period);
     return plan;
 }
 
--- a/test/correctness/state_membership_links_test.cpp
+++ b/test/correctness/state_membership_links_test.cpp
@@ -30,6 +30,7 @@
 
 std::vector<const member_entry*> pointers(const std::vector<member_entry>& members) {
     std::vector<const member_entry*> out;
+    out.reserve(members.size());
     for (const auto& entry : members) {
         out.push_back(&entry);
     }
