Pause running batch requests for urgent work and learn answer lengths

The admission queue may take a slot back from a running batch request; its run cancels the stream, waits for a slot and resumes after the tokens that the caller has. Expected work uses the learned ratio of generated to allowed tokens.

--- a/packages/node/chat_flow.cpp
+++ b/packages/node/chat_flow.cpp
@@ -16,18 +16,24 @@
 using core::error_kind;
 using clock = std::chrono::steady_clock;
 
-// A share of the allowed tokens is rarely used; half is the prior until answers of the account are known.
-constexpr double expected_answer_share = 0.5;
+policy::request_size size_of(const chat_session& session) {
+    return {session.caller.account.name, session.caller.task, session.request.prompt_tokens,
+            session.request.max_tokens};
+}
 
-policy::admission_request make_admission(const chat_session& session) {
+policy::admission_request make_admission(node_state& node, const chat_session& session) {
     const auto& version = session.config->versions.at(session.plan.version);
-    const double tokens = static_cast<double>(session.request.max_tokens) * expected_answer_share;
     policy::admission_request request;
     request.priority = session.caller.priority;
     request.account = session.caller.account.name;
     request.weight = session.caller.account.weight;
-    request.work = core::to_seconds(version.first_token) + tokens / version.tokens_per_s;
+    {
+        const std::lock_guard lock(node.evidence.mutex);
+        request.work = policy::expected_work(node.evidence.generated, size_of(session), version);
+    }
     request.deadline = session.caller.expires_at;
+    // A paused request goes on after the tokens that it has, so that nothing is lost but time.
+    request.pausable = session.caller.priority == core::priority::batch;
     return request;
 }
 
@@ -49,6 +55,10 @@
                    const std::string& after, bool flagged, const std::string& text) {
     record_version_outcome(node.evidence, node.incarnation, {version, session.caller.task}, true, flagged);
     // A cascade's steps are rated apart.
+    {
+        const std::lock_guard lock(node.evidence.mutex);
+        policy::record_generated(node.evidence.generated, size_of(session), session.tokens);
+    }
     const std::string id = session.caller.request_id + (after.empty() ? "" : "-2");
     submit_for_rating(node, id, version, session.caller.task, after, flagged, text);
 }
@@ -137,11 +147,12 @@
     if (!within_limit) {
         return within_limit;
     }
-    auto slot = await_admission(node.admission, make_admission(session), yield);
+    auto slot = await_admission(node.admission, make_admission(node, session), yield);
     if (!slot) {
         return_rate(node, session.caller.account, reserved);
         return tl::make_unexpected(slot.error());
     }
+    session.slot = std::move(*slot);
     {
         const std::lock_guard lock(node.evidence.mutex);
         policy::record_request(node.evidence.retries, node.evidence.retry_limits);
@@ -149,6 +160,7 @@
     auto done = run_plan(node, session, writer, yield);
     return_rate(node, session.caller.account,
                 reserved - static_cast<double>(session.prompt_tokens + session.tokens));
+    session.slot = admission_slot();
     // What was generated is charged, also where the answer broke off; a request that did not run is free.
     if (session.billed_micros > 0 || session.internal_micros > 0) {
         book_charge(node, std::move(*room), make_charge(session), yield);
--- a/packages/node/chat_run.cpp
+++ b/packages/node/chat_run.cpp
@@ -141,6 +141,17 @@
     return cause;
 }
 
+// Waits until a paused request has a slot again. The upstream that it left may be chosen again.
+core::result<void> resume(chat_session& session, version_run& run, const boost::asio::yield_context& yield) {
+    session.attempts.back().outcome = "paused";
+    run.tried.pop_back();
+    const auto resumed = session.slot.await_resume(yield);
+    if (!resumed) {
+        return tl::make_unexpected(final_error(run, resumed.error()));
+    }
+    return {};
+}
+
 void settle_run(chat_session& session, const version_run& run) {
     const std::int64_t prompt = run.prompt_tokens > 0 ? run.prompt_tokens : session.request.prompt_tokens;
     const bool worked = run.reached_upstream && (run.prompt_tokens > 0 || run.tokens > 0);
@@ -170,6 +181,12 @@
             session.finish_reason = outcome.finish_reason;
             return {};
         }
+        if (outcome.end == chat_end::cancelled && session.slot.is_paused()) {
+            if (auto resumed = resume(session, run, yield); !resumed) {
+                return resumed;
+            }
+            continue;
+        }
         if (outcome.end == chat_end::cancelled) {
             session.cancelled = true;
             return {};
@@ -191,9 +208,13 @@
                                   const adapters::token_handler& on_token,
                                   const boost::asio::yield_context& yield) {
     const auto& target = session.config->versions.at(version);
+    const auto pass_on = [&](std::string_view token) {
+        // The token that arrives with a pause is passed on: it counts as delivered.
+        return on_token(token) && !session.slot.is_paused();
+    };
     version_run run{target, core::sha256_hex(version + "\n" + session.request.prompt_prefix), {}, 0, 0,
                     false};
-    auto done = run_attempts(node, session, run, on_token, yield);
+    auto done = run_attempts(node, session, run, pass_on, yield);
     settle_run(session, run);
     return done;
 }
--- a/packages/node/chat_session.h
+++ b/packages/node/chat_session.h
@@ -8,6 +8,7 @@
 
 #include "core/config.h"
 #include "core/time.h"
+#include "node/admission_gate.h"
 #include "node/caller.h"
 #include "node/chat_request.h"
 #include "policy/plan_choice.h"
@@ -40,6 +41,8 @@
     bool runs_alone = false;
     policy::plan_decision plan;
     core::steady_time started;
+    /// The slot that the request occupies while it runs.
+    admission_slot slot;
 
     std::vector<chat_attempt> attempts;
     /// The version whose answer the caller gets.
--- a/packages/node/evidence_table.h
+++ b/packages/node/evidence_table.h
@@ -12,6 +12,7 @@
 #include "policy/retry_budget.h"
 #include "policy/sequential_test.h"
 #include "policy/version_evidence.h"
+#include "policy/work_estimate.h"
 
 namespace figspoke::node {
 
@@ -28,6 +29,7 @@
     policy::version_evidence versions;
     policy::sequential_state sequential;
     policy::crash_suspects suspects;
+    policy::generation_ratios generated;
     policy::retry_budget retries;
     policy::retry_settings retry_limits;
     /// Set by a change of this node's own counts.
