Resume paused requests before others of their priority

Change: a paused request is served first within its priority; its account is charged for the rest of its work, which it wasn't before.

--- a/packages/policy/admission_fair_queue.cpp
+++ b/packages/policy/admission_fair_queue.cpp
@@ -47,6 +47,7 @@
     account.entries.erase(position);
     account.work -= taken.request.work;
     --queue.size;
+    queue.paused -= taken.pauses > 0 ? 1 : 0;
     queue.work = queue.size == 0 ? 0 : queue.work - taken.request.work;
     if (account.entries.empty()) {
         leave_rounds(queue, name, account);
@@ -89,6 +90,14 @@
 }
 
 std::optional<std::string> first_ready(const fair_queue& queue, const account_predicate& allowed) {
+    // What a paused request has done is lost if it never ends.
+    if (queue.paused > 0) {
+        for (const auto& [name, account] : queue.accounts) {
+            if (!account.entries.empty() && account.entries.front().pauses > 0 && allowed(name)) {
+                return name;
+            }
+        }
+    }
     for (const auto& name : queue.fresh) {
         if (allowed(name)) {
             return name;
@@ -112,7 +121,7 @@
 
 void push_front(fair_queue& queue, waiting_request entry) {
     account_queue& account = enter(queue, entry.request);
-    account.deficit += entry.request.work;
+    ++queue.paused;
     account.entries.push_front(std::move(entry));
 }
 
--- a/packages/policy/admission_fair_queue.h
+++ b/packages/policy/admission_fair_queue.h
@@ -60,6 +60,8 @@
     std::deque<std::string> round;
     std::uint64_t round_number = 0;
     std::size_t size = 0;
+    /// How many of the waiting requests are paused ones.
+    std::size_t paused = 0;
     double work = 0;
 };
 
@@ -69,7 +71,7 @@
 /// Appends a request to its account's queue.
 void push(fair_queue& queue, waiting_request entry);
 
-/// Puts a paused request back at the front of its account's queue, without charging it again.
+/// Puts a paused request back at the front of its account's queue; it is served before others.
 void push_front(fair_queue& queue, waiting_request entry);
 
 /// Removes and returns the next request of the accounts that may start one, in round order.
