Explore where the expected gain is largest

Change: a request's chance to explore is scaled by its expected gain relative to the average one, up to 4 times; the budget still bounds the share. record_plan takes the gain.

--- a/packages/policy/exploration_budget.h
+++ b/packages/policy/exploration_budget.h
@@ -12,12 +12,14 @@
     /// Explorations that may be saved up.
     double max_saved = 10;
     double saved = 0;
+    /// Moving average of the requests' expected gains, for `plan_settings::typical_gain`.
+    double typical_gain = 0;
 };
 
 /// Returns the value for `plan_settings::exploration` of the next request.
 double exploration_chance(const exploration_budget& budget);
 
-/// Records that a plan was chosen, and whether it explored.
-void record_plan(exploration_budget& budget, bool explored);
+/// Records that a plan was chosen, whether it explored, and its `plan_decision::exploration_gain`.
+void record_plan(exploration_budget& budget, bool explored, double gain);
 
 } // namespace figspoke::policy
--- a/packages/policy/plan_choice.cpp
+++ b/packages/policy/plan_choice.cpp
@@ -113,18 +113,31 @@
         return 0;
     }
     if (current.reason == plan_reason::best_below_target) {
-        return chance_over(plan.quality, std::min(target, current.plan->quality.mean));
+        return current.plan->cost * chance_over(plan.quality, std::min(target, current.plan->quality.mean));
     }
     return std::max(0.0, current.plan->cost - plan.cost) * chance_over(plan.quality, target);
 }
 
-// Picks a version to explore with a chance proportional to its value.
-choice explore(candidates& plans, const plan_settings& settings, const choice& current, double target,
-               double pick) {
+std::vector<double> exploration_values(const candidates& plans, const plan_settings& settings,
+                                       const choice& current, double target) {
     std::vector<double> values;
+    values.reserve(plans.size());
     for (const auto& plan : plans) {
         values.push_back(is_open(plan) ? exploration_value(plan, settings, current, target) : 0);
     }
+    return values;
+}
+
+// Ratings are scarce: requests that could save much explore more often than those that could save little.
+double chance_to_explore(const plan_settings& settings, double gain) {
+    if (settings.typical_gain <= 0) {
+        return settings.exploration;
+    }
+    return settings.exploration * std::min(settings.max_exploration_boost, gain / settings.typical_gain);
+}
+
+// Picks a version to explore with a chance proportional to its value.
+choice explore(candidates& plans, const std::vector<double>& values, const choice& current, double pick) {
     double left = pick * std::accumulate(values.begin(), values.end(), 0.0);
     for (std::size_t i = 0; i < plans.size(); ++i) {
         if (values[i] > 0 && left < values[i]) {
@@ -230,12 +243,18 @@
         return tl::make_unexpected(no_plan(plans, request));
     }
     const bool is_baseline = chosen.reason == plan_reason::baseline;
-    if (!is_baseline && !request.pinned_version && request.may_explore &&
-        draws.explore < settings.exploration) {
-        chosen = explore(plans, settings, chosen, request.quality_target, draws.pick);
+    double gain = 0;
+    if (!is_baseline && !request.pinned_version && request.may_explore) {
+        const auto values = exploration_values(plans, settings, chosen, request.quality_target);
+        gain = *std::max_element(values.begin(), values.end());
+        if (draws.explore < chance_to_explore(settings, gain)) {
+            chosen = explore(plans, values, chosen, draws.pick);
+        }
     }
     explain_others(plans, chosen, request.quality_target, is_baseline);
-    return make_decision(inputs, settings, request, chosen, std::move(plans));
+    auto decision = make_decision(inputs, settings, request, chosen, std::move(plans));
+    decision.exploration_gain = gain;
+    return decision;
 }
 
 std::string_view to_string(plan_policy value) {
--- a/packages/policy/plan_choice.h
+++ b/packages/policy/plan_choice.h
@@ -69,6 +69,10 @@
     quality_settings quality;
     /// Largest share of requests that run on an unrated or drifting version instead of the chosen one.
     double exploration = 0.02;
+    /// Expected gain of exploration for a typical request. Where it is set, a request explores more often
+    /// the larger its own gain is, up to `max_exploration_boost` times; 0 makes all requests alike.
+    double typical_gain = 0;
+    double max_exploration_boost = 4;
     /// A version with fewer decayed ratings of a task kind counts as unrated.
     double unrated_below = 20;
 };
@@ -102,6 +106,8 @@
     double quality_target = 0;
     double cost = 0;
     std::chrono::milliseconds latency{0};
+    /// Expected gain from exploring for this request, in millionths of the currency unit.
+    double exploration_gain = 0;
     std::uint64_t table_revision = 0;
     /// All plans considered, the chosen one included.
     std::vector<plan_candidate> candidates;
--- a/test/correctness/policy_routing_rollout_test.cpp
+++ b/test/correctness/policy_routing_rollout_test.cpp
@@ -100,7 +100,7 @@
     for (int i = 0; i < 1000; ++i) {
         const bool explores = exploration_chance(budget) > 0;
         explored += explores ? 1 : 0;
-        record_plan(budget, explores);
+        record_plan(budget, explores, 1);
     }
     CHECK(explored <= 20);
     CHECK(explored >= 18);
--- a/test/performance/routing/cost_trial.cpp
+++ b/test/performance/routing/cost_trial.cpp
@@ -162,6 +162,7 @@
     const auto seed = sim.settings.seed;
     auto plan = sim.settings.plan;
     plan.exploration = policy::exploration_chance(sim.budgets[node]);
+    plan.typical_gain = sim.budgets[node].typical_gain;
     const auto decision =
         policy::choose_plan(inputs, plan, plan_request_of(from),
                             {uniform_of(seed, from.id, "explore"), uniform_of(seed, from.id, "pick")});
@@ -169,7 +170,7 @@
         return {};
     }
     const bool explored = decision->reason == policy::plan_reason::exploration;
-    policy::record_plan(sim.budgets[node], explored);
+    policy::record_plan(sim.budgets[node], explored, decision->exploration_gain);
     return {decision->version, decision->escalate_to, explored};
 }
 
