Tell a caller whose request is too slow that it timed out

Cause: the timeout of the Beast stream closes the socket, so the answer 408 could not be sent. A wrong status mapping was ruled out: no byte arrived.

Change: a timer beside the read cancels it and leaves the connection open for the answer. The connection runs on a strand, since the timer and the coroutine touch one socket.

Before: input_test got an empty answer to a header that never ends.

--- a/packages/adapters/http_server.cpp
+++ b/packages/adapters/http_server.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -199,7 +200,9 @@
     void accept(const asio::yield_context& yield) {
         while (acceptor.is_open()) {
             beast::error_code code;
-            tcp::socket socket(context);
+            // The timer that ends a slow read runs beside the coroutine, so both need one strand.
+            const auto strand = asio::make_strand(context);
+            tcp::socket socket(strand);
             acceptor.async_accept(socket, yield[code]);
             if (code || connections.load() >= limits.connections) {
                 continue;
@@ -207,7 +210,7 @@
             socket.set_option(tcp::no_delay(true), code);
             auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
             asio::spawn(
-                context,
+                strand,
                 [self = shared_from_this(), stream](const asio::yield_context& inner) {
                     ++self->connections;
                     self->serve(*stream, inner);
@@ -233,9 +236,7 @@
         if (!wait_for_first_byte(stream, buffer, yield)) {
             return false;
         }
-        stream.expires_after(limits.request_timeout);
-        http::async_read(stream, buffer, parser, yield[code]);
-        if (code) {
+        if (read_request(stream, buffer, parser, code, yield); code) {
             report_read_error(stream, code, yield);
             return false;
         }
@@ -249,6 +250,26 @@
         return exchange.may_continue() && acceptor.is_open();
     }
 
+    // The timeout of the stream itself would close the connection, and the caller could not be told.
+    template <class Parser>
+    void read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser,
+                      beast::error_code& code, const asio::yield_context& yield) {
+        asio::steady_timer timer(stream.get_executor(), limits.request_timeout);
+        const auto reading = std::make_shared<bool>(true);
+        timer.async_wait([&stream, reading](const beast::error_code& ended) {
+            if (!ended && *reading) {
+                *reading = false;
+                stream.cancel();
+            }
+        });
+        stream.expires_never();
+        http::async_read(stream, buffer, parser, yield[code]);
+        const bool expired = !std::exchange(*reading, false);
+        if (code && expired) {
+            code = beast::error::timeout;
+        }
+    }
+
     // Idle time between requests is bounded apart from the time to read a request, so that a header that
     // never ends is cut off early.
     bool wait_for_first_byte(beast::tcp_stream& stream, beast::flat_buffer& buffer,
--- a/test/correctness/process/input_test.cpp
+++ b/test/correctness/process/input_test.cpp
@@ -42,25 +42,31 @@
         return link.read_to_end(std::chrono::seconds(5));
     };
     const std::string close = "Connection: close\r\n";
-    for (const std::string body : {"{", "[]", "\"text\"", R"({"messages":[]})", R"({"messages":[{"role":1}]})",
-                                   R"({"messages":[{"role":"user","content":"x"}],"max_tokens":0})", "\xff\xfe"}) {
+    for (const std::string body :
+         {"{", "[]", "\"text\"", R"({"messages":[]})", R"({"messages":[{"role":1}]})",
+          R"({"messages":[{"role":"user","content":"x"}],"max_tokens":0})", "\xff\xfe"}) {
         check_refused(exchange(raw_post(chat_path, body, close)), "bad_request");
     }
     check_refused(exchange(raw_post(chat_path, std::string(200000, 'x'), close)), "payload_too_large");
-    check_refused(exchange("POST " + std::string(chat_path) + " HTTP/1.1\r\nX-Long: " + std::string(40000, 'a')),
-                  "payload_too_large");
+    check_refused(
+        exchange("POST " + std::string(chat_path) + " HTTP/1.1\r\nX-Long: " + std::string(40000, 'a')),
+        "payload_too_large");
     check_refused(exchange("POST " + std::string(chat_path) + " HTTP/1.1\r\nX-Slow: "), "request_timeout");
     check_refused(exchange("nonsense\r\n\r\n"), "bad_request");
     check_refused(exchange(raw_post("/v1/nothing", good, close)), "not_found");
     check_refused(exchange(raw_post("/v1/orders/yarn_order", "{}", close)), "bad_request");
-    check_refused(exchange(raw_post("/v1/orders/stock", "{}", close + "Idempotency-Key: k\r\n")), "bad_request");
+    check_refused(exchange(raw_post("/v1/orders/stock", "{}", close + "Idempotency-Key: k\r\n")),
+                  "bad_request");
     check_refused(exchange(raw_post("/v1/services/yarn_order", "{}", close)), "bad_request");
     check_refused(exchange(raw_post("/v1/services/none", "{}", close)), "not_found");
-    const std::vector<std::string> bad_headers = {
-        "X-Figspoke-Priority: soon",          "X-Figspoke-Quality: 1.5",
-        "X-Figspoke-Quality: nan",            "X-Figspoke-Deadline-Ms: -1",
-        "X-Figspoke-Deadline-Ms: 9999999999", "X-Figspoke-Conversation: forged",
-        "X-Figspoke-Task: a\x01z",            "Idempotency-Key: " + std::string(300, 'k')};
+    const std::vector<std::string> bad_headers = {"X-Figspoke-Priority: soon",
+                                                  "X-Figspoke-Quality: 1.5",
+                                                  "X-Figspoke-Quality: nan",
+                                                  "X-Figspoke-Deadline-Ms: -1",
+                                                  "X-Figspoke-Deadline-Ms: 9999999999",
+                                                  "X-Figspoke-Conversation: forged",
+                                                  "X-Figspoke-Task: a\x01z",
+                                                  "Idempotency-Key: " + std::string(300, 'k')};
     for (const auto& header : bad_headers) {
         check_refused(exchange(raw_post(chat_path, good, close + header + "\r\n")), "bad_request");
     }
