--- a/packages/adapters/chat_upstream.cpp
+++ b/packages/adapters/chat_upstream.cpp
@@ -93,7 +93,8 @@
     }
     outcome.message = answer.error().message;
     outcome.timed_out = answer.error().timed_out;
-    outcome.connection_lost = outcome.status < 400 && !outcome.timed_out && !reading.malformed;
+    outcome.connection_lost =
+        outcome.status < 400 && !outcome.timed_out && !reading.malformed && !answer.error().malformed;
     if (answer.error().progress == call_progress::not_sent) {
         outcome.end = chat_end::not_run;
         outcome.connection_lost = false;
--- a/packages/adapters/http_client.cpp
+++ b/packages/adapters/http_client.cpp
@@ -68,7 +68,10 @@
 
 http_failure failure(call_progress progress, const beast::error_code& code, const std::string& doing,
                      const http_call& call) {
-    return {progress, code == beast::error::timeout,
+    // The end of the connection is reported in the parser's category too.
+    const bool malformed = code.category() == make_error_code(http::error::bad_version).category() &&
+                           code != http::error::end_of_stream && code != http::error::partial_message;
+    return {progress, code == beast::error::timeout, malformed,
             doing + " " + call.address + call.target + ": " + code.message()};
 }
 
@@ -89,8 +92,8 @@
 http_result<void> connect(connection& link, const http_call& call, const asio::yield_context& yield) {
     const auto endpoint = parse_endpoint(call.address);
     if (!endpoint) {
-        return tl::make_unexpected(
-            http_failure{call_progress::not_sent, false, "address \"" + call.address + "\" is not IP:port"});
+        return tl::make_unexpected(http_failure{call_progress::not_sent, false, false,
+                                                "address \"" + call.address + "\" is not IP:port"});
     }
     beast::error_code code;
     link.stream.expires_after(call.timeout);
@@ -215,7 +218,7 @@
 }
 
 http_failure cancelled(const http_call& call) {
-    return {call_progress::answer_begun, false, "exchange with " + call.address + " was cancelled"};
+    return {call_progress::answer_begun, false, false, "exchange with " + call.address + " was cancelled"};
 }
 
 http_result<kept_reply> read_stream(connection& link, const http_call& call, const head_handler& on_head,
--- a/packages/adapters/http_types.h
+++ b/packages/adapters/http_types.h
@@ -57,6 +57,8 @@
 struct http_failure {
     call_progress progress = call_progress::not_sent;
     bool timed_out = false;
+    /// Whether bytes arrived that are not an HTTP answer.
+    bool malformed = false;
     std::string message;
 };
 
