Check the table again before each dispatch of a chat request

Cause: a request that waited for a slot was dispatched by the table of its arrival, so a version that was withdrawn meanwhile still received it. A late table was ruled out: the edit was accepted and in force on the node.

Change: before each attempt the node checks the current table (version withdrawn or gone, account no longer allowed) and, where nothing ran yet, whether it is isolated.

--- a/packages/node/chat_run.cpp
+++ b/packages/node/chat_run.cpp
@@ -130,6 +130,28 @@
            policy::retry_verdict::retry;
 }
 
+// The table may have changed while the request waited for a slot, or the process may have been paused.
+std::optional<core::error> refusal_of_version(node_state& node, const chat_session& session,
+                                              const version_run& run) {
+    const auto now = std::chrono::steady_clock::now();
+    if (!run.reached_upstream && decide_service(node.nodes, now) == state::service_decision::isolated) {
+        return core::error{error_kind::isolated, "this node's table may be out of date", std::nullopt};
+    }
+    const auto config = current_config(node.config);
+    const auto version = config->versions.find(run.version.id);
+    if (version == config->versions.end() || version->second.state == core::version_state::withdrawn) {
+        return core::error{error_kind::version_withdrawn,
+                           "version " + run.version.id + " was withdrawn before it could answer",
+                           std::nullopt};
+    }
+    const auto account = config->accounts.find(session.caller.account.name);
+    if (account == config->accounts.end() || !core::is_allowed(account->second, version->second)) {
+        return core::error{error_kind::not_allowed,
+                           "the client account may no longer use version " + run.version.id, std::nullopt};
+    }
+    return std::nullopt;
+}
+
 // The error of a run that can't go on. It never says "not run" once an upstream may have worked.
 core::error final_error(const version_run& run, const core::error& cause) {
     if (run.tokens > 0) {
@@ -161,6 +183,9 @@
                 final_error(run, {error_kind::deadline_unreachable,
                                   "the deadline passed before an upstream was free", std::nullopt}));
         }
+        if (const auto refused = refusal_of_version(node, session, run)) {
+            return tl::make_unexpected(final_error(run, *refused));
+        }
         const auto choice = choose(node, session, run);
         if (!choice) {
             return tl::make_unexpected(final_error(run, run.tried.empty() ? choice.error() : last));
--- a/test/support/process/journal.cpp
+++ b/test/support/process/journal.cpp
@@ -74,6 +74,18 @@
     return json_of(http_get(nodes.node(index), "/admin/status"));
 }
 
+bool wait_for_members(const fleet& nodes) {
+    return wait_until([&] {
+        const auto roster = http_get(nodes.kv(), "/kv/figspoke/members").body;
+        bool known = true;
+        for (int i = 0; i < nodes.node_count(); ++i) {
+            known = known && roster.find("node" + std::to_string(i)) != std::string::npos &&
+                    status_of(nodes, i).at("members").size() == static_cast<std::size_t>(nodes.node_count());
+        }
+        return known;
+    });
+}
+
 bool is_settled(const fleet& nodes, const std::vector<int>& indices) {
     return std::all_of(indices.begin(), indices.end(), [&](int index) {
         const auto charges = status_of(nodes, index).at("charges");
--- a/test/support/process/journal.h
+++ b/test/support/process/journal.h
@@ -22,6 +22,10 @@
 /// Returns a node's `/admin/status`.
 nlohmann::json status_of(const fleet& nodes, int index);
 
+/// Waits until every node knows all members and the key-value service lists them. Copies of charges,
+/// majorities and accepted edits depend on that.
+bool wait_for_members(const fleet& nodes);
+
 /// Returns whether none of the given nodes holds a charge or a copy of one that is not recorded.
 bool is_settled(const fleet& nodes, const std::vector<int>& indices);
 
