Record all charges before a planned stop, also of the last node

Cause: a node that was stopped within 5 s of a peer's death ended with the only copies of that peer's charges. Where no node was left in the state serving, no shard had an owner and the stop lost the node's own charges. An append also gave up before a charge that waits for its batch was due.

--- a/packages/node/charge_service.cpp
+++ b/packages/node/charge_service.cpp
@@ -97,8 +97,10 @@
 
 std::vector<state::charge_copy> take_due(node_state& node) {
     std::vector<state::charge_copy> due;
-    const auto is_gone = [&node](std::string_view incarnation) {
-        return is_incarnation_gone(node.nodes, incarnation, clock::now());
+    // A node that is being stopped records all copies: it can't wait until their writers have ended.
+    const bool stopping = node.refuses_new_work.load();
+    const auto is_gone = [&](std::string_view incarnation) {
+        return stopping || is_incarnation_gone(node.nodes, incarnation, clock::now());
     };
     const std::lock_guard lock(node.charges.mutex);
     for (std::uint32_t shard = 0; shard < shard_count(node); ++shard) {
--- a/packages/node/journal_routing.cpp
+++ b/packages/node/journal_routing.cpp
@@ -13,11 +13,34 @@
 using nlohmann::json;
 using clock = std::chrono::steady_clock;
 
-constexpr std::chrono::milliseconds append_timeout{1500};
+constexpr std::chrono::milliseconds append_time{1500};
 constexpr std::chrono::milliseconds repeat_delay{20};
 
+// A charge waits for its batch first. Without that time an entry would be withdrawn before it was due.
+std::chrono::milliseconds append_timeout(const node_state& node) {
+    return append_time + node.settings.journal.charge_flush;
+}
+
+// When the whole fleet is being stopped, the nodes that are leaving own the shards until their last charge is
+// recorded.
+std::vector<state::member_entry> possible_owners(node_state& node) {
+    const auto now = clock::now();
+    auto members = serving_members(node.nodes, now);
+    if (!members.empty()) {
+        return members;
+    }
+    const std::lock_guard lock(node.nodes.mutex);
+    for (const auto& [id, record] : node.nodes.known.members) {
+        const auto health = state::health_of(node.nodes.known, record, node.nodes.plan.timeouts, now);
+        if (record.entry.state == state::member_state::leaving && health == state::member_health::alive) {
+            members.push_back(record.entry);
+        }
+    }
+    return members;
+}
+
 std::optional<state::member_entry> find_owner(node_state& node, std::uint32_t shard) {
-    const auto members = serving_members(node.nodes, clock::now());
+    const auto members = possible_owners(node);
     std::vector<const state::member_entry*> pointers;
     for (const auto& member : members) {
         pointers.push_back(&member);
@@ -70,11 +93,11 @@
         return;
     }
     if (owner->id == node.settings.node.id) {
-        append_local(node.journal, shard, std::move(entry), append_timeout, std::move(callback));
+        append_local(node.journal, shard, std::move(entry), append_timeout(node), std::move(callback));
         return;
     }
     node.nodes.mesh->call({owner->id, owner->mesh_address}, "append", encode_request(shard, entry),
-                          append_timeout,
+                          append_timeout(node),
                           [callback = std::move(callback)](const adapters::mesh_result& answer) {
                               callback(answer ? decode_outcome(*answer) : unclear_outcome());
                           });
@@ -101,7 +124,7 @@
         reply(encode_outcome(unclear_outcome()));
         return;
     }
-    append_local(node.journal, shard, *entry, append_timeout,
+    append_local(node.journal, shard, *entry, append_timeout(node),
                  [reply](const append_outcome& outcome) { reply(encode_outcome(outcome)); });
 }
 
--- a/packages/node/shutdown.cpp
+++ b/packages/node/shutdown.cpp
@@ -20,7 +20,7 @@
 
 bool has_unsettled_charges(node_state& node) {
     const std::lock_guard lock(node.charges.mutex);
-    return node.charges.held.charges > 0;
+    return node.charges.held.charges > 0 || node.charges.copies.count > 0;
 }
 
 void await_running_requests(const adapters::http_server& server, const yield_context& yield) {
