Bill each keyed request, order charges before results, name other nodes

Causes: the charge of a chat request or lookup was identified by its key alone, so another request or an order with the same key was never billed. An order counted as done before its charge was held by a peer. A refusal by a stopping node did not name other nodes as the design says.

Change: the id of such a charge covers the body; an order is charged before its result is recorded; the error draining lists addresses.

Before: charges_test 'a keyed chat request' never saw the second charge; stop_test found no addresses. The order of charge and result was found by reading. After: charges_test (6 cases, 25.1 s) and stop_test (2 cases, 7.9 s) pass.

--- a/packages/node/chat_flow.cpp
+++ b/packages/node/chat_flow.cpp
@@ -106,7 +106,9 @@
     value.id = session.caller.request_id;
     value.account = session.caller.account.name;
     if (!session.caller.idempotency_key.empty()) {
-        value.key_id = state::idempotency_id(session.caller.account.name, session.caller.idempotency_key);
+        // The body is part of the id: a key that is used for another request must not hide its charge.
+        value.key_id = state::idempotency_id(session.caller.account.name,
+                                             "chat " + session.fingerprint + session.caller.idempotency_key);
     }
     value.version = session.version;
     value.prompt_tokens = session.prompt_tokens;
@@ -164,7 +166,7 @@
     std::optional<core::error> failure;
     if (!done) {
         failure = done.error();
-        writer.fail(*failure);
+        writer.fail(*failure, addresses_for(node, *failure));
     } else if (!session.cancelled) {
         session.cancelled = !writer.finish(session.prompt_tokens, session.tokens, session.billed_micros,
                                            session.finish_reason);
--- a/packages/node/chat_plan.cpp
+++ b/packages/node/chat_plan.cpp
@@ -85,6 +85,14 @@
     return std::nullopt;
 }
 
+std::vector<std::string> addresses_for(node_state& node, const core::error& cause) {
+    constexpr std::size_t address_count = 3;
+    if (cause.kind != error_kind::draining) {
+        return {};
+    }
+    return entry_addresses(node.nodes, core::random_hex(8), address_count, clock::now());
+}
+
 core::result<void> prepare_chat(node_state& node, const adapters::http_request& request,
                                 chat_session& session) {
     if (auto refusal = refusal_of_new_work(node)) {
--- a/packages/node/chat_writer.cpp
+++ b/packages/node/chat_writer.cpp
@@ -82,9 +82,9 @@
            exchange_.end_stream();
 }
 
-void chat_writer::fail(const core::error& cause) {
+void chat_writer::fail(const core::error& cause, const std::vector<std::string>& addresses) {
     if (!begun_) {
-        auto reply = error_reply(cause);
+        auto reply = error_reply(cause, addresses);
         reply.headers["x-figspoke-request-id"] = head_.request_id;
         exchange_.send(reply);
         return;
--- a/packages/node/chat_writer.h
+++ b/packages/node/chat_writer.h
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "adapters/http_server.h"
 #include "core/error.h"
@@ -31,7 +32,7 @@
                 const std::string& finish_reason);
 
     /// Reports an error: as an event where the stream has begun, else as a whole answer.
-    void fail(const core::error& cause);
+    void fail(const core::error& cause, const std::vector<std::string>& addresses = {});
 
     /// The text of the answer so far.
     const std::string& text() const { return text_; }
--- a/packages/node/service_call.cpp
+++ b/packages/node/service_call.cpp
@@ -163,7 +163,11 @@
     value.id = session.caller.request_id;
     value.account = session.caller.account.name;
     if (!session.caller.idempotency_key.empty()) {
-        value.key_id = state::idempotency_id(session.caller.account.name, session.caller.idempotency_key);
+        // A lookup's key may be used for other lookups too; the key of an order belongs to one order.
+        const std::string scope =
+            session.service.idempotent ? "lookup " + session.service.name + session.body_sha256 : "";
+        value.key_id =
+            state::idempotency_id(session.caller.account.name, scope + session.caller.idempotency_key);
     }
     value.version = session.service.name;
     value.micros = session.service.price;
--- a/packages/node/service_flow.cpp
+++ b/packages/node/service_flow.cpp
@@ -4,6 +4,7 @@
 
 #include "adapters/await.h"
 #include "adapters/decision_log.h"
+#include "node/chat_plan.h"
 #include "node/error_reply.h"
 #include "node/journal_routing.h"
 #include "node/service_call.h"
@@ -148,10 +149,12 @@
         record_result(node, make_result(node, session, state, {}), yield);
         return answer;
     }
-    record_result(node, make_result(node, session, state::order_state::completed, *answer), yield);
+    // A peer has the charge before the order counts as done: a node that ends between the two leaves an
+    // order whose outcome is unknown, and never one that is done but not billed.
     if (answer->status < 400) {
         charge_service_call(node, session, std::move(room), yield);
     }
+    record_result(node, make_result(node, session, state::order_state::completed, *answer), yield);
     return answer;
 }
 
@@ -223,7 +226,7 @@
             reply.headers.insert(*repeated);
         }
     } else {
-        reply = error_reply(answer.error());
+        reply = error_reply(answer.error(), addresses_for(node, answer.error()));
     }
     reply.headers["x-figspoke-request-id"] = session.caller.request_id;
     const std::string outcome = !answer ? std::string(core::error_answer_for(answer.error().kind).name)
