--- a/packages/node/journal_service.cpp
+++ b/packages/node/journal_service.cpp
@@ -32,9 +32,9 @@
     return due;
 }
 
-void notify(std::vector<notification> due) {
-    for (auto& [callback, outcome] : due) {
-        callback(std::move(outcome));
+void notify(const std::vector<notification>& due) {
+    for (const auto& [callback, outcome] : due) {
+        callback(outcome);
     }
 }
 
@@ -46,7 +46,7 @@
         change(slot.writer, clock::now());
         due = take_notifications(slot);
     }
-    notify(std::move(due));
+    notify(due);
 }
 
 void give_up_entry(shard_slot& slot, std::uint64_t ticket) {
@@ -208,7 +208,7 @@
         accepted = submitted == state::submit_result::accepted;
         if (accepted) {
             auto timer = start_patience(slot, ticket, timeout);
-            slot.waiting.emplace(ticket, waiting_append{std::move(callback), std::move(timer)});
+            slot.waiting.emplace(ticket, waiting_append{callback, std::move(timer)});
         } else if (submitted == state::submit_result::full) {
             refused.fate = state::entry_fate::settled;
             refused.result.outcome = state::entry_outcome::backlog_full;
