--- a/packages/adapters/http_client.cpp
+++ b/packages/adapters/http_client.cpp
@@ -114,8 +114,11 @@
 
 http_failure failure(call_progress progress, const beast::error_code& code, const std::string& doing,
                      const http_call& call, const operation_deadline& deadline) {
+    // The end of the connection is reported in the parser's category too.
+    const bool malformed = code.category() == make_error_code(http::error::bad_version).category() &&
+                           code != http::error::end_of_stream && code != http::error::partial_message;
     const std::string cause = deadline.expired() ? "timed out" : code.message();
-    return {progress, deadline.expired(), doing + " " + call.address + call.target + ": " + cause};
+    return {progress, deadline.expired(), malformed, doing + " " + call.address + call.target + ": " + cause};
 }
 
 std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address) {
@@ -136,8 +139,8 @@
                           const asio::yield_context& yield) {
     const auto endpoint = parse_endpoint(call.address);
     if (!endpoint) {
-        return tl::make_unexpected(
-            http_failure{call_progress::not_sent, false, "address \"" + call.address + "\" is not IP:port"});
+        return tl::make_unexpected(http_failure{call_progress::not_sent, false, false,
+                                                "address \"" + call.address + "\" is not IP:port"});
     }
     beast::error_code code;
     deadline.arm(call.timeout);
@@ -274,7 +277,7 @@
 }
 
 http_failure cancelled(const http_call& call) {
-    return {call_progress::answer_begun, false, "exchange with " + call.address + " was cancelled"};
+    return {call_progress::answer_begun, false, false, "exchange with " + call.address + " was cancelled"};
 }
 
 http_result<kept_reply> read_stream(connection& link, const http_call& call, const head_handler& on_head,
