Explore versions with fewer than 50 ratings of a task kind

Cause: with 20 ratings the standard deviation of a pass rate is 0.07; a version that meets the target was passed over and not explored again. Change: unrated below 50 in place of 20.

--- a/packages/policy/plan_choice.h
+++ b/packages/policy/plan_choice.h
@@ -74,7 +74,7 @@
     double typical_gain = 0;
     double max_exploration_boost = 4;
     /// A version with fewer decayed ratings of a task kind counts as unrated.
-    double unrated_below = 20;
+    double unrated_below = 50;
 };
 
 /// Random numbers in [0, 1) for one choice.
