--- a/packages/policy/quality_estimate.h
+++ b/packages/policy/quality_estimate.h
@@ -11,8 +11,9 @@
     /// The number of ratings that the table's prior pass rate counts for.
     double prior_strength = 4;
     /// The lower estimate is the mean less this many standard deviations. At 1.0 the dearest version serves
-    /// whatever is not well known yet; at 0.1 the mean quality fell under the target in one of eight traces.
-    double caution = 0.15;
+    /// whatever is not well known yet; at 0 nothing keeps the mean quality over the target while ratings are
+    /// few.
+    double caution = 0.1;
     /// Priors of the answer check: the share of failed and of passed answers that it flags.
     double check_detects = 0.6;
     double check_false_alarm = 0.05;
