Touch a link's send queue on its own strand only

A trial under ThreadSanitizer with four threads on one io_context showed that websocketpp reads the size of its queue without a lock, and keeps the byte order in an unguarded static variable. Sends and pings now run on the connection's strand. After the first change the trial reported only the second; the fix of that was not run under ThreadSanitizer.

--- a/packages/adapters/mesh_impl.cpp
+++ b/packages/adapters/mesh_impl.cpp
@@ -58,6 +58,11 @@
             self->received(id, bytes);
         }
     };
+    handlers.on_queue_full = [weak](std::uint64_t id) {
+        if (const auto self = weak.lock()) {
+            self->overflowed(id);
+        }
+    };
     handlers.on_activity = [weak](std::uint64_t id) {
         if (const auto self = weak.lock()) {
             self->touched(id);
@@ -282,22 +287,23 @@
     settings_.on_message({link.peer, link.id, link.standing, std::move(envelope.message)});
 }
 
-void mesh::impl::transmit(mesh_link& link, const std::string& bytes) {
+void mesh::impl::transmit(mesh_link& link, std::string bytes) {
     if (link.closing) {
         return;
     }
-    switch (transport_->send(link.id, bytes)) {
-    case send_outcome::sent:
+    const auto size = bytes.size();
+    if (transport_->send(link.id, std::move(bytes))) {
         ++counters_.messages_out;
-        counters_.bytes_out += bytes.size();
-        break;
-    case send_outcome::queue_full:
+        counters_.bytes_out += size;
+    }
+}
+
+void mesh::impl::overflowed(std::uint64_t id) {
+    auto* link = find_link(id);
+    if (link != nullptr && !link->closing) {
         ++counters_.slow;
-        link.closing = true;
-        transport_->close(link.id);
-        break;
-    case send_outcome::no_connection:
-        break;
+        link->closing = true;
+        transport_->close(id);
     }
 }
 
--- a/packages/adapters/mesh_impl.h
+++ b/packages/adapters/mesh_impl.h
@@ -58,6 +58,7 @@
     void closed(std::uint64_t id, bool protocol_error);
     void received(std::uint64_t id, const std::string& bytes);
     void touched(std::uint64_t id);
+    void overflowed(std::uint64_t id);
     void handshake(mesh_link& link, const mesh_envelope& envelope);
     void take_hello(mesh_link& link, const std::string& from, const hello_message& hello);
     void take_proof(mesh_link& link, const proof_message& proof);
@@ -69,7 +70,7 @@
     void reply(std::uint64_t link, rpc_reply_message answer);
     void take_reply(mesh_link& link, rpc_reply_message answer);
 
-    void transmit(mesh_link& link, const std::string& bytes);
+    void transmit(mesh_link& link, std::string bytes);
     std::uint64_t link_for_call(const mesh_peer& peer);
     void send_call(mesh_link& link, std::uint64_t id);
     void finish(std::uint64_t id, mesh_result result);
--- a/packages/adapters/mesh_transport.cpp
+++ b/packages/adapters/mesh_transport.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <websocketpp/client.hpp>
+#include <websocketpp/common/network.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/random/random_device.hpp>
 #include <websocketpp/server.hpp>
@@ -164,25 +165,36 @@
         return found != connections_.end() && found->second.dialled;
     }
 
-    send_outcome send(std::uint64_t connection, const std::string& message) override {
+    // Queues are read and written on the connection's strand only: `get_buffered_amount` takes no lock.
+    bool send(std::uint64_t connection, std::string message) override {
         const auto found = connections_.find(connection);
         if (found == connections_.end()) {
-            return send_outcome::no_connection;
+            return false;
         }
-        auto& socket = found->second.socket;
-        if (socket->get_buffered_amount() + message.size() > limits_.queue_bytes) {
-            return send_outcome::queue_full;
-        }
-        const auto code = socket->send(message, websocketpp::frame::opcode::binary);
-        return code ? send_outcome::no_connection : send_outcome::sent;
+        auto socket = found->second.socket;
+        asio::post(*socket->get_strand(), [weak = weak_from_this(), socket, connection,
+                                           queue_bytes = limits_.queue_bytes, message = std::move(message)] {
+            if (socket->get_buffered_amount() + message.size() > queue_bytes) {
+                post(weak, [connection](websocket_transport& self) {
+                    call(self.handlers_.on_queue_full, connection);
+                });
+                return;
+            }
+            // A failure means that the connection is closing, which is reported apart.
+            socket->send(message, websocketpp::frame::opcode::binary);
+        });
+        return true;
     }
 
     void ping(std::uint64_t connection) override {
         const auto found = connections_.find(connection);
-        if (found != connections_.end()) {
-            websocketpp::lib::error_code code;
-            found->second.socket->ping("", code);
+        if (found == connections_.end()) {
+            return;
         }
+        asio::post(*found->second.socket->get_strand(), [socket = found->second.socket] {
+            websocketpp::lib::error_code code;
+            socket->ping("", code);
+        });
     }
 
     void close(std::uint64_t connection) override {
@@ -307,6 +319,8 @@
 std::shared_ptr<mesh_transport> mesh_transport::create(asio::io_context& context, const strand& executor,
                                                        const std::string& listen_address, limits bounds,
                                                        transport_handlers handlers) {
+    // It finds out the byte order at its first call and keeps it in an unguarded static variable.
+    websocketpp::lib::net::_htonll(1);
     auto transport = std::make_shared<websocket_transport>(context, executor, bounds, std::move(handlers));
     transport->listen(listen_address);
     asio::post(executor, [transport] { transport->accept(); });
--- a/packages/adapters/mesh_transport.h
+++ b/packages/adapters/mesh_transport.h
@@ -14,14 +14,14 @@
 struct transport_handlers {
     std::function<void(std::uint64_t connection)> on_open;
     std::function<void(std::uint64_t connection, std::string message)> on_message;
+    /// A message was dropped because the peer reads too slowly.
+    std::function<void(std::uint64_t connection)> on_queue_full;
     /// A ping or pong arrived.
     std::function<void(std::uint64_t connection)> on_activity;
     /// `protocol_error` where the peer broke the WebSocket protocol or the size limit.
     std::function<void(std::uint64_t connection, bool protocol_error)> on_closed;
 };
 
-enum class send_outcome { sent, no_connection, queue_full };
-
 /// WebSocket connections of binary messages in both roles. It knows nothing of peers. All methods but
 /// `create` and `port` must run on the strand.
 class mesh_transport {
@@ -48,8 +48,8 @@
     /// Tells whether a connection was dialled from here. False for unknown connections.
     virtual bool is_dialled(std::uint64_t connection) const = 0;
 
-    /// Queues a message. `queue_full` means that the peer reads too slowly.
-    virtual send_outcome send(std::uint64_t connection, const std::string& message) = 0;
+    /// Queues a message; `on_queue_full` may follow. Returns false where there is no such connection.
+    virtual bool send(std::uint64_t connection, std::string message) = 0;
 
     virtual void ping(std::uint64_t connection) = 0;
 
