Number crashes, so that quick repeats on one upstream count

Cause: crash events of one upstream within 2 s counted as one crash. Ruled out: missing evidence at the other nodes alone, since one node failed too. Change: an event carries the number of the crash that its sender knew of at dispatch, and evidence of a crash is sent at once. The node also uses the exploration budget, the answer check's evidence, probes of failed members and a bounded set of task kinds.

--- a/packages/node/chat_flow.cpp
+++ b/packages/node/chat_flow.cpp
@@ -57,6 +57,8 @@
     // A cascade's steps are rated apart.
     {
         const std::lock_guard lock(node.evidence.mutex);
+        policy::record_check(node.evidence.quality, node.incarnation, {session.caller.task, version, after},
+                             flagged, clock::now());
         policy::record_generated(node.evidence.generated, size_of(session), session.tokens);
     }
     const std::string id = session.caller.request_id + (after.empty() ? "" : "-2");
--- a/packages/node/chat_plan.cpp
+++ b/packages/node/chat_plan.cpp
@@ -58,6 +58,8 @@
     settings.policy =
         policy::parse_plan_policy(node.settings.policy.plan).value_or(policy::plan_policy::least_cost);
     const std::lock_guard lock(node.evidence.mutex);
+    settings.exploration = policy::exploration_chance(node.evidence.exploration);
+    settings.typical_gain = node.evidence.exploration.typical_gain;
     auto plan =
         policy::choose_plan({*session.config, node.evidence.quality, capacity, now}, settings,
                             make_plan_request(session), policy::plan_draws{random_unit(), random_unit()});
@@ -65,6 +67,8 @@
         return tl::make_unexpected(plan.error());
     }
     session.plan = std::move(*plan);
+    policy::record_plan(node.evidence.exploration, session.plan.reason == policy::plan_reason::exploration,
+                        session.plan.exploration_gain);
     return {};
 }
 
@@ -105,6 +109,7 @@
         return tl::make_unexpected(caller.error());
     }
     session.caller = std::move(*caller);
+    session.caller.task = known_task(node.evidence, session.caller.task);
     auto parsed = parse_chat_request(request.body);
     if (!parsed) {
         return tl::make_unexpected(parsed.error());
--- a/packages/node/chat_run.cpp
+++ b/packages/node/chat_run.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/hash.h"
+#include "node/evidence_loops.h"
 #include "node/random.h"
 
 namespace figspoke::node {
@@ -44,7 +45,9 @@
     policy::upstream_settings settings;
     settings.policy = node.settings.policy.upstreams == "round_robin" ? policy::upstream_policy::round_robin
                                                                       : policy::upstream_policy::affinity;
-    const policy::upstream_request request{run.prefix, node.settings.node.failure_domain, run.tried};
+    // Suspects run alone; by fingerprint they spread over the upstreams.
+    const std::string& prefix = session.runs_alone ? session.fingerprint : run.prefix;
+    const policy::upstream_request request{prefix, node.settings.node.failure_domain, run.tried};
     const policy::upstream_draws draws{random_unit(), random_unit(), next_turn(node.upstreams)};
     return policy::choose_upstream(candidates_for_version(node.upstreams, *session.config, run.version.id,
                                                           run.prefix, std::chrono::steady_clock::now()),
@@ -84,10 +87,13 @@
         record_end(node.upstreams, upstream, session.caller.request_id, result_of(outcome), now);
     if (outcome.connection_lost) {
         record_upstream_crash(node.evidence, node.incarnation, upstream, running, now);
+        // A repeat may arrive at another node within milliseconds.
+        send_evidence(node);
     } else if (outcome.end == chat_end::complete && session.runs_alone) {
         node::record_passed_alone(node.evidence, node.incarnation, session.fingerprint, now);
     }
-    if (outcome.end == chat_end::broken) {
+    // A broken connection is the upstream's fault, an error that it reports may be the version's.
+    if (outcome.end == chat_end::broken && !outcome.connection_lost && outcome.status != 0) {
         record_version_outcome(node.evidence, node.incarnation, {run.version.id, session.caller.task}, false,
                                false);
     }
@@ -103,7 +109,8 @@
                                const boost::asio::yield_context& yield) {
     const auto& upstream = session.config->upstreams.at(choice.name);
     record_start(node.upstreams, choice.name, session.caller.request_id,
-                 {session.fingerprint, session.runs_alone}, std::chrono::steady_clock::now());
+                 {session.fingerprint, session.runs_alone, crashes_seen(node.evidence, choice.name)},
+                 std::chrono::steady_clock::now());
     auto outcome =
         adapters::run_chat(node.client, make_call(session, run, upstream.address), on_token, yield);
     record_attempt(node, session, run, choice.name, outcome);
--- a/packages/node/cluster.cpp
+++ b/packages/node/cluster.cpp
@@ -144,6 +144,10 @@
         peers.push_back({id, address});
         addresses.insert(address);
     }
+    const auto probe = state::choose_probe(nodes.known, nodes.plan.timeouts, now);
+    if (!probe.empty()) {
+        peers.push_back({probe, nodes.known.members.at(probe).entry.mesh_address});
+    }
     // Without other members the seeds are the only way in. They stay wanted while few members are known, so
     // that two halves that started apart find each other.
     if (peers.size() < state::dialled_links) {
--- a/packages/node/evidence_codec.cpp
+++ b/packages/node/evidence_codec.cpp
@@ -54,7 +54,7 @@
     for (const auto& event : policy::export_events(evidence.suspects, now)) {
         if (sources.count(event.source) > 0) {
             encoded.push_back({event.source, event.sequence, static_cast<int>(event.kind), event.fingerprint,
-                               event.upstream, event.age.count()});
+                               event.upstream, event.age.count(), event.crash});
         }
     }
     return encoded;
@@ -107,6 +107,7 @@
     event.fingerprint = item.at(3).get<std::string>();
     event.upstream = item.at(4).get<std::string>();
     event.age = core::nanoseconds(item.at(5).get<std::int64_t>());
+    event.crash = item.at(6).get<std::uint64_t>();
     const auto before = evidence.suspects.events.size();
     policy::merge_events(evidence.suspects, {event}, now);
     if (evidence.suspects.events.size() > before) {
--- a/packages/node/evidence_loops.cpp
+++ b/packages/node/evidence_loops.cpp
@@ -41,10 +41,7 @@
 
 void exchange_loop(node_state& node, const yield_context& yield) {
     for (;;) {
-        auto body = take_report(node);
-        if (!body.empty()) {
-            node.nodes.mesh->broadcast(adapters::report_message{std::move(body)});
-        }
+        send_evidence(node);
         adapters::sleep_for(exchange_period, yield);
     }
 }
@@ -116,6 +113,13 @@
     }
 }
 
+void send_evidence(node_state& node) {
+    auto body = take_report(node);
+    if (!body.empty()) {
+        node.nodes.mesh->broadcast(adapters::report_message{std::move(body)});
+    }
+}
+
 void receive_evidence(node_state& node, const std::string& body) {
     const std::lock_guard lock(node.evidence.mutex);
     auto news = merge_evidence(node.evidence, body, clock::now());
--- a/packages/node/evidence_loops.h
+++ b/packages/node/evidence_loops.h
@@ -9,6 +9,9 @@
 /// Starts the background work on evidence: passing it on, reading ratings, and stopping bad versions.
 void start_evidence(node_state& node);
 
+/// Sends what is new to the linked peers at once.
+void send_evidence(node_state& node);
+
 /// Merges the evidence that a peer sent.
 void receive_evidence(node_state& node, const std::string& body);
 
--- a/packages/node/evidence_table.cpp
+++ b/packages/node/evidence_table.cpp
@@ -9,6 +9,11 @@
     evidence.changed = true;
 }
 
+std::uint64_t crashes_seen(evidence_table& evidence, const std::string& upstream) {
+    const std::lock_guard lock(evidence.mutex);
+    return policy::crashes_seen(evidence.suspects, upstream);
+}
+
 void record_passed_alone(evidence_table& evidence, const std::string& source, const std::string& fingerprint,
                          core::steady_time now) {
     const std::lock_guard lock(evidence.mutex);
@@ -26,6 +31,15 @@
     evidence.changed = true;
 }
 
+std::string known_task(evidence_table& evidence, const std::string& task) {
+    const std::lock_guard lock(evidence.mutex);
+    if (evidence.tasks.count(task) == 0 && evidence.tasks.size() >= max_task_kinds) {
+        return "general";
+    }
+    evidence.tasks.insert(task);
+    return task;
+}
+
 policy::run_mode run_mode_of(evidence_table& evidence, const std::string& fingerprint,
                              core::steady_time now) {
     const std::lock_guard lock(evidence.mutex);
--- a/packages/node/service_call.cpp
+++ b/packages/node/service_call.cpp
@@ -44,7 +44,7 @@
     const auto now = clock::now();
     const policy::upstream_request request{"", node.settings.node.failure_domain, tried};
     return policy::choose_upstream(
-        candidates_for_service(node.upstreams, *session.config, session.service.name, now), {}, request,
+        candidates_for_service(node.upstreams, *session.config, session.service, now), {}, request,
         {random_unit(), random_unit(), next_turn(node.upstreams)});
 }
 
--- a/packages/node/upstream_loops.cpp
+++ b/packages/node/upstream_loops.cpp
@@ -88,6 +88,9 @@
             auto used = choose_used_upstreams(node, *config);
             spawn_reads(node, *config, used);
             const std::lock_guard lock(node.upstreams.mutex);
+            for (const auto& name : used) {
+                node.upstreams.health.upstreams.try_emplace(name);
+            }
             node.upstreams.used = std::move(used);
         }
         adapters::sleep_for(report_period, yield);
--- a/packages/node/upstream_table.cpp
+++ b/packages/node/upstream_table.cpp
@@ -15,13 +15,13 @@
 }
 
 policy::upstream_candidate make_candidate(const upstream_table& upstreams, const core::upstream& upstream,
-                                          const std::string& prefix, core::steady_time now) {
+                                          const std::string& prefix, core::steady_time now, bool may_probe) {
     policy::upstream_candidate candidate;
     candidate.name = upstream.name;
     candidate.failure_domain = upstream.failure_domain;
     candidate.slots = upstream.slots;
     candidate.queue_limit = upstream.slots;
-    candidate.usable = policy::is_usable(upstreams.health, upstream.name, now);
+    candidate.usable = policy::is_usable(upstreams.health, upstream.name, now, may_probe);
     candidate.prefix_hint = policy::has_prefix(upstreams.hints, upstream.name, prefix, now);
     if (const auto* entry = find_entry(upstreams, upstream.name)) {
         candidate.load = policy::estimate_load(entry->report, entry->own);
@@ -32,12 +32,12 @@
 template <class Serves>
 std::vector<policy::upstream_candidate>
 collect(const upstream_table& upstreams, const core::config_snapshot& config, const std::string& prefix,
-        core::steady_time now, Serves serves) {
+        core::steady_time now, bool may_probe, Serves serves) {
     std::vector<policy::upstream_candidate> candidates;
     const std::lock_guard lock(upstreams.mutex);
     for (const auto& [name, upstream] : config.upstreams) {
         if (serves(upstream) && (upstreams.used.empty() || upstreams.used.count(name) > 0)) {
-            candidates.push_back(make_candidate(upstreams, upstream, prefix, now));
+            candidates.push_back(make_candidate(upstreams, upstream, prefix, now, may_probe));
         }
     }
     return candidates;
@@ -64,16 +64,16 @@
 std::vector<policy::upstream_candidate>
 candidates_for_version(const upstream_table& upstreams, const core::config_snapshot& config,
                        const std::string& version, const std::string& prefix, core::steady_time now) {
-    return collect(upstreams, config, prefix, now,
+    return collect(upstreams, config, prefix, now, true,
                    [&](const core::upstream& upstream) { return contains(upstream.versions, version); });
 }
 
 std::vector<policy::upstream_candidate> candidates_for_service(const upstream_table& upstreams,
                                                                const core::config_snapshot& config,
-                                                               const std::string& service,
+                                                               const core::service& service,
                                                                core::steady_time now) {
-    return collect(upstreams, config, "", now,
-                   [&](const core::upstream& upstream) { return contains(upstream.services, service); });
+    return collect(upstreams, config, "", now, service.idempotent,
+                   [&](const core::upstream& upstream) { return contains(upstream.services, service.name); });
 }
 
 std::size_t next_turn(upstream_table& upstreams) {
@@ -87,7 +87,9 @@
     auto& entry = upstreams.entries[name];
     policy::record_own_work(entry.own, 1, now);
     policy::record_dispatch(upstreams.health, name, now);
-    entry.running[request_id] = request;
+    if (!request.fingerprint.empty()) {
+        entry.running[request_id] = request;
+    }
 }
 
 std::vector<policy::exposed_request> record_end(upstream_table& upstreams, const std::string& name,
--- a/packages/node/upstream_table.h
+++ b/packages/node/upstream_table.h
@@ -50,10 +50,11 @@
 candidates_for_version(const upstream_table& upstreams, const core::config_snapshot& config,
                        const std::string& version, const std::string& prefix, core::steady_time now);
 
-/// Returns the upstreams that serve a plain service.
+/// Returns the upstreams that serve a plain service. Only an idempotent call may test an upstream that
+/// failed.
 std::vector<policy::upstream_candidate> candidates_for_service(const upstream_table& upstreams,
                                                                const core::config_snapshot& config,
-                                                               const std::string& service,
+                                                               const core::service& service,
                                                                core::steady_time now);
 
 /// Returns and advances the counter of the round-robin baseline.
--- a/packages/policy/crash_suspects.cpp
+++ b/packages/policy/crash_suspects.cpp
@@ -66,7 +66,8 @@
 // Tells whether both events may be of one crash.
 bool same_crash(const crash_suspects& suspects, const stored_event& a, const stored_event& b) {
     const auto apart = a.at > b.at ? a.at - b.at : b.at - a.at;
-    return a.event.upstream == b.event.upstream && apart <= suspects.settings.same_crash;
+    return a.event.upstream == b.event.upstream && a.event.crash == b.event.crash &&
+           apart <= suspects.settings.same_crash;
 }
 
 // Two nodes may each have sent a request to run alone to the same upstream: one was running and the other
@@ -87,12 +88,23 @@
     return core::sha256_hex(std::to_string(account.size()) + ':' + std::string(account) + std::string(body));
 }
 
+std::uint64_t crashes_seen(const crash_suspects& suspects, const std::string& upstream) {
+    std::uint64_t highest = 0;
+    for (const auto& [id, stored] : suspects.events) {
+        if (stored.event.upstream == upstream) {
+            highest = std::max(highest, stored.event.crash);
+        }
+    }
+    return highest;
+}
+
 void record_crash(crash_suspects& suspects, const std::string& source, const std::string& upstream,
                   const std::vector<exposed_request>& running, core::steady_time now) {
     for (const auto& request : running) {
         const auto kind = request.alone ? crash_event_kind::alone : crash_event_kind::companion;
         add(suspects,
-            {source, ++suspects.last_sequence, kind, request.fingerprint, upstream, core::nanoseconds(0)},
+            {source, ++suspects.last_sequence, kind, request.fingerprint, upstream, core::nanoseconds(0),
+             request.crashes_seen + 1},
             now);
     }
 }
@@ -101,7 +113,7 @@
                          core::steady_time now) {
     add(suspects,
         {source, ++suspects.last_sequence, crash_event_kind::passed_alone, fingerprint, "",
-         core::nanoseconds(0)},
+         core::nanoseconds(0), 0},
         now);
 }
 
--- a/packages/policy/crash_suspects.h
+++ b/packages/policy/crash_suspects.h
@@ -27,6 +27,9 @@
     std::string upstream;
     /// Time since the event, as known to the sender; used between nodes only.
     core::nanoseconds age{0};
+    /// Number of the crash among those of the upstream: one more than the sender knew of when it sent the
+    /// request there. A request that was sent after a crash was known can't have been in that crash.
+    std::uint64_t crash = 0;
 };
 
 struct crash_settings {
@@ -34,8 +37,8 @@
     int refuse_after = 2;
     std::chrono::seconds expiry{600};
     std::size_t max_events = 4096;
-    /// Events of one upstream within this time belong to one crash. It covers the spread of connection
-    /// errors at several nodes and the delay of the mesh.
+    /// Events of one upstream and crash number within this time belong to one crash. It covers the spread of
+    /// connection errors at several nodes and the delay of the mesh.
     std::chrono::milliseconds same_crash{2000};
 };
 
@@ -56,6 +59,8 @@
 struct exposed_request {
     std::string fingerprint;
     bool alone = false;
+    /// `crashes_seen` of the upstream when the request was sent.
+    std::uint64_t crashes_seen = 0;
 };
 
 /// How a request may run.
@@ -64,6 +69,9 @@
 /// Returns the fingerprint of a request: the SHA-256 of account and body.
 std::string crash_fingerprint(std::string_view account, std::string_view body);
 
+/// Returns the highest number of a known crash of the upstream, or 0.
+std::uint64_t crashes_seen(const crash_suspects& suspects, const std::string& upstream);
+
 /// Records that an upstream crashed while these requests of this node were running on it.
 void record_crash(crash_suspects& suspects, const std::string& source, const std::string& upstream,
                   const std::vector<exposed_request>& running, core::steady_time now);
--- a/test/correctness/policy_routing_suspects_test.cpp
+++ b/test/correctness/policy_routing_suspects_test.cpp
@@ -35,6 +35,20 @@
     CHECK(run_mode_of(suspects, "bad", at(10) + suspects.settings.expiry) == run_mode::normal);
 }
 
+TEST_CASE("repeats that were sent after a crash was known are crashes of their own") {
+    // Guards against counting quick repeats on one upstream as one crash, which let a request crash an
+    // upstream that restarts fast again and again.
+    crash_suspects suspects;
+    record_crash(suspects, "a/1", "u1", {{"bad", false, crashes_seen(suspects, "u1")}}, at(0));
+    record_crash(suspects, "a/1", "u1", {{"bad", true, crashes_seen(suspects, "u1")}}, at(0));
+    CHECK(run_mode_of(suspects, "bad", at(1)) == run_mode::alone);
+    const auto seen = crashes_seen(suspects, "u1");
+    record_crash(suspects, "a/1", "u1", {{"bad", true, seen}}, at(1));
+    record_crash(suspects, "b/1", "u1", {{"bad", true, seen}}, at(1));
+    CHECK(attributed_crashes(suspects, "bad", at(1)) == 2);
+    CHECK(run_mode_of(suspects, "bad", at(1)) == run_mode::refused);
+}
+
 TEST_CASE("two nodes that claim one crash blame neither request until one is cleared") {
     // Guards against blaming a request that waited on an upstream while another one crashed it.
     crash_suspects a;
