--- a/packages/core/table_edit.cpp
+++ b/packages/core/table_edit.cpp
@@ -11,7 +11,10 @@
     std::string text;
     for (const auto& [name, value] : columns) {
         if (!value.empty()) {
-            text += (text.empty() ? "" : ", ") + name + "=" + value;
+            text += text.empty() ? "" : ", ";
+            text += name;
+            text += "=";
+            text += value;
         }
     }
     return text;
--- a/packages/node/admission_gate.cpp
+++ b/packages/node/admission_gate.cpp
@@ -37,9 +37,9 @@
     return taken;
 }
 
-void notify(std::vector<notification> waiters) {
-    for (auto& [waiter, outcome] : waiters) {
-        waiter(std::move(outcome));
+void notify(const std::vector<notification>& waiters) {
+    for (const auto& [waiter, outcome] : waiters) {
+        waiter(outcome);
     }
 }
 
@@ -96,7 +96,7 @@
         gate.early.erase(id);
         due = take_waiters(gate, policy::next(gate.queue, now));
     }
-    notify(std::move(due));
+    notify(due);
 }
 
 } // namespace
@@ -162,7 +162,7 @@
         policy::set_capacity(gate.queue, capacity, now);
         due = take_waiters(gate, policy::next(gate.queue, now));
     }
-    notify(std::move(due));
+    notify(due);
 }
 
 } // namespace figspoke::node
--- a/packages/node/journal_routing.cpp
+++ b/packages/node/journal_routing.cpp
@@ -75,6 +75,7 @@
 std::optional<state::member_entry> find_shard_owner(node_state& node, std::uint32_t shard) {
     const auto members = possible_owners(node);
     std::vector<const state::member_entry*> pointers;
+    pointers.reserve(members.size());
     for (const auto& member : members) {
         pointers.push_back(&member);
     }
--- a/packages/node/table_watch.cpp
+++ b/packages/node/table_watch.cpp
@@ -24,6 +24,7 @@
 bool is_watcher(node_state& node) {
     const auto members = serving_members(node.nodes, clock::now());
     std::vector<const state::member_entry*> pointers;
+    pointers.reserve(members.size());
     for (const auto& member : members) {
         pointers.push_back(&member);
     }
--- a/packages/standins/control.h
+++ b/packages/standins/control.h
@@ -8,7 +8,6 @@
 #include "adapters/await.h"
 #include "adapters/http_server.h"
 #include "standins/guarded.h"
-#include "adapters/await.h"
 
 namespace figspoke::standins {
 
