--- a/test/correctness/policy_admission_targets_test.cpp
+++ b/test/correctness/policy_admission_targets_test.cpp
@@ -17,7 +17,9 @@
 sim_settings short_run(policy::deployment_profile profile) {
     sim_settings settings;
     settings.admission = policy::default_admission_settings(profile);
-    settings.duration_s = 150;
+    // Over 150 s the floor figure of dependable_drafts varies from 0.939 to 0.976 with the seed, since the
+    // queues start empty; over 300 s from 0.966 to 0.997.
+    settings.duration_s = 300;
     settings.seed = 11;
     return settings;
 }
