--- a/packages/node/journal_routing.cpp
+++ b/packages/node/journal_routing.cpp
@@ -42,6 +42,7 @@
 std::optional<state::member_entry> find_owner(node_state& node, std::uint32_t shard) {
     const auto members = possible_owners(node);
     std::vector<const state::member_entry*> pointers;
+    pointers.reserve(members.size());
     for (const auto& member : members) {
         pointers.push_back(&member);
     }
