--- a/packages/core/settings.cpp
+++ b/packages/core/settings.cpp
@@ -195,6 +195,8 @@
     reader.choice("admission", {"fair", "fifo"}, into.policy.admission);
     reader.choice("upstreams", {"bounded_load", "round_robin"}, into.policy.upstreams);
     reader.flag("early_stop", into.policy.early_stop);
+    reader.choice("profile", {"low_latency", "dependable_drafts"}, into.policy.profile);
+    reader.integer("upstreams_per_version", 1, 1000, into.policy.upstreams_per_version);
     reader.duration("default_deadline_ms", 1, max_ms, into.policy.default_deadline);
     reader.integer("seed", 0, INT64_MAX, into.policy.seed);
 }
--- a/packages/core/settings.h
+++ b/packages/core/settings.h
@@ -57,6 +57,10 @@
     /// `bounded_load` or `round_robin`.
     std::string upstreams = "bounded_load";
     bool early_stop = true;
+    /// `low_latency` or `dependable_drafts`: what the admission queue weighs most.
+    std::string profile = "low_latency";
+    /// Least number of upstreams of each version that a node uses and reads reports of.
+    std::int64_t upstreams_per_version = 16;
     std::chrono::milliseconds default_deadline{60000};
     /// Seed of the node's random choices; 0 takes one from the system.
     std::int64_t seed = 0;
--- a/packages/node/admission_gate.cpp
+++ b/packages/node/admission_gate.cpp
@@ -155,10 +155,12 @@
     return slot;
 }
 
-void update_admission(admission_gate& gate, double capacity, core::steady_time now) {
+void update_admission(admission_gate& gate, const policy::admission_settings& settings, double capacity,
+                      core::steady_time now) {
     std::vector<notification> due;
     {
         const std::lock_guard lock(gate.mutex);
+        gate.queue.settings = settings;
         policy::set_capacity(gate.queue, capacity, now);
         due = take_waiters(gate, policy::next(gate.queue, now));
     }
--- a/packages/node/admission_gate.h
+++ b/packages/node/admission_gate.h
@@ -58,8 +58,9 @@
 core::result<admission_slot> await_admission(admission_gate& gate, policy::admission_request request,
                                              const boost::asio::yield_context& yield);
 
-/// Sets the slots that this node may fill and starts or refuses waiting requests. Call it at least every 50
-/// ms.
-void update_admission(admission_gate& gate, double capacity, core::steady_time now);
+/// Sets the slots that this node may fill and the queue's settings, and starts or refuses waiting requests.
+/// Call it at least every 50 ms.
+void update_admission(admission_gate& gate, const policy::admission_settings& settings, double capacity,
+                      core::steady_time now);
 
 } // namespace figspoke::node
--- a/packages/node/evidence_loops.cpp
+++ b/packages/node/evidence_loops.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/spawn.hpp>
 
+#include <algorithm>
+
 #include "adapters/await.h"
 #include "adapters/decision_log.h"
 #include "adapters/rating_service.h"
@@ -16,8 +18,12 @@
 using boost::asio::yield_context;
 using clock = std::chrono::steady_clock;
 
-// Crashes and failures of a new version should reach all nodes before many requests follow; ratings can wait.
-constexpr std::chrono::milliseconds exchange_period{200};
+// Failures of a new version should reach all nodes before many requests follow; other counts can wait.
+// Crashes are sent at once.
+constexpr std::chrono::milliseconds rollout_exchange_period{250};
+constexpr std::chrono::milliseconds exchange_period{1000};
+// Each node passes on the counts of all others, so the period grows with their number to bound the bytes.
+constexpr std::chrono::milliseconds exchange_period_per_member{25};
 constexpr std::chrono::milliseconds rating_period{500};
 constexpr std::chrono::milliseconds stop_period{250};
 constexpr std::chrono::milliseconds rating_timeout{2000};
@@ -39,10 +45,25 @@
     return body;
 }
 
+bool is_rollout_under_way(const core::config_snapshot& config) {
+    return std::any_of(config.versions.begin(), config.versions.end(), [](const auto& entry) {
+        const auto& version = entry.second;
+        return version.state == core::version_state::active && version.rollout_percent > 0 &&
+               version.rollout_percent < 100;
+    });
+}
+
+std::chrono::milliseconds choose_exchange_period(node_state& node) {
+    const auto config = current_config(node.config);
+    const auto base = config && is_rollout_under_way(*config) ? rollout_exchange_period : exchange_period;
+    const auto members = static_cast<int>(serving_members(node.nodes, clock::now()).size());
+    return std::max(base, exchange_period_per_member * members);
+}
+
 void exchange_loop(node_state& node, const yield_context& yield) {
     for (;;) {
         send_evidence(node);
-        adapters::sleep_for(exchange_period, yield);
+        adapters::sleep_for(choose_exchange_period(node), yield);
     }
 }
 
--- a/packages/node/node.cpp
+++ b/packages/node/node.cpp
@@ -66,9 +66,23 @@
     return std::max(1.0, slots / static_cast<double>(std::max<std::size_t>(1, members)));
 }
 
+// Floors and queue limits come from the table and change with it.
+policy::admission_settings admission_settings(node_state& node) {
+    const auto profile = node.settings.policy.profile == "dependable_drafts"
+                             ? policy::deployment_profile::dependable_drafts
+                             : policy::deployment_profile::low_latency;
+    const auto config = current_config(node.config);
+    auto settings = config ? policy::admission_settings_from(*config, profile)
+                           : policy::default_admission_settings(profile);
+    if (node.settings.policy.admission == "fifo") {
+        settings.discipline = policy::queue_discipline::fifo;
+    }
+    return settings;
+}
+
 void upkeep_loop(node_state& node, const yield_context& yield) {
     for (;;) {
-        update_admission(node.admission, admission_capacity(node), clock::now());
+        update_admission(node.admission, admission_settings(node), admission_capacity(node), clock::now());
         send_due_charges(node);
         expire_keyed(node, clock::now());
         adapters::sleep_for(upkeep_period, yield);
@@ -80,11 +94,7 @@
     node.kv = adapters::make_kv_store(node.client, node.settings.platform.kv, kv_timeout);
     node.charges.held.writer = node.incarnation;
     node.charges.held.limits.max_charges = static_cast<std::size_t>(node.settings.journal.unsettled_limit);
-    policy::admission_settings admission;
-    if (node.settings.policy.admission == "fifo") {
-        admission.discipline = policy::queue_discipline::fifo;
-    }
-    node.admission.queue = policy::make_admission_queue(admission, 1, clock::now());
+    node.admission.queue = policy::make_admission_queue(admission_settings(node), 1, clock::now());
     node.journal.is_gone = [&node](std::string_view incarnation) {
         return is_incarnation_gone(node.nodes, incarnation, clock::now());
     };
--- a/packages/node/upstream_loops.cpp
+++ b/packages/node/upstream_loops.cpp
@@ -21,9 +21,11 @@
     for (const auto& member : serving_members(node.nodes, clock::now())) {
         members.push_back(member.id);
     }
+    const policy::subset_settings limits{
+        static_cast<std::size_t>(node.settings.policy.upstreams_per_version)};
     std::set<std::string> used;
     for (const auto& [id, version] : config.versions) {
-        for (auto& name : policy::upstream_subset(config, id, node.settings.node.id, members, {})) {
+        for (auto& name : policy::upstream_subset(config, id, node.settings.node.id, members, limits)) {
             used.insert(std::move(name));
         }
     }
--- a/packages/policy/plan_choice.cpp
+++ b/packages/policy/plan_choice.cpp
@@ -176,10 +176,13 @@
     if (any(pass_over::no_upstream)) {
         return {core::error_kind::no_capacity, "no upstream serves a version" + of, std::nullopt};
     }
-    if (any(pass_over::withdrawn) || any(pass_over::retiring) || any(pass_over::other_version)) {
-        return {core::error_kind::no_capacity, "every version" + of + " is withdrawn or retiring",
+    if (any(pass_over::withdrawn) || any(pass_over::retiring)) {
+        return {core::error_kind::version_withdrawn, "every version" + of + " is withdrawn or retiring",
                 std::nullopt};
     }
+    if (any(pass_over::other_version)) {
+        return {core::error_kind::no_capacity, "no version" + of + " takes new conversations", std::nullopt};
+    }
     return {core::error_kind::not_allowed, "account \"" + request.account + "\" allows no version" + of,
             std::nullopt};
 }
--- a/test/performance/fleet_measure.cpp
+++ b/test/performance/fleet_measure.cpp
@@ -216,6 +216,53 @@
     return sample;
 }
 
+double cpu_of_nodes(fleet& nodes) {
+    double sum = 0;
+    for (int i = 0; i < nodes.node_count(); ++i) {
+        sum += cpu_seconds(nodes.node_process(i).pid());
+    }
+    return sum;
+}
+
+double bytes_of_nodes(fleet& nodes) {
+    double sum = 0;
+    for (int i = 0; i < nodes.node_count(); ++i) {
+        sum += metric(nodes.node(i), "figspoke_mesh_bytes_out");
+    }
+    return sum;
+}
+
+// What one request costs all nodes together: processor time and mesh messages. Most of the mesh's part are
+// the copy of the charge and its way to the shard's owner.
+void measure_request() {
+    fleet nodes(measured_fleet(3));
+    run_load(nodes.node(0));
+    const double cpu = cpu_of_nodes(nodes);
+    const double bytes = bytes_of_nodes(nodes);
+    const double writes = get_counts(nodes.kv()).at("writes").get<double>();
+    const auto result = run_load(nodes.node(0));
+    const auto count = static_cast<double>(result.ms.size());
+    print_measure("request_cpu", "-", (cpu_of_nodes(nodes) - cpu) / count * 1e6, "-", "us");
+    print_measure("request_mesh_bytes", "-", (bytes_of_nodes(nodes) - bytes) / count, "-", "bytes");
+    print_measure("request_kv_writes", "1",
+                  (get_counts(nodes.kv()).at("writes").get<double>() - writes) / count, "-", "writes");
+    print_measure("loaded_memory", "-", resident_mb(nodes.node_process(0).pid()), "-", "MB");
+}
+
+// Processor time of three idle nodes by the number of engines, whose reports they read.
+void measure_upstreams(int count) {
+    fleet_spec spec = measured_fleet(3);
+    for (int i = 1; i < count; ++i) {
+        spec.upstreams.push_back({"engine" + std::to_string(i), {"small@1"}, {}, {"--threads=1"}});
+    }
+    fleet nodes(spec);
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    const double before = cpu_of_nodes(nodes);
+    std::this_thread::sleep_for(control_time);
+    const double percent = 100 * (cpu_of_nodes(nodes) - before) / core::to_seconds(control_time) / 3;
+    print_measure("control_cpu_upstreams_" + std::to_string(count), "-", percent, "2.9", "percent_of_core");
+}
+
 void measure_control(int count) {
     fleet nodes(measured_fleet(count));
     std::this_thread::sleep_for(std::chrono::seconds(6));
@@ -249,6 +296,14 @@
     if (what == "all" || what == "spread") {
         measure_spread();
     }
+    if (what == "all" || what == "request") {
+        measure_request();
+    }
+    if (what == "all" || what == "upstreams") {
+        for (const int count : {1, 8, 24}) {
+            measure_upstreams(count);
+        }
+    }
     if (what == "all" || what == "control") {
         for (const int count : {3, 7, 14, 28}) {
             measure_control(count);
