--- a/packages/node/admin_reply.cpp
+++ b/packages/node/admin_reply.cpp
@@ -5,8 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "node/chat_plan.h"
 #include "node/error_reply.h"
+#include "node/new_work.h"
 #include "node/shutdown.h"
 
 namespace figspoke::node {
--- a/packages/node/charge_service.cpp
+++ b/packages/node/charge_service.cpp
@@ -28,10 +28,10 @@
 
 // Prefers a peer in another failure domain; each charge's own id spreads the copies over the peers.
 std::optional<state::member_entry> choose_copy_holder(node_state& node, const std::string& charge_id) {
-    auto members = serving_members(node.nodes, clock::now());
+    const auto members = serving_members(node.nodes, clock::now());
     std::map<std::string, state::member_entry> far;
     std::map<std::string, state::member_entry> near;
-    for (auto& member : members) {
+    for (const auto& member : *members) {
         if (member.id != node.settings.node.id) {
             const bool same_domain = member.failure_domain == node.settings.node.failure_domain;
             (same_domain ? near : far).emplace(member.id, member);
--- a/packages/node/chat_flow.cpp
+++ b/packages/node/chat_flow.cpp
@@ -5,6 +5,7 @@
 #include "node/chat_run.h"
 #include "node/chat_writer.h"
 #include "node/evidence_loops.h"
+#include "node/new_work.h"
 #include "node/route_log.h"
 #include "policy/answer_check.h"
 #include "state/conversation_token.h"
--- a/packages/node/chat_plan.cpp
+++ b/packages/node/chat_plan.cpp
@@ -1,6 +1,7 @@
 #include "node/chat_plan.h"
 
 #include "core/hash.h"
+#include "node/new_work.h"
 #include "node/random.h"
 #include "state/conversation_token.h"
 
@@ -74,41 +75,14 @@
 
 } // namespace
 
-std::optional<core::error> refusal_of_new_work(node_state& node) {
-    if (node.refuses_new_work.load()) {
-        return core::error{error_kind::draining, "this node is being stopped", std::nullopt};
-    }
-    if (!current_config(node.config)) {
-        return core::error{error_kind::isolated, "this node has no configuration table yet", std::nullopt};
-    }
-    if (decide_service(node.nodes, clock::now()) == state::service_decision::isolated) {
-        return core::error{error_kind::isolated,
-                           "this node reaches neither the key-value service nor most other nodes",
-                           std::nullopt};
-    }
-    return std::nullopt;
-}
-
-std::vector<std::string> addresses_for(node_state& node, const core::error& cause) {
-    constexpr std::size_t address_count = 3;
-    if (cause.kind != error_kind::draining) {
-        return {};
-    }
-    return entry_addresses(node.nodes, core::random_hex(8), address_count, clock::now());
-}
-
 core::result<void> prepare_chat(node_state& node, const adapters::http_request& request,
                                 chat_session& session) {
-    if (auto refusal = refusal_of_new_work(node)) {
-        return tl::make_unexpected(*refusal);
-    }
-    session.config = current_config(node.config);
-    auto caller =
-        read_caller(request, *session.config, node.settings.policy.default_deadline, session.started);
-    if (!caller) {
-        return tl::make_unexpected(caller.error());
+    auto accepted = accept_caller(node, request, session.started);
+    if (!accepted) {
+        return tl::make_unexpected(accepted.error());
     }
-    session.caller = std::move(*caller);
+    session.config = std::move(accepted->config);
+    session.caller = std::move(accepted->caller);
     session.caller.task = known_task(node.evidence, session.caller.task);
     auto parsed = parse_chat_request(request.body);
     if (!parsed) {
--- a/packages/node/cluster.cpp
+++ b/packages/node/cluster.cpp
@@ -10,6 +10,8 @@
 
 // A node that has just started has not heard of all others: it judges no incarnation as ended yet.
 constexpr std::chrono::seconds settling_time{10};
+// Copying 380 members for each request would cost more than routing it.
+constexpr std::chrono::milliseconds serving_list_age{50};
 
 state::majority_view view_of(const cluster& nodes, core::steady_time now) {
     return {nodes.known, nodes.roster, nodes.gone, nodes.plan.timeouts,
@@ -28,13 +30,19 @@
     return state::decide_service(nodes.freshness, view_of(nodes, now), now);
 }
 
-std::vector<state::member_entry> serving_members(const cluster& nodes, core::steady_time now) {
+std::shared_ptr<const std::vector<state::member_entry>> serving_members(const cluster& nodes,
+                                                                        core::steady_time now) {
     const std::lock_guard lock(nodes.mutex);
-    std::vector<state::member_entry> members;
+    if (nodes.serving && now - nodes.serving_at < serving_list_age) {
+        return nodes.serving;
+    }
+    auto members = std::make_shared<std::vector<state::member_entry>>();
     for (const auto* member : state::serving_members(nodes.known, nodes.plan.timeouts, now)) {
-        members.push_back(*member);
+        members->push_back(*member);
     }
-    return members;
+    nodes.serving = members;
+    nodes.serving_at = now;
+    return nodes.serving;
 }
 
 bool is_incarnation_gone(const cluster& nodes, std::string_view incarnation, core::steady_time now) {
--- a/packages/node/cluster.h
+++ b/packages/node/cluster.h
@@ -38,6 +38,9 @@
     state::gossip_plan plan;
     state::pause_detector pauses;
     core::steady_time last_beat;
+    /// The serving members as of `serving_at`, shared by all who ask within a short time.
+    mutable std::shared_ptr<const std::vector<state::member_entry>> serving;
+    mutable core::steady_time serving_at;
     core::steady_time started;
     std::unique_ptr<adapters::mesh> mesh;
 };
@@ -51,8 +54,9 @@
 /// Decides whether this node may take new work.
 state::service_decision decide_service(const cluster& nodes, core::steady_time now);
 
-/// Returns copies of the members that are alive and serve.
-std::vector<state::member_entry> serving_members(const cluster& nodes, core::steady_time now);
+/// Returns the members that are alive and serve, by id; the list is at most 50 ms old.
+std::shared_ptr<const std::vector<state::member_entry>> serving_members(const cluster& nodes,
+                                                                        core::steady_time now);
 
 /// Tells whether the incarnation (`node id/run`) of a node has ended, as far as this node knows.
 bool is_incarnation_gone(const cluster& nodes, std::string_view incarnation, core::steady_time now);
--- a/packages/node/cluster_loops.cpp
+++ b/packages/node/cluster_loops.cpp
@@ -141,7 +141,8 @@
 }
 
 bool records_roster(node_state& node) {
-    const auto members = serving_members(node.nodes, clock::now());
+    const auto serving = serving_members(node.nodes, clock::now());
+    const auto& members = *serving;
     return !members.empty() && members.front().id == node.settings.node.id;
 }
 
--- a/packages/node/evidence_loops.cpp
+++ b/packages/node/evidence_loops.cpp
@@ -56,7 +56,7 @@
 std::chrono::milliseconds choose_exchange_period(node_state& node) {
     const auto config = current_config(node.config);
     const auto base = config && is_rollout_under_way(*config) ? rollout_exchange_period : exchange_period;
-    const auto members = static_cast<int>(serving_members(node.nodes, clock::now()).size());
+    const auto members = static_cast<int>(serving_members(node.nodes, clock::now())->size());
     return std::max(base, exchange_period_per_member * members);
 }
 
--- a/packages/node/journal_routing.cpp
+++ b/packages/node/journal_routing.cpp
@@ -23,22 +23,46 @@
     return append_time + node.settings.journal.charge_flush;
 }
 
+using member_list = std::shared_ptr<const std::vector<state::member_entry>>;
+
 // When the whole fleet is being stopped, the nodes that are leaving own the shards until their last charge is
 // recorded.
-std::vector<state::member_entry> possible_owners(node_state& node) {
+member_list possible_owners(node_state& node) {
     const auto now = clock::now();
-    auto members = serving_members(node.nodes, now);
-    if (!members.empty()) {
-        return members;
+    auto serving = serving_members(node.nodes, now);
+    if (!serving->empty()) {
+        return serving;
     }
+    auto leaving = std::make_shared<std::vector<state::member_entry>>();
     const std::lock_guard lock(node.nodes.mutex);
     for (const auto& [id, record] : node.nodes.known.members) {
         const auto health = state::health_of(node.nodes.known, record, node.nodes.plan.timeouts, now);
         if (record.entry.state == state::member_state::leaving && health == state::member_health::alive) {
-            members.insert(members.end(), record.entry);
+            leaving->insert(leaving->end(), record.entry);
         }
     }
-    return members;
+    return leaving;
+}
+
+std::vector<const state::member_entry*> pointers_to(const std::vector<state::member_entry>& members) {
+    std::vector<const state::member_entry*> pointers;
+    pointers.reserve(members.size());
+    for (const auto& member : members) {
+        pointers.push_back(&member);
+    }
+    return pointers;
+}
+
+std::set<std::uint32_t> choose_owned_shards(const node_state& node,
+                                            const std::vector<state::member_entry>& members) {
+    const auto pointers = pointers_to(members);
+    std::set<std::uint32_t> owned;
+    for (std::uint32_t shard = 0; shard < node.journal.shards.size(); ++shard) {
+        if (state::choose_shard_owner(shard, pointers) == node.settings.node.id) {
+            owned.insert(shard);
+        }
+    }
+    return owned;
 }
 
 std::string encode_request(std::uint32_t shard, const state::journal_entry& entry) {
@@ -74,13 +98,8 @@
 
 std::optional<state::member_entry> find_shard_owner(node_state& node, std::uint32_t shard) {
     const auto members = possible_owners(node);
-    std::vector<const state::member_entry*> pointers;
-    pointers.reserve(members.size());
-    for (const auto& member : members) {
-        pointers.push_back(&member);
-    }
-    const std::string owner = state::choose_shard_owner(shard, pointers);
-    for (const auto& member : members) {
+    const std::string owner = state::choose_shard_owner(shard, pointers_to(*members));
+    for (const auto& member : *members) {
         if (member.id == owner) {
             return member;
         }
@@ -132,14 +151,17 @@
 }
 
 void update_owned_shards(node_state& node) {
-    std::set<std::uint32_t> owned;
-    for (std::uint32_t shard = 0; shard < node.journal.shards.size(); ++shard) {
-        const auto owner = find_shard_owner(node, shard);
-        if (owner && owner->id == node.settings.node.id) {
-            owned.insert(shard);
-        }
+    const auto members = possible_owners(node);
+    std::vector<std::string> ids;
+    ids.reserve(members->size());
+    for (const auto& member : *members) {
+        ids.push_back(member.id);
+    }
+    if (ids != node.journal.owner_ids) {
+        node.journal.owned = choose_owned_shards(node, *members);
+        node.journal.owner_ids = std::move(ids);
     }
-    set_owned_shards(node.journal, owned);
+    set_owned_shards(node.journal, node.journal.owned);
 }
 
 } // namespace figspoke::node
--- a/packages/node/journal_routing.h
+++ b/packages/node/journal_routing.h
@@ -28,7 +28,7 @@
 /// Serves an append that a peer forwarded; `reply` gets the encoded outcome.
 void serve_append(node_state& node, const std::string& body, const std::function<void(std::string)>& reply);
 
-/// Takes over and gives up shards after a change of membership.
+/// Takes over and gives up shards after a change of membership. Only the gossip loop may call it.
 void update_owned_shards(node_state& node);
 
 } // namespace figspoke::node
--- a/packages/node/journal_service.h
+++ b/packages/node/journal_service.h
@@ -52,6 +52,10 @@
 /// All journal shards as this node sees them. Each shard's writer is driven by a coroutine of its own.
 struct journal_service {
     std::vector<std::unique_ptr<shard_slot>> shards;
+    /// The members among which the shards were last divided, and this node's part. Only `update_owned_shards`
+    /// uses them; dividing anew at each call would take a core's percents with hundreds of members.
+    std::vector<std::string> owner_ids;
+    std::set<std::uint32_t> owned;
     /// Tells whether a node's incarnation has ended.
     std::function<bool(std::string_view incarnation)> is_gone;
 };
--- a/packages/node/node.cpp
+++ b/packages/node/node.cpp
@@ -62,7 +62,7 @@
             slots += upstream.versions.empty() ? 0 : upstream.slots;
         }
     }
-    const auto members = serving_members(node.nodes, clock::now()).size();
+    const auto members = serving_members(node.nodes, clock::now())->size();
     return std::max(1.0, slots / static_cast<double>(std::max<std::size_t>(1, members)));
 }
 
--- a/packages/node/rate_service.cpp
+++ b/packages/node/rate_service.cpp
@@ -94,7 +94,8 @@
 }
 
 std::optional<state::member_entry> find_allocator(node_state& node, const std::string& account) {
-    const auto members = serving_members(node.nodes, clock::now());
+    const auto serving = serving_members(node.nodes, clock::now());
+    const auto& members = *serving;
     std::vector<std::string> ids;
     ids.reserve(members.size());
     for (const auto& member : members) {
--- a/packages/node/repeat_registry.cpp
+++ b/packages/node/repeat_registry.cpp
@@ -48,7 +48,8 @@
 }
 
 std::optional<state::member_entry> find_member(node_state& node, const std::string& id) {
-    for (auto& member : serving_members(node.nodes, clock::now())) {
+    const auto serving = serving_members(node.nodes, clock::now());
+    for (const auto& member : *serving) {
         if (member.id == id) {
             return member;
         }
@@ -195,7 +196,8 @@
     }
     const auto id = adapters::value_or(question, "id", std::string());
     const auto body_sha256 = adapters::value_or(question, "body_sha256", std::string());
-    const auto members = serving_members(node.nodes, clock::now());
+    const auto serving = serving_members(node.nodes, clock::now());
+    const auto& members = *serving;
     const std::lock_guard lock(node.repeats.mutex);
     auto& record = node.repeats.serving[id];
     const bool known = !record.node.empty();
--- a/packages/node/routes.cpp
+++ b/packages/node/routes.cpp
@@ -4,9 +4,9 @@
 
 #include "node/admin_reply.h"
 #include "node/chat_flow.h"
-#include "node/chat_plan.h"
 #include "node/error_reply.h"
 #include "node/models_reply.h"
+#include "node/new_work.h"
 #include "node/service_flow.h"
 #include "state/entry_choice.h"
 
@@ -25,14 +25,9 @@
 }
 
 void serve_models(node_state& node, http_exchange& exchange) {
-    if (const auto refusal = refusal_of_new_work(node)) {
-        exchange.send(error_reply(*refusal));
-        return;
-    }
-    const auto config = current_config(node.config);
-    const auto caller = read_caller(exchange.request(), *config, node.settings.policy.default_deadline,
-                                    std::chrono::steady_clock::now());
-    exchange.send(caller ? models_reply(*config, caller->account) : error_reply(caller.error()));
+    const auto accepted = accept_caller(node, exchange.request(), std::chrono::steady_clock::now());
+    exchange.send(accepted ? models_reply(*accepted->config, accepted->caller.account)
+                           : error_reply(accepted.error()));
 }
 
 // `caller` spreads callers over the nodes and keeps each at the same ones; any text will do.
--- a/packages/node/service_call.cpp
+++ b/packages/node/service_call.cpp
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/hash.h"
-#include "node/chat_plan.h"
+#include "node/new_work.h"
 #include "node/random.h"
 #include "state/journal_key.h"
 
@@ -113,16 +113,12 @@
 
 core::result<void> prepare_service_call(node_state& node, const adapters::http_request& request,
                                         const std::string& service, service_session& session) {
-    if (auto refusal = refusal_of_new_work(node)) {
-        return tl::make_unexpected(*refusal);
+    auto accepted = accept_caller(node, request, session.started);
+    if (!accepted) {
+        return tl::make_unexpected(accepted.error());
     }
-    session.config = current_config(node.config);
-    auto caller =
-        read_caller(request, *session.config, node.settings.policy.default_deadline, session.started);
-    if (!caller) {
-        return tl::make_unexpected(caller.error());
-    }
-    session.caller = std::move(*caller);
+    session.config = std::move(accepted->config);
+    session.caller = std::move(accepted->caller);
     auto found = find_service(*session.config, service);
     if (!found) {
         return tl::make_unexpected(found.error());
--- a/packages/node/service_flow.cpp
+++ b/packages/node/service_flow.cpp
@@ -2,9 +2,9 @@
 
 #include "adapters/await.h"
 #include "adapters/decision_log.h"
-#include "node/chat_plan.h"
 #include "node/error_reply.h"
 #include "node/journal_routing.h"
+#include "node/new_work.h"
 #include "node/service_call.h"
 #include "state/journal_key.h"
 
--- a/packages/node/table_watch.cpp
+++ b/packages/node/table_watch.cpp
@@ -22,7 +22,8 @@
 constexpr std::chrono::milliseconds read_when_older_than{2000};
 
 bool is_watcher(node_state& node) {
-    const auto members = serving_members(node.nodes, clock::now());
+    const auto serving = serving_members(node.nodes, clock::now());
+    const auto& members = *serving;
     std::vector<const state::member_entry*> pointers;
     pointers.reserve(members.size());
     for (const auto& member : members) {
--- a/packages/node/upstream_loops.cpp
+++ b/packages/node/upstream_loops.cpp
@@ -18,7 +18,8 @@
 
 std::set<std::string> choose_used_upstreams(node_state& node, const core::config_snapshot& config) {
     std::vector<std::string> members;
-    for (const auto& member : serving_members(node.nodes, clock::now())) {
+    const auto serving = serving_members(node.nodes, clock::now());
+    for (const auto& member : *serving) {
         members.push_back(member.id);
     }
     const policy::subset_settings limits{
--- a/packages/node/version_stop.cpp
+++ b/packages/node/version_stop.cpp
@@ -13,7 +13,8 @@
 using clock = std::chrono::steady_clock;
 
 bool writes_stops(node_state& node) {
-    const auto members = serving_members(node.nodes, clock::now());
+    const auto serving = serving_members(node.nodes, clock::now());
+    const auto& members = *serving;
     return !members.empty() && members.front().id == node.settings.node.id;
 }
 
--- a/test/correctness/process/charges_test.cpp
+++ b/test/correctness/process/charges_test.cpp
@@ -17,7 +17,7 @@
     spec.nodes = nodes;
     spec.upstreams = {{"engine-1", {"small@1"}, {}, {}},
                       {"engine-2", {"small@1"}, {}, {}},
-                      {"shop", {}, {"yarn_order"}, {}}};
+                      {"shop", {}, {"parts_order"}, {}}};
     spec.more_settings = std::move(more_settings);
     return spec;
 }
--- a/test/correctness/process/chat_test.cpp
+++ b/test/correctness/process/chat_test.cpp
@@ -107,16 +107,16 @@
 TEST_CASE("an order with one key runs once on whichever nodes it is sent to") {
     // Guards against a duplicate order after a repeat, and against a key used for another body.
     fleet_spec spec = chat_fleet();
-    spec.upstreams.push_back({"shop", {}, {"yarn_order"}, {}});
+    spec.upstreams.push_back({"shop", {}, {"parts_order"}, {}});
     fleet nodes(spec);
     const figspoke::adapters::http_headers headers = {
         {"authorization", std::string("Bearer ") + test_api_key}, {"idempotency-key", "order-1"}};
-    const auto first = http_post(nodes.node(0), "/v1/orders/yarn_order", R"({"skeins":3})", headers);
+    const auto first = http_post(nodes.node(0), "/v1/orders/parts_order", R"({"units":3})", headers);
     REQUIRE_MESSAGE(first.status == 200, first.body);
-    const auto again = http_post(nodes.node(2), "/v1/orders/yarn_order", R"({"skeins":3})", headers);
+    const auto again = http_post(nodes.node(2), "/v1/orders/parts_order", R"({"units":3})", headers);
     CHECK(again.status == 200);
     CHECK(again.body == first.body);
-    const auto other = http_post(nodes.node(1), "/v1/orders/yarn_order", R"({"skeins":4})", headers);
+    const auto other = http_post(nodes.node(1), "/v1/orders/parts_order", R"({"units":4})", headers);
     CHECK(other.status == 422);
     CHECK(json_of(other)["error"]["kind"] == "key_reused");
     CHECK(nodes.executions().size() == 1);
--- a/test/correctness/process/cli_test.cpp
+++ b/test/correctness/process/cli_test.cpp
@@ -187,13 +187,13 @@
 TEST_CASE("a load run follows the nodes that take work and repeats its plan") {
     // Guards against a generator that keeps to a leaving node, or whose runs can't be compared.
     auto spec = small_fleet();
-    spec.upstreams.push_back({"shop", {}, {"yarn_order"}, {}});
+    spec.upstreams.push_back({"shop", {}, {"parts_order"}, {}});
     fleet nodes(spec);
     const auto keys = nodes.directory() + "/keys";
     write_file(keys, std::string(test_api_key) + "\n");
     const std::vector<std::string> flags = {
         "load",         "--keys_file=" + keys,       "--rate=20", "--duration_s=7", "--answer_tokens=8",
-        "--orders=0.2", "--order_service=yarn_order"};
+        "--orders=0.2", "--order_service=parts_order"};
     tool_run first(nodes, "first", flags, 1);
     tool_run drainer(nodes, "drainer", {"drain"}, 1);
     CHECK(drainer.finish().code == 0);
--- a/test/correctness/process/golden_test.cpp
+++ b/test/correctness/process/golden_test.cpp
@@ -23,7 +23,7 @@
     fleet_spec spec;
     spec.upstreams = {
         {"engine", {"large@1", "small@1"}, {}, {"--answer_tokens_min=4", "--answer_tokens_max=4"}},
-        {"shop", {}, {"yarn_order"}, {}}};
+        {"shop", {}, {"parts_order"}, {}}};
     spec.edit_table = [](core::table& table) {
         table.rows.at({"version", "small@1"}).columns["price_out"] = "200";
         table.rows.at({"version", "small@1"}).columns["quality"] = "0.95";
@@ -118,7 +118,7 @@
     // Guards against an unnoticed change of what callers, the journal and the log see of a chat.
     fleet nodes(golden_fleet());
     session record("streamed_chat");
-    record.add_answer(nodes.chat(0, chat_body("How wide is a panel?", true)));
+    record.add_answer(nodes.chat(0, chat_body("What are the opening hours?", true)));
     REQUIRE(all_settled(nodes));
     record.add_journal(nodes);
     REQUIRE(has_logged(nodes.node_process(0), "route"));
@@ -132,7 +132,7 @@
     session record("order_twice");
     record.add_answer(place_order(nodes, 0, "order-1"));
     record.add_answer(place_order(nodes, 1, "order-1"));
-    record.add_answer(place_order(nodes, 2, "order-1", R"({"skeins":5})"));
+    record.add_answer(place_order(nodes, 2, "order-1", R"({"units":5})"));
     REQUIRE(all_settled(nodes));
     record.add_journal(nodes);
     for (int i = 0; i < 3; ++i) {
--- a/test/correctness/process/input_test.cpp
+++ b/test/correctness/process/input_test.cpp
@@ -12,7 +12,7 @@
 fleet_spec one_node() {
     fleet_spec spec;
     spec.nodes = 1;
-    spec.upstreams = {{"engine", {"small@1"}, {}, {}}, {"shop", {}, {"yarn_order", "stock"}, {}}};
+    spec.upstreams = {{"engine", {"small@1"}, {}, {}}, {"shop", {}, {"parts_order", "stock"}, {}}};
     spec.more_settings = "[limits]\nbody_bytes = 65536\nrequest_timeout_ms = 500\n";
     return spec;
 }
@@ -54,10 +54,10 @@
     check_refused(exchange("POST " + std::string(chat_path) + " HTTP/1.1\r\nX-Slow: "), "request_timeout");
     check_refused(exchange("nonsense\r\n\r\n"), "bad_request");
     check_refused(exchange(raw_post("/v1/nothing", good, close)), "not_found");
-    check_refused(exchange(raw_post("/v1/orders/yarn_order", "{}", close)), "bad_request");
+    check_refused(exchange(raw_post("/v1/orders/parts_order", "{}", close)), "bad_request");
     check_refused(exchange(raw_post("/v1/orders/stock", "{}", close + "Idempotency-Key: k\r\n")),
                   "bad_request");
-    check_refused(exchange(raw_post("/v1/services/yarn_order", "{}", close)), "bad_request");
+    check_refused(exchange(raw_post("/v1/services/parts_order", "{}", close)), "bad_request");
     check_refused(exchange(raw_post("/v1/services/none", "{}", close)), "not_found");
     const std::vector<std::string> bad_headers = {"X-Figspoke-Priority: soon",
                                                   "X-Figspoke-Quality: 1.5",
--- a/test/correctness/process/orders_test.cpp
+++ b/test/correctness/process/orders_test.cpp
@@ -15,7 +15,7 @@
 
 fleet_spec shop_fleet(std::vector<std::string> flags = {}) {
     fleet_spec spec;
-    spec.upstreams = {{"shop", {}, {"yarn_order"}, std::move(flags)}};
+    spec.upstreams = {{"shop", {}, {"parts_order"}, std::move(flags)}};
     return spec;
 }
 
--- a/test/correctness/process/repeats_test.cpp
+++ b/test/correctness/process/repeats_test.cpp
@@ -32,7 +32,7 @@
     // Guards against work that is done and billed again for a caller that lost its answer.
     fleet nodes(repeat_fleet());
     REQUIRE(wait_for_members(nodes));
-    const json body = chat_body("survey", true, 64);
+    const json body = chat_body("draft", true, 64);
     const auto first = nodes.chat(0, body, keyed);
     REQUIRE_MESSAGE(first.status == 200, first.body);
     for (int i = 0; i < nodes.node_count(); ++i) {
@@ -40,7 +40,7 @@
         CHECK(again.status == 200);
         CHECK(again.body == first.body);
     }
-    const auto other = nodes.chat(1, chat_body("another survey", true, 64), keyed);
+    const auto other = nodes.chat(1, chat_body("another draft", true, 64), keyed);
     CHECK(other.status == 422);
     CHECK(kind_of(other) == "key_reused");
     CHECK(nodes.executions().size() == 1);
@@ -51,7 +51,7 @@
     // Guards against an answer that ends with its caller's connection, and against two runs at once.
     fleet nodes(repeat_fleet());
     REQUIRE(wait_for_members(nodes));
-    const json body = chat_body("long survey", true, 64);
+    const json body = chat_body("long draft", true, 64);
     {
         const raw_connection caller(nodes.node(0));
         REQUIRE(caller.send(raw_post("/v1/chat/completions", body.dump(), "Idempotency-Key: draft-1\r\n")));
--- a/test/correctness/process/stop_test.cpp
+++ b/test/correctness/process/stop_test.cpp
@@ -19,7 +19,7 @@
                                             "--answer_tokens_max=100"};
     spec.upstreams = {{"engine-1", {"small@1"}, {}, flags},
                       {"engine-2", {"small@1"}, {}, flags},
-                      {"shop", {}, {"yarn_order"}, {}}};
+                      {"shop", {}, {"parts_order"}, {}}};
     return spec;
 }
 
--- a/test/performance/fleet_measure.cpp
+++ b/test/performance/fleet_measure.cpp
@@ -249,6 +249,29 @@
     print_measure("loaded_memory", "-", resident_mb(nodes.node_process(0).pid()), "-", "MB");
 }
 
+// Processor time of all nodes for each streamed token, beside that of a request.
+void measure_token() {
+    constexpr int streams = 200;
+    constexpr int tokens = 256;
+    fleet_spec spec = measured_fleet(3);
+    spec.upstreams.front().flags = {"--slots=64",
+                                    "--first_token_ms=0",
+                                    "--token_ms=0",
+                                    "--answer_tokens_min=256",
+                                    "--answer_tokens_max=256",
+                                    "--threads=4"};
+    fleet nodes(spec);
+    const json body = {{"model", "small@1"},
+                       {"messages", json::array({{{"role", "user"}, {"content", "long"}}})},
+                       {"max_tokens", tokens},
+                       {"stream", true}};
+    const double before = cpu_of_nodes(nodes);
+    for (int i = 0; i < streams; ++i) {
+        nodes.chat(0, body);
+    }
+    print_measure("token_cpu", "-", (cpu_of_nodes(nodes) - before) / (streams * tokens) * 1e6, "-", "us");
+}
+
 // Processor time of three idle nodes by the number of engines, whose reports they read.
 void measure_upstreams(int count) {
     fleet_spec spec = measured_fleet(3);
@@ -298,6 +321,7 @@
     }
     if (what == "all" || what == "request") {
         measure_request();
+        measure_token();
     }
     if (what == "all" || what == "upstreams") {
         for (const int count : {1, 8, 24}) {
--- a/test/support/process/requests.cpp
+++ b/test/support/process/requests.cpp
@@ -40,7 +40,7 @@
 }
 
 http_answer place_order(const fleet& nodes, int index, const std::string& key, const std::string& body) {
-    return http_post(nodes.node(index), "/v1/orders/yarn_order", body,
+    return http_post(nodes.node(index), "/v1/orders/parts_order", body,
                      {{"authorization", std::string("Bearer ") + test_api_key}, {"idempotency-key", key}});
 }
 
--- a/test/support/process/requests.h
+++ b/test/support/process/requests.h
@@ -12,7 +12,7 @@
 
 /// Posts an order with the tester's key.
 http_answer place_order(const fleet& nodes, int index, const std::string& key,
-                        const std::string& body = R"({"skeins":3})");
+                        const std::string& body = R"({"units":3})");
 
 /// Returns the kind of an error answer, or an empty text where it is none.
 std::string kind_of(const http_answer& answer);
--- a/tools/quickstart.sh
+++ b/tools/quickstart.sh
@@ -118,8 +118,8 @@
 version,large@1,,,,,0.97,1000,4000,40
 upstream,engine-1,,,,,,,,,${address_of[engine-1]},domain-a,small@1;large@1,,yes
 upstream,engine-2,,,,,,,,,${address_of[engine-2]},domain-b,small@1,,yes
-upstream,shop,,,,,,,,,${address_of[shop]},domain-c,,yarn_order,no
-service,yarn_order,,,,,,,,,,,,,,no,1000
+upstream,shop,,,,,,,,,${address_of[shop]},domain-c,,parts_order,no
+service,parts_order,,,,,,,,,,,,,,no,1000
 priority,urgent,,,,,,,,460,,,,,,,,0.7
 priority,normal,,,,,,,,5000,,,,,,,,0.2
 priority,batch,,,,,,,,60000,,,,,,,,0.1
@@ -160,7 +160,7 @@
 
 order() {
     curl -sS --max-time 20 -H "Authorization: Bearer $(cat "$work/demo.key")" -H "Idempotency-Key: order-1" \
-        -d '{"skeins":3}' "http://$1/v1/orders/yarn_order"
+        -d '{"units":3}' "http://$1/v1/orders/parts_order"
 }
 
 echo "== build"
@@ -201,7 +201,7 @@
 entry=$(curl -fsS "http://${address_of[node-1]}/v1/entry")
 echo "$entry"
 first=$(grep -o '[0-9.]*:[0-9]\+' <<<"$entry" | head -n 1)
-chat "$first" "Which yarn suits socks?" 12 >"$work/chat.sse"
+chat "$first" "Which part fits?" 12 >"$work/chat.sse"
 head -n 3 "$work/chat.sse" | cut -c 1-160
 [ "$(grep -c '"content"' "$work/chat.sse")" -eq 12 ] || fail "the stream has not 12 tokens: $(cat "$work/chat.sse")"
 grep -q '^data: \[DONE\]' "$work/chat.sse" || fail "the stream is not whole"
@@ -227,7 +227,7 @@
 
 step "send two seconds of load"
 figspoke --node="${address_of[node-1]}" --keys_file="$work/demo.key" --rate=10 --duration_s=2 --answer_tokens=10 \
-    --orders=0.2 --order_service=yarn_order load | tee "$work/load.log"
+    --orders=0.2 --order_service=parts_order load | tee "$work/load.log"
 grep -q 'error' "$work/load.log" && fail "requests failed under load"
 
 step "stop a node while it streams a long answer"
