Never report a request as not run once a cascade's first step ran

Cause: found by reading. When the first step of a cascade was flagged and no upstream took the second one, the error of the second step (no_capacity, upstream_refused) said not run, although the first step had run. Such an error is now upstream_failed (unknown). Ruled out: lookups and orders, which have one step. No test of its own yet: the stand-in's answers are never flagged.

--- a/packages/node/chat_flow.cpp
+++ b/packages/node/chat_flow.cpp
@@ -120,7 +120,15 @@
     if (good && *good) {
         return {};
     }
-    return run_visible_step(node, session, session.plan.escalate_to, writer, yield);
+    auto done = run_visible_step(node, session, session.plan.escalate_to, writer, yield);
+    const bool first_ran =
+        good || core::error_answer_for(good.error().kind).execution != core::execution::not_run;
+    if (!done && first_ran &&
+        core::error_answer_for(done.error().kind).execution == core::execution::not_run) {
+        // The second step did not run, but the request did.
+        return core::fail(core::error_kind::upstream_failed, done.error().message);
+    }
+    return done;
 }
 
 state::charge make_charge(const chat_session& session) {
--- a/test/correctness/process/cli_test.cpp
+++ b/test/correctness/process/cli_test.cpp
@@ -192,7 +192,7 @@
     const auto keys = nodes.directory() + "/keys";
     write_file(keys, std::string(test_api_key) + "\n");
     const std::vector<std::string> flags = {
-        "load",         "--keys_file=" + keys,       "--rate=20", "--duration_s=7", "--answer_tokens=8",
+        "load",         "--keys_file=" + keys,        "--rate=20", "--duration_s=7", "--answer_tokens=8",
         "--orders=0.2", "--order_service=parts_order"};
     tool_run first(nodes, "first", flags, 1);
     tool_run drainer(nodes, "drainer", {"drain"}, 1);
