--- a/packages/node/cluster_loops.cpp
+++ b/packages/node/cluster_loops.cpp
@@ -67,8 +67,11 @@
     if (request.method == "append") {
         serve_append(node, request.body, [reply](const std::string& outcome) { reply(outcome); });
     } else if (request.method == "charge_copy") {
-        const bool kept = keep_charge_copy(node, request.body);
-        kept ? reply(std::string("kept")) : reply(tl::make_unexpected(std::string("no room for the copy")));
+        if (keep_charge_copy(node, request.body)) {
+            reply(std::string("kept"));
+        } else {
+            reply(tl::make_unexpected(std::string("no room for the copy")));
+        }
     } else if (request.method == "charge_drop") {
         drop_charge_copies(node, request.body);
         reply(std::string());
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -32,8 +32,8 @@
     std::string mesh_secret;
 };
 
-/// Everything that the parts of one node share. Each table has its own lock; the order in which they are
-/// taken is that of the members below, and none is held across a suspension.
+/// Everything that the parts of one node share. Each table has its own lock. The order in which they are
+/// taken stands in docs/design.md, section 8; none is held across a suspension.
 struct node_state {
     node_state(boost::asio::io_context& io, core::settings options, node_secrets keys)
         : context(io), settings(std::move(options)), secrets(std::move(keys)), client(io) {}
--- a/test/performance/fleet_measure.cpp
+++ b/test/performance/fleet_measure.cpp
@@ -107,7 +107,11 @@
             const auto answer = client.fetch(chat_call(address, i), yield);
             const double taken = core::to_seconds(steady::now() - planned) * 1000;
             const std::lock_guard lock(mutex);
-            answer && answer->status == 200 ? result.ms.push_back(taken) : void(++result.failed);
+            if (answer && answer->status == 200) {
+                result.ms.push_back(taken);
+            } else {
+                ++result.failed;
+            }
         });
     }
     std::thread second([&] { context.run(); });
