Send copies of ended nodes once a second

Cause: copies of a dead writer were sent again every 50 ms, which in an outage of the key-value service could fill a shard's waiting list (4,000 entries) and displace claims.

--- a/packages/node/charge_service.cpp
+++ b/packages/node/charge_service.cpp
@@ -21,6 +21,10 @@
 // Longer waits for a copy would delay the end of every answer while a peer is slow.
 constexpr std::chrono::milliseconds copy_timeout{250};
 constexpr std::size_t charges_per_send = 200;
+constexpr std::size_t copies_per_send = 1000;
+// Copies are sent until they are recorded. Without a pause the same ones would fill a shard's waiting list
+// during an outage and displace new claims.
+constexpr std::chrono::milliseconds copy_repeat{1000};
 
 std::uint32_t shard_count(const node_state& node) {
     return static_cast<std::uint32_t>(node.settings.journal.shards);
@@ -110,8 +114,12 @@
             due.push_back({shard, std::move(value)});
         }
     }
-    for (auto& copy : state::copies_to_book(node.charges.copies, is_gone, charges_per_send)) {
+    if (clock::now() < node.charges.copies_due) {
+        return due;
+    }
+    for (auto& copy : state::copies_to_book(node.charges.copies, is_gone, copies_per_send)) {
         due.push_back(std::move(copy));
+        node.charges.copies_due = clock::now() + copy_repeat;
     }
     return due;
 }
--- a/packages/node/charge_service.h
+++ b/packages/node/charge_service.h
@@ -11,6 +11,7 @@
 
 #include "adapters/mesh.h"
 #include "core/error.h"
+#include "core/time.h"
 #include "state/charge.h"
 #include "state/charge_copies.h"
 #include "state/unsettled.h"
@@ -30,6 +31,8 @@
     std::mutex mutex;
     state::unsettled_charges held;
     state::charge_copies copies;
+    /// When copies of ended nodes are sent to their shards again.
+    core::steady_time copies_due;
     /// The peer that keeps the copy of each held charge, by shard and sequence.
     std::map<std::pair<std::uint32_t, std::uint64_t>, adapters::mesh_peer> copy_holders;
     /// Shards and sequences of recorded charges whose copies may be dropped, by peer id.
--- a/test/correctness/tables/node_tables_test.cpp
+++ b/test/correctness/tables/node_tables_test.cpp
@@ -24,6 +24,7 @@
 
 void run_workers(const std::function<void(int worker, int round)>& work) {
     std::vector<std::thread> workers;
+    workers.reserve(worker_count);
     for (int worker = 0; worker < worker_count; ++worker) {
         workers.emplace_back([&work, worker] {
             for (int round = 0; round < rounds; ++round) {
