--- a/test/correctness/process/golden_test.cpp
+++ b/test/correctness/process/golden_test.cpp
@@ -31,7 +31,7 @@
     return spec;
 }
 
-std::string replace_all(std::string text, const std::string& pattern, const std::string& with) {
+std::string replace_all(const std::string& text, const std::string& pattern, const std::string& with) {
     return std::regex_replace(text, std::regex(pattern), with);
 }
 
