--- a/packages/core/settings.cpp
+++ b/packages/core/settings.cpp
@@ -1,157 +1,16 @@
 #include "core/settings.h"
 
-#include <algorithm>
 #include <fstream>
 #include <optional>
 #include <set>
-#include <sstream>
 
 #include <toml++/toml.h>
 
+#include "core/section_reader.h"
+
 namespace figspoke::core {
 namespace {
 
-std::string render(const toml::node& node) {
-    std::ostringstream out;
-    if (const auto* text = node.as_string()) {
-        return "\"" + text->get() + "\"";
-    }
-    node.visit([&](const auto& value) {
-        if constexpr (toml::is_value<decltype(value)>) {
-            out << value;
-        } else {
-            out << "a table or array";
-        }
-    });
-    return out.str();
-}
-
-// Reads one section key by key. The first error is kept, and every key that was asked for is remembered,
-// so that a misspelt one can be named.
-class section_reader {
-  public:
-    section_reader(const toml::table& root, std::string section, std::optional<error>& first_error)
-        : section_(std::move(section)), table_(root[section_].as_table()), first_error_(first_error) {}
-
-    ~section_reader() { report_unknown_keys(); }
-    section_reader(const section_reader&) = delete;
-    section_reader& operator=(const section_reader&) = delete;
-
-    void text(const std::string& key, std::string& into) {
-        const auto* node = find(key);
-        if (node == nullptr) {
-            return;
-        }
-        if (const auto* value = node->as_string()) {
-            into = value->get();
-        } else {
-            refuse(key, render(*node), "text in quotes");
-        }
-    }
-
-    void required_text(const std::string& key, std::string& into) {
-        text(key, into);
-        if (into.empty()) {
-            refuse(key, "\"\"", "a text that is not empty");
-        }
-    }
-
-    void integer(const std::string& key, std::int64_t min, std::int64_t max, std::int64_t& into) {
-        const auto* node = find(key);
-        if (node == nullptr) {
-            return;
-        }
-        const auto* value = node->as_integer();
-        if (value == nullptr || value->get() < min || value->get() > max) {
-            refuse(key, render(*node),
-                   "a whole number from " + std::to_string(min) + " to " + std::to_string(max));
-            return;
-        }
-        into = value->get();
-    }
-
-    template <class Duration>
-    void duration(const std::string& key, std::int64_t min, std::int64_t max, Duration& into) {
-        std::int64_t count = into.count();
-        integer(key, min, max, count);
-        into = Duration(count);
-    }
-
-    void choice(const std::string& key, const std::vector<std::string>& choices, std::string& into) {
-        text(key, into);
-        if (std::find(choices.begin(), choices.end(), into) == choices.end()) {
-            std::string names;
-            for (const auto& name : choices) {
-                names += (names.empty() ? "" : ", ") + name;
-            }
-            refuse(key, "\"" + into + "\"", "one of " + names);
-        }
-    }
-
-    void flag(const std::string& key, bool& into) {
-        const auto* node = find(key);
-        if (node == nullptr) {
-            return;
-        }
-        if (const auto* value = node->as_boolean()) {
-            into = value->get();
-        } else {
-            refuse(key, render(*node), "true or false");
-        }
-    }
-
-    void texts(const std::string& key, std::vector<std::string>& into) {
-        const auto* node = find(key);
-        if (node == nullptr) {
-            return;
-        }
-        const auto* values = node->as_array();
-        if (values == nullptr || !values->is_homogeneous<std::string>()) {
-            if (values == nullptr || !values->empty()) {
-                refuse(key, render(*node), "an array of texts");
-            }
-            return;
-        }
-        for (const auto& value : *values) {
-            into.push_back(value.as_string()->get());
-        }
-    }
-
-  private:
-    const toml::node* find(const std::string& key) {
-        known_.insert(key);
-        return table_ == nullptr ? nullptr : table_->get(key);
-    }
-
-    void refuse(const std::string& key, const std::string& value, const std::string& accepted) {
-        if (!first_error_) {
-            first_error_ = error{error_kind::bad_request,
-                                 "setting " + section_ + "." + key + " has the value " + value +
-                                     "; accepted is " + accepted,
-                                 std::nullopt};
-        }
-    }
-
-    void report_unknown_keys() {
-        if (table_ == nullptr || first_error_) {
-            return;
-        }
-        for (const auto& [key, value] : *table_) {
-            const std::string name(key.str());
-            if (known_.count(name) == 0) {
-                first_error_ = error{error_kind::bad_request,
-                                     "setting " + section_ + "." + name + " does not exist", std::nullopt};
-                return;
-            }
-        }
-    }
-
-    std::string section_;
-    const toml::table* table_;
-    std::optional<error>& first_error_;
-    std::set<std::string> known_;
-};
-
 constexpr std::int64_t max_ms = 3600 * 1000;
 
 void read_node(const toml::table& root, settings& into, std::optional<error>& first) {
@@ -218,18 +77,8 @@
     log.choice("level", {"debug", "info", "warn", "error"}, into.log.level);
 }
 
-std::optional<error> find_unknown_section(const toml::table& root) {
-    static const std::set<std::string> known = {"node",   "mesh",   "platform", "journal",
-                                                "policy", "limits", "secrets",  "log"};
-    for (const auto& [key, value] : root) {
-        const std::string name(key.str());
-        if (known.count(name) == 0) {
-            return error{error_kind::bad_request, "settings section [" + name + "] does not exist",
-                         std::nullopt};
-        }
-    }
-    return std::nullopt;
-}
+const std::set<std::string> known_sections = {"node",   "mesh",   "platform", "journal",
+                                              "policy", "limits", "secrets",  "log"};
 
 } // namespace
 
@@ -238,7 +87,7 @@
     std::optional<error> first;
     try {
         const toml::table root = toml::parse(text);
-        first = find_unknown_section(root);
+        first = find_unknown_section(root, known_sections);
         read_node(root, parsed, first);
         read_mesh(root, parsed, first);
         read_platform(root, parsed, first);
@@ -257,13 +106,11 @@
 }
 
 result<settings> load_settings(const std::string& path) {
-    std::ifstream file(path);
-    if (!file) {
-        return fail(error_kind::not_found, "settings file \"" + path + "\" can't be read");
+    const auto text = read_settings_file(path);
+    if (!text) {
+        return tl::make_unexpected(text.error());
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return parse_settings(text.str());
+    return parse_settings(*text);
 }
 
 result<std::string> read_secret(const std::string& path) {
--- a/packages/node/error_reply.cpp
+++ b/packages/node/error_reply.cpp
@@ -1,12 +1,11 @@
 #include "node/error_reply.h"
 
-#include <nlohmann/json.hpp>
+#include "core/error_json.h"
 
 namespace figspoke::node {
 namespace {
 
 using core::error_kind;
-using nlohmann::json;
 
 error_kind kind_of_status(int status) {
     switch (status) {
@@ -22,32 +21,13 @@
     }
 }
 
-std::optional<std::chrono::milliseconds> retry_time(const core::error& cause) {
-    return cause.retry_after ? cause.retry_after : core::error_answer_for(cause.kind).retry_after;
-}
-
 } // namespace
 
-std::string render_error(const core::error& cause, const std::vector<std::string>& addresses) {
-    const auto& answer = core::error_answer_for(cause.kind);
-    json body = {{"kind", answer.name},
-                 {"message", cause.message},
-                 {"execution", core::to_string(answer.execution)},
-                 {"retry_after_ms", nullptr}};
-    if (const auto retry = retry_time(cause)) {
-        body["retry_after_ms"] = retry->count();
-    }
-    if (!addresses.empty()) {
-        body["addresses"] = addresses;
-    }
-    return json{{"error", body}}.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 adapters::http_reply error_reply(const core::error& cause, const std::vector<std::string>& addresses) {
     adapters::http_reply reply{core::error_answer_for(cause.kind).http_status,
                                {{"content-type", "application/json"}},
-                               render_error(cause, addresses)};
-    if (const auto retry = retry_time(cause)) {
+                               core::render_error(cause, addresses)};
+    if (const auto retry = core::retry_time(cause)) {
         const auto whole = std::chrono::ceil<std::chrono::seconds>(*retry);
         reply.headers["retry-after"] = std::to_string(whole.count());
     }
--- a/packages/node/error_reply.h
+++ b/packages/node/error_reply.h
@@ -5,11 +5,11 @@
 
 #include "adapters/http_types.h"
 #include "core/error.h"
+#include "core/error_json.h"
 
 namespace figspoke::node {
 
-/// Renders an error as the JSON body that every caller gets. `addresses` name nodes to try instead.
-std::string render_error(const core::error& cause, const std::vector<std::string>& addresses = {});
+using core::render_error;
 
 /// Builds the whole HTTP answer for an error.
 adapters::http_reply error_reply(const core::error& cause, const std::vector<std::string>& addresses = {});
--- /dev/null
+++ b/packages/policy/crash_ledger.cpp
@@ -0,0 +1,56 @@
+#include "policy/crash_ledger.h"
+
+#include <algorithm>
+
+namespace figspoke::policy {
+namespace {
+
+core::steady_time latest(const std::vector<seen_crash>& crashes) {
+    return std::max_element(crashes.begin(), crashes.end(), [](const seen_crash& a, const seen_crash& b) {
+               return a.at < b.at;
+           })->at;
+}
+
+void drop_oldest(crash_ledger& ledger) {
+    const auto oldest = std::min_element(
+        ledger.crashes.begin(), ledger.crashes.end(),
+        [](const auto& a, const auto& b) { return latest(a.second) < latest(b.second); });
+    ledger.crashes.erase(oldest);
+}
+
+} // namespace
+
+bool record_crash(crash_ledger& ledger, const crash_ledger_settings& settings, std::uint64_t fingerprint,
+                  const std::string& upstream, core::steady_time at) {
+    auto& crashes = ledger.crashes[fingerprint];
+    const bool known = std::any_of(crashes.begin(), crashes.end(), [&](const seen_crash& one) {
+        const auto apart = one.at < at ? at - one.at : one.at - at;
+        return one.upstream == upstream && apart < settings.same_crash;
+    });
+    if (known) {
+        return false;
+    }
+    crashes.push_back({upstream, at});
+    if (ledger.crashes.size() > settings.max_fingerprints) {
+        drop_oldest(ledger);
+    }
+    return true;
+}
+
+std::size_t crash_count(const crash_ledger& ledger, std::uint64_t fingerprint) {
+    const auto found = ledger.crashes.find(fingerprint);
+    return found == ledger.crashes.end() ? 0 : found->second.size();
+}
+
+bool is_refused(const crash_ledger& ledger, const crash_ledger_settings& settings,
+                std::uint64_t fingerprint) {
+    return crash_count(ledger, fingerprint) >= settings.refuse_after;
+}
+
+void expire_crashes(crash_ledger& ledger, const crash_ledger_settings& settings, core::steady_time now) {
+    for (auto it = ledger.crashes.begin(); it != ledger.crashes.end();) {
+        it = now - latest(it->second) > settings.expiry ? ledger.crashes.erase(it) : std::next(it);
+    }
+}
+
+} // namespace figspoke::policy
--- /dev/null
+++ b/packages/policy/relay_choice.cpp
@@ -0,0 +1,116 @@
+#include "policy/relay_choice.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "core/hash.h"
+
+namespace figspoke::policy {
+namespace {
+
+using candidates_view = std::vector<const relay_candidate*>;
+
+double load_per_slot(const relay_candidate& candidate) {
+    return double(candidate.load) / double(std::max(candidate.slots, 1));
+}
+
+bool was_tried(const relay_wish& wish, const relay_candidate& candidate) {
+    return std::find(wish.tried.begin(), wish.tried.end(), candidate.id) != wish.tried.end();
+}
+
+bool has_room(const relay_candidate& candidate, const relay_choice_settings& settings) {
+    return !candidate.backing_off && candidate.load < int(settings.fill_limit * candidate.slots);
+}
+
+double cost_of(const relay_candidate& candidate, const relay_choice_settings& settings,
+               const relay_wish& wish) {
+    const bool near = candidate.failure_domain == wish.failure_domain;
+    return load_per_slot(candidate) - (near ? settings.domain_preference : 0.0);
+}
+
+std::uint64_t owner_weight(std::uint64_t prefix, const std::string& id) {
+    return core::stable_hash(std::to_string(prefix) + '/' + id);
+}
+
+// The owner keeps a request while its load is near the mean; else the next in rendezvous order, so that an
+// overflowing prefix is read by one further upstream and not by all.
+std::optional<relay_choice> choose_by_prefix(candidates_view open, const relay_choice_settings& settings,
+                                             const relay_wish& wish) {
+    double total = 0;
+    for (const auto* candidate : open) {
+        total += candidate->load;
+    }
+    const double bound =
+        settings.affinity_bound * total / double(open.size()) + double(settings.affinity_slack);
+    std::sort(open.begin(), open.end(), [&](const relay_candidate* a, const relay_candidate* b) {
+        return owner_weight(wish.prefix, a->id) > owner_weight(wish.prefix, b->id);
+    });
+    for (std::size_t i = 0; i < open.size(); ++i) {
+        if (open[i]->load <= bound) {
+            const auto reason = i == 0 ? relay_reason::prefix_owner : relay_reason::prefix_overflow;
+            return relay_choice{open[i]->id, reason, open[i]->load};
+        }
+    }
+    return std::nullopt;
+}
+
+relay_choice choose_better_of_two(const candidates_view& open, const relay_choice_settings& settings,
+                                  const relay_wish& wish, relay_reason reason) {
+    const auto pick = [&](double draw) {
+        return open[std::min(std::size_t(draw * double(open.size())), open.size() - 1)];
+    };
+    const auto* first = pick(wish.first);
+    const auto* second = pick(wish.second);
+    const auto* best = cost_of(*second, settings, wish) < cost_of(*first, settings, wish) ? second : first;
+    return {best->id, reason, best->load};
+}
+
+} // namespace
+
+relay_choice choose_relay_upstream(const std::vector<relay_candidate>& candidates,
+                                   const relay_choice_settings& settings, const relay_wish& wish) {
+    candidates_view open;
+    candidates_view suspects;
+    bool any = false;
+    for (const auto& candidate : candidates) {
+        if (was_tried(wish, candidate)) {
+            continue;
+        }
+        any = true;
+        if (has_room(candidate, settings)) {
+            (candidate.suspect ? suspects : open).push_back(&candidate);
+        }
+    }
+    if (!open.empty()) {
+        if (wish.prefix != 0) {
+            if (auto owner = choose_by_prefix(open, settings, wish)) {
+                return *owner;
+            }
+        }
+        return choose_better_of_two(open, settings, wish, relay_reason::two_choices);
+    }
+    if (!suspects.empty()) {
+        return choose_better_of_two(suspects, settings, wish, relay_reason::last_resort);
+    }
+    return {{}, any ? relay_reason::full : relay_reason::none, 0};
+}
+
+std::string_view to_string(relay_reason value) {
+    switch (value) {
+    case relay_reason::prefix_owner:
+        return "prefix_owner";
+    case relay_reason::prefix_overflow:
+        return "prefix_overflow";
+    case relay_reason::two_choices:
+        return "two_choices";
+    case relay_reason::last_resort:
+        return "last_resort";
+    case relay_reason::full:
+        return "full";
+    case relay_reason::none:
+        break;
+    }
+    return "none";
+}
+
+} // namespace figspoke::policy
--- /dev/null
+++ b/packages/policy/relay_outcome.cpp
@@ -0,0 +1,85 @@
+#include "policy/relay_outcome.h"
+
+#include <algorithm>
+
+namespace figspoke::policy {
+namespace {
+
+bool left_no_trace(const send_record& send) {
+    return send.result == send_result::not_sent || send.result == send_result::refused;
+}
+
+} // namespace
+
+int attempts_used(const send_history& history) {
+    return static_cast<int>(
+        std::count_if(history.sends.begin(), history.sends.end(),
+                      [](const send_record& send) { return send.result != send_result::not_sent; }));
+}
+
+bool never_ran(const send_history& history) {
+    return std::all_of(history.sends.begin(), history.sends.end(), left_no_trace);
+}
+
+bool may_send_again(const send_history& history) {
+    if (attempts_used(history) >= history.max_attempts) {
+        return false;
+    }
+    if (history.repeat == state::repeat_rule::at_most_once) {
+        return never_ran(history);
+    }
+    // Only a stream with event ids can go on after the caller has seen a part of the answer.
+    return !history.answer_begun || history.repeat == state::repeat_rule::resumable;
+}
+
+core::error_kind final_error(const send_history& history, end_cause cause) {
+    if (!never_ran(history)) {
+        return cause == end_cause::deadline ? core::error_kind::deadline_exceeded
+                                            : core::error_kind::upstream_failed;
+    }
+    switch (cause) {
+    case end_cause::deadline:
+    case end_cause::refused_at_once:
+        return core::error_kind::deadline_unreachable;
+    case end_cause::no_upstream:
+        return core::error_kind::no_capacity;
+    case end_cause::out_of_budget:
+    case end_cause::no_more_attempts:
+        break;
+    }
+    return core::error_kind::overloaded;
+}
+
+std::string_view to_string(send_result value) {
+    switch (value) {
+    case send_result::not_sent:
+        return "not_sent";
+    case send_result::refused:
+        return "refused";
+    case send_result::unknown:
+        return "unknown";
+    case send_result::succeeded:
+        return "succeeded";
+    case send_result::failed:
+        break;
+    }
+    return "failed";
+}
+
+std::string_view to_string(end_cause value) {
+    switch (value) {
+    case end_cause::no_upstream:
+        return "no_upstream";
+    case end_cause::deadline:
+        return "deadline";
+    case end_cause::out_of_budget:
+        return "out_of_budget";
+    case end_cause::no_more_attempts:
+        return "no_more_attempts";
+    case end_cause::refused_at_once:
+        break;
+    }
+    return "refused_at_once";
+}
+
+} // namespace figspoke::policy
--- /dev/null
+++ b/packages/policy/rollout_plan.cpp
@@ -0,0 +1,40 @@
+#include "policy/rollout_plan.h"
+
+#include <algorithm>
+
+namespace figspoke::policy {
+namespace {
+
+// Time at the full share in which a fault that only shows under load becomes visible.
+constexpr core::milliseconds least_at_full{1500};
+
+double part_elapsed(const rollout_clock& clock) {
+    return clock.duration > core::nanoseconds(0)
+               ? core::to_seconds(clock.elapsed) / core::to_seconds(clock.duration)
+               : 1.0;
+}
+
+} // namespace
+
+double planned_share(const rollout_clock& clock, rollout_verdict verdict, double exposure_share,
+                     const rollout_plan_settings& settings) {
+    const double trial = std::min(settings.trial_part * exposure_share, settings.max_trial_share);
+    if (verdict == rollout_verdict::bad) {
+        return 0;
+    }
+    const double part = part_elapsed(clock);
+    if (part < settings.trial_end || verdict != rollout_verdict::good) {
+        return trial;
+    }
+    return part < settings.full_from ? std::max(trial, settings.middle_share) : 1.0;
+}
+
+bool may_complete(const rollout_clock& clock, rollout_verdict verdict, core::nanoseconds at_full_share,
+                  int requests_on_old, const rollout_plan_settings& settings) {
+    if (verdict != rollout_verdict::good || at_full_share < least_at_full) {
+        return false;
+    }
+    return requests_on_old == 0 || part_elapsed(clock) >= settings.last_call;
+}
+
+} // namespace figspoke::policy
--- /dev/null
+++ b/packages/policy/version_counts.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace figspoke::policy {
+
+/// How the requests to one version of a service ended, as totals since the start of a process.
+struct version_counts {
+    std::uint64_t sent = 0;
+    std::uint64_t good = 0;
+    /// Failures that the upstream answered or caused.
+    std::uint64_t bad = 0;
+    /// Answers that began later than their latency target.
+    std::uint64_t slow = 0;
+    /// Sum of the times to the first byte of good answers, in milliseconds.
+    std::uint64_t first_byte_ms = 0;
+};
+
+/// Counts by service and version.
+using version_key = std::pair<std::string, std::string>;
+using version_counts_table = std::map<version_key, version_counts>;
+
+/// Adds `more` to `total`.
+inline void add_counts(version_counts& total, const version_counts& more) {
+    total.sent += more.sent;
+    total.good += more.good;
+    total.bad += more.bad;
+    total.slow += more.slow;
+    total.first_byte_ms += more.first_byte_ms;
+}
+
+} // namespace figspoke::policy
--- /dev/null
+++ b/packages/relay/beat.cpp
@@ -0,0 +1,181 @@
+#include "relay/beat.h"
+
+#include <nlohmann/json.hpp>
+
+namespace figspoke::relay {
+namespace {
+
+using nlohmann::json;
+
+constexpr int beat_format = 1;
+
+json member_json(const state::member_entry& entry) {
+    return json::array({entry.id, entry.http_address, entry.mesh_address, entry.failure_domain,
+                        entry.incarnation, entry.heartbeat, static_cast<int>(entry.state), entry.load});
+}
+
+state::member_entry member_of(const json& value) {
+    state::member_entry entry;
+    entry.id = value.at(0).get<std::string>();
+    entry.http_address = value.at(1).get<std::string>();
+    entry.mesh_address = value.at(2).get<std::string>();
+    entry.failure_domain = value.at(3).get<std::string>();
+    entry.incarnation = value.at(4).get<std::uint64_t>();
+    entry.heartbeat = value.at(5).get<std::uint64_t>();
+    const int state = value.at(6).get<int>();
+    if (state < 0 || state > static_cast<int>(state::member_state::left)) {
+        throw std::invalid_argument("member state out of range");
+    }
+    entry.state = static_cast<state::member_state>(state);
+    entry.load = value.at(7).get<std::uint8_t>();
+    return entry;
+}
+
+rollout_state rollout_state_of(int number) {
+    if (number < 0 || number > static_cast<int>(rollout_state::reverted)) {
+        throw std::invalid_argument("roll-out state out of range");
+    }
+    return static_cast<rollout_state>(number);
+}
+
+json documents_json(const beat& message) {
+    json list = json::array();
+    for (const auto& claim : message.documents) {
+        list.push_back({claim.at, claim.hash, claim.age.count()});
+    }
+    return list;
+}
+
+json lists_json(const beat& message) {
+    json uses = json::array();
+    for (const auto& [id, use] : message.uses) {
+        uses.push_back({id, use.requests, use.tokens});
+    }
+    json versions = json::array();
+    for (const auto& [key, counts] : message.versions) {
+        versions.push_back({key.first, key.second, counts.sent, counts.good, counts.bad, counts.slow,
+                            counts.first_byte_ms});
+    }
+    json crashes = json::array();
+    for (const auto& mark : message.crashes) {
+        crashes.push_back({mark.fingerprint, mark.upstream, mark.age.count()});
+    }
+    json rollouts = json::array();
+    for (const auto& mark : message.rollouts) {
+        rollouts.push_back({mark.service, mark.order, static_cast<int>(mark.state), mark.stopped, mark.written,
+                            mark.elapsed.count()});
+    }
+    json members = json::array();
+    for (const auto& member : message.members) {
+        members.push_back({member_json(member.entry), member.silence.count()});
+    }
+    return {{"u", std::move(uses)},
+            {"c", std::move(versions)},
+            {"k", std::move(crashes)},
+            {"r", std::move(rollouts)},
+            {"m", std::move(members)}};
+}
+
+void read_lists(const json& value, beat& message) {
+    for (const auto& use : value.at("u")) {
+        message.uses[use.at(0).get<std::string>()] = {use.at(1).get<int>(), use.at(2).get<std::int64_t>()};
+    }
+    for (const auto& one : value.at("c")) {
+        auto& counts = message.versions[{one.at(0).get<std::string>(), one.at(1).get<std::string>()}];
+        counts = {one.at(2).get<std::uint64_t>(), one.at(3).get<std::uint64_t>(),
+                  one.at(4).get<std::uint64_t>(), one.at(5).get<std::uint64_t>(),
+                  one.at(6).get<std::uint64_t>()};
+    }
+    for (const auto& mark : value.at("k")) {
+        message.crashes.push_back({mark.at(0).get<std::uint64_t>(), mark.at(1).get<std::string>(),
+                                   core::milliseconds(mark.at(2).get<std::int64_t>())});
+    }
+    for (const auto& mark : value.at("r")) {
+        message.rollouts.push_back({mark.at(0).get<std::string>(), mark.at(1).get<std::uint64_t>(),
+                                    rollout_state_of(mark.at(2).get<int>()), mark.at(3).get<bool>(),
+                                    mark.at(4).get<bool>(),
+                                    core::milliseconds(mark.at(5).get<std::int64_t>())});
+    }
+    for (const auto& member : value.at("m")) {
+        message.members.push_back(
+            {member_of(member.at(0)), core::milliseconds(member.at(1).get<std::int64_t>())});
+    }
+}
+
+beat read_beat(const json& value) {
+    beat message;
+    if (value.at("v").get<int>() != beat_format) {
+        throw std::invalid_argument("unknown format of a beat");
+    }
+    message.sender = member_of(value.at("s"));
+    message.stamp = value.at("t").get<std::int64_t>();
+    if (const auto echo = value.find("e"); echo != value.end()) {
+        message.echoed_stamp = echo->at(0).get<std::int64_t>();
+        message.echo_held = std::chrono::microseconds(echo->at(1).get<std::int64_t>());
+    }
+    const auto& documents = value.at("d");
+    for (std::size_t i = 0; i < document_count; ++i) {
+        const auto& claim = documents.at(i);
+        message.documents.at(i) = {claim.at(0).get<std::uint64_t>(), claim.at(1).get<std::uint64_t>(),
+                                   core::milliseconds(claim.at(2).get<std::int64_t>())};
+    }
+    read_lists(value, message);
+    return message;
+}
+
+std::string to_bytes(const json& value) {
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
+}
+
+} // namespace
+
+std::string encode_beat(const beat& message) {
+    json value = lists_json(message);
+    value["v"] = beat_format;
+    value["s"] = member_json(message.sender);
+    value["t"] = message.stamp;
+    value["d"] = documents_json(message);
+    if (message.echoed_stamp) {
+        value["e"] = json::array({*message.echoed_stamp, message.echo_held.count()});
+    }
+    return to_bytes(value);
+}
+
+std::optional<beat> decode_beat(std::string_view bytes) {
+    try {
+        return read_beat(json::from_cbor(bytes.begin(), bytes.end()));
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encode_document(const state::document_content& content, core::milliseconds age) {
+    json items = json::array();
+    for (const auto& item : content.items) {
+        items.push_back({item.key, json::binary({item.value.begin(), item.value.end()}), item.revision});
+    }
+    return to_bytes(
+        {{"at", content.at}, {"hash", content.hash}, {"age", age.count()}, {"items", std::move(items)}});
+}
+
+std::optional<std::pair<state::document_content, core::milliseconds>>
+decode_document(std::string_view bytes) {
+    try {
+        const json value = json::from_cbor(bytes.begin(), bytes.end());
+        state::document_content content;
+        content.at = value.at("at").get<std::uint64_t>();
+        content.hash = value.at("hash").get<std::uint64_t>();
+        for (const auto& item : value.at("items")) {
+            const auto& binary = item.at(1).get_binary();
+            content.items.push_back({item.at(0).get<std::string>(), std::string(binary.begin(), binary.end()),
+                                     item.at(2).get<std::uint64_t>()});
+        }
+        return std::make_pair(std::move(content), core::milliseconds(value.at("age").get<std::int64_t>()));
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/beat.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core/time.h"
+#include "policy/version_counts.h"
+#include "relay/rollout_state.h"
+#include "state/membership.h"
+#include "state/shared_document.h"
+
+namespace figspoke::relay {
+
+/// The documents that nodes share.
+enum class document_kind : std::uint8_t { operator_config, registry };
+inline constexpr std::size_t document_count = 2;
+
+/// One node's own requests on an upstream.
+struct upstream_use {
+    int requests = 0;
+    /// Prompt and output tokens of these requests.
+    std::int64_t tokens = 0;
+};
+
+/// A request of this fingerprint was running on an upstream that crashed.
+struct crash_mark {
+    std::uint64_t fingerprint = 0;
+    std::string upstream;
+    core::milliseconds age{0};
+};
+
+/// What a node knows of a roll-out.
+struct rollout_mark {
+    std::string service;
+    /// Revision of the operator's order.
+    std::uint64_t order = 0;
+    rollout_state state = rollout_state::in_progress;
+    bool stopped = false;
+    /// Whether the store holds a status for the order.
+    bool written = false;
+    core::milliseconds elapsed{0};
+};
+
+/// A member as a beat relays it.
+struct relayed_member {
+    state::member_entry entry;
+    core::milliseconds silence{0};
+};
+
+/// What nodes send each other several times a second.
+struct beat {
+    state::member_entry sender;
+    /// Clock of the sender, in microseconds; meaningful to the sender only.
+    std::int64_t stamp = 0;
+    /// The receiver's last stamp that arrived at the sender, and how long ago.
+    std::optional<std::int64_t> echoed_stamp;
+    std::chrono::microseconds echo_held{0};
+    std::array<state::document_claim, document_count> documents;
+    std::map<std::string, upstream_use> uses;
+    policy::version_counts_table versions;
+    std::vector<crash_mark> crashes;
+    std::vector<rollout_mark> rollouts;
+    std::vector<relayed_member> members;
+};
+
+/// Renders a beat as CBOR.
+std::string encode_beat(const beat& message);
+
+/// Parses a beat; empty where the bytes aren't one.
+std::optional<beat> decode_beat(std::string_view bytes);
+
+/// Renders a document with the age of its confirmation.
+std::string encode_document(const state::document_content& content, core::milliseconds age);
+
+/// Parses a document; empty where the bytes aren't one.
+std::optional<std::pair<state::document_content, core::milliseconds>>
+decode_document(std::string_view bytes);
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/boot_clock.cpp
@@ -0,0 +1,13 @@
+#include "relay/boot_clock.h"
+
+#include <ctime>
+
+namespace figspoke::relay {
+
+core::steady_time boot_now() {
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return core::steady_time(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/caller_connection.cpp
@@ -0,0 +1,459 @@
+#include "relay/caller_connection.h"
+
+#include <cerrno>
+#include <set>
+#include <stdexcept>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "adapters/await.h"
+#include "core/error_json.h"
+#include "relay/watchdog.h"
+
+namespace figspoke::relay {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+// A caller that reads nothing for this long is taken for gone; it covers a lost packet and its repeats.
+constexpr core::milliseconds write_timeout{10000};
+// Time for a body once its head is read.
+constexpr core::milliseconds body_timeout{20000};
+// The kernel gives a connection up after this long without an acknowledgement.
+constexpr int user_timeout_ms = 10000;
+// Pause after a failed accept, for example for want of descriptors.
+constexpr core::milliseconds accept_pause{20};
+
+using parser_type = http::request_parser<http::string_body>;
+
+struct server_shared {
+    caller_server_hooks hooks;
+    std::size_t max_connections = 0;
+    std::size_t body_budget = 0;
+    std::size_t body_bytes = 0;
+    std::size_t running = 0;
+    std::set<class connection*> connections;
+};
+
+template <class Fields>
+header_list copy_fields(const Fields& fields) {
+    header_list headers;
+    for (const auto& field : fields) {
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    return headers;
+}
+
+int status_of(const beast::error_code& code, bool timed_out) {
+    if (timed_out) {
+        return 408;
+    }
+    if (code == http::error::header_limit || code == http::error::buffer_overflow) {
+        return 431;
+    }
+    return code == http::error::body_limit ? 413 : 400;
+}
+
+core::error_kind kind_of(int status) {
+    switch (status) {
+    case 408:
+        return core::error_kind::request_timeout;
+    case 413:
+    case 431:
+        return core::error_kind::payload_too_large;
+    case 503:
+        return core::error_kind::overloaded;
+    default:
+        return core::error_kind::bad_request;
+    }
+}
+
+// Any other transfer coding leaves the length of the body open, which lets a caller hide a request in it.
+bool framing_is_clear(const parser_type& parser) {
+    const auto range = parser.get().equal_range(http::field::transfer_encoding);
+    int codings = 0;
+    for (auto it = range.first; it != range.second; ++it) {
+        ++codings;
+        if (!beast::iequals(it->value(), "chunked")) {
+            return false;
+        }
+    }
+    const auto lengths = parser.get().equal_range(http::field::content_length);
+    const auto length_count = std::distance(lengths.first, lengths.second);
+    return codings <= 1 && length_count <= 1 && (codings == 0 || length_count == 0);
+}
+
+class connection final : public caller_exchange, public std::enable_shared_from_this<connection> {
+  public:
+    connection(tcp::socket socket, std::shared_ptr<server_shared> shared)
+        : socket_(std::move(socket)), watchdog_(socket_), shared_(std::move(shared)) {
+        shared_->connections.insert(this);
+    }
+
+    ~connection() override { shared_->connections.erase(this); }
+
+    void run(const asio::yield_context& yield) {
+        yield_ = &yield;
+        set_options();
+        while (socket_.is_open() && serve_one()) {
+        }
+        close();
+    }
+
+    bool idle() const { return !busy_; }
+
+    void close() {
+        beast::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_both, ignored);
+        socket_.close(ignored);
+    }
+
+    const request_head& head() const override { return head_; }
+    std::shared_ptr<const std::string> body() const override { return body_; }
+    bool gone() const override { return gone_; }
+    void on_gone(std::function<void()> handler) override { on_gone_ = std::move(handler); }
+    const asio::yield_context& yield() const override { return *yield_; }
+
+    bool send(const caller_answer& answer) override {
+        http::response<http::string_body> message;
+        set_head(message, answer.status, answer.headers);
+        message.body() = answer.body;
+        message.content_length(answer.body.size());
+        if (is_head_request() || answer.status == 204 || answer.status == 304) {
+            message.body().clear();
+        }
+        beast::error_code code;
+        watchdog_.arm(write_timeout);
+        http::async_write(socket_, message, (*yield_)[code]);
+        return finish(!code);
+    }
+
+    bool begin(int status, const header_list& headers) override {
+        http::response<http::empty_body> message;
+        set_head(message, status, headers);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer(message);
+        beast::error_code code;
+        watchdog_.arm(write_timeout);
+        http::async_write_header(socket_, serializer, (*yield_)[code]);
+        return check_write(code);
+    }
+
+    bool write(std::string_view piece) override {
+        beast::error_code code;
+        watchdog_.arm(write_timeout);
+        asio::async_write(socket_, http::make_chunk(asio::buffer(piece.data(), piece.size())),
+                          (*yield_)[code]);
+        return check_write(code);
+    }
+
+    bool end() override {
+        beast::error_code code;
+        watchdog_.arm(write_timeout);
+        asio::async_write(socket_, http::make_chunk_last(), (*yield_)[code]);
+        return finish(!code);
+    }
+
+  private:
+    void set_options() {
+        beast::error_code ignored;
+        socket_.set_option(tcp::no_delay(true), ignored);
+        const int timeout = user_timeout_ms;
+        ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    }
+
+    // Waits for a first byte, so that the time for the head runs from there.
+    bool wait_for_request(const state::input_limits& limits) {
+        if (buffer_.size() > 0) {
+            return true;
+        }
+        beast::error_code code;
+        watchdog_.arm(limits.idle_timeout);
+        socket_.async_wait(tcp::socket::wait_read, (*yield_)[code]);
+        return !code;
+    }
+
+    bool serve_one() {
+        const auto limits = shared_->hooks.limits();
+        if (!wait_for_request(limits)) {
+            return false;
+        }
+        busy_ = true;
+        ++shared_->running;
+        const bool go_on = read_and_serve(limits);
+        --shared_->running;
+        busy_ = false;
+        return go_on;
+    }
+
+    bool read_and_serve(const state::input_limits& limits) {
+        parser_type parser;
+        parser.header_limit(limits.header_bytes);
+        parser.body_limit(limits.body_bytes);
+        beast::error_code code;
+        watchdog_.arm(limits.header_timeout);
+        http::async_read_header(socket_, buffer_, parser, (*yield_)[code]);
+        if (code == http::error::end_of_stream || (code && !socket_.is_open() && !watchdog_.expired())) {
+            return false;
+        }
+        if (code) {
+            return refuse(code, "head");
+        }
+        if (!framing_is_clear(parser)) {
+            return refuse_with(400, "the framing of the body is ambiguous");
+        }
+        return read_body(parser) && serve(parser);
+    }
+
+    bool read_body(parser_type& parser) {
+        const auto announced = parser.content_length().value_or(0);
+        if (shared_->body_bytes + announced > shared_->body_budget) {
+            return refuse_with(503, "the memory for bodies is used up");
+        }
+        beast::error_code code;
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+            static const std::string go_ahead = "HTTP/1.1 100 Continue\r\n\r\n";
+            asio::async_write(socket_, asio::buffer(go_ahead), (*yield_)[code]);
+        }
+        watchdog_.arm(body_timeout);
+        if (!parser.is_done()) {
+            http::async_read(socket_, buffer_, parser, (*yield_)[code]);
+        }
+        watchdog_.disarm();
+        return !code || refuse(code, "body");
+    }
+
+    bool serve(parser_type& parser) {
+        auto message = parser.release();
+        head_ = request_head{std::string(message.method_string()), std::string(message.target()),
+                             copy_fields(message.base()), message.keep_alive()};
+        auto whole = std::make_shared<std::string>(std::move(message.body()));
+        const auto size = whole->size();
+        shared_->body_bytes += size;
+        body_ = std::move(whole);
+        finished_ = false;
+        begin_watch();
+        shared_->hooks.serve(*this);
+        end_watch();
+        body_.reset();
+        shared_->body_bytes -= size;
+        return finished_ && keep_alive();
+    }
+
+    // A caller that leaves shows as the end of its bytes. Bytes of a next request end the watch, as they
+    // stay unread until this one is answered.
+    void begin_watch() {
+        gone_ = false;
+        on_gone_ = nullptr;
+        watching_ = true;
+        socket_.async_wait(tcp::socket::wait_read,
+                           [self = shared_from_this(), turn = ++watch_turn_](const beast::error_code& code) {
+                               self->note_readable(code, turn);
+                           });
+    }
+
+    void note_readable(const beast::error_code& code, std::uint64_t turn) {
+        if (!watching_ || turn != watch_turn_ || code == asio::error::operation_aborted) {
+            return;
+        }
+        char byte = 0;
+        const auto size = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool closed = size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+        if (code || closed) {
+            note_gone();
+        }
+    }
+
+    void note_gone() {
+        if (gone_) {
+            return;
+        }
+        gone_ = true;
+        if (const auto handler = std::move(on_gone_)) {
+            handler();
+        }
+    }
+
+    void end_watch() {
+        watching_ = false;
+        on_gone_ = nullptr;
+        beast::error_code ignored;
+        if (socket_.is_open()) {
+            socket_.cancel(ignored);
+        }
+    }
+
+    template <class Message>
+    void set_head(Message& message, int status, const header_list& headers) {
+        message.result(static_cast<unsigned>(status));
+        message.version(11);
+        for (const auto& [name, value] : headers) {
+            message.insert(name, value);
+        }
+        closing_ = closing_ || shared_->hooks.leaving();
+        message.keep_alive(keep_alive());
+    }
+
+    bool keep_alive() const { return head_.keep_alive && !closing_; }
+
+    bool is_head_request() const { return head_.method == "HEAD"; }
+
+    bool check_write(const beast::error_code& code) {
+        watchdog_.disarm();
+        if (code) {
+            note_gone();
+        }
+        return !code;
+    }
+
+    bool finish(bool written) {
+        watchdog_.disarm();
+        finished_ = written;
+        return written;
+    }
+
+    bool refuse(const beast::error_code& code, const char* part) {
+        if (code == asio::error::operation_aborted && !watchdog_.expired()) {
+            return false;
+        }
+        if (watchdog_.expired() || code == asio::error::eof || code == asio::error::connection_reset ||
+            code == http::error::partial_message) {
+            shared_->hooks.refused(408, std::string(part) + " did not arrive: " + code.message());
+            return false;
+        }
+        return refuse_with(status_of(code, watchdog_.expired()), code.message());
+    }
+
+    // The rest of what the caller sent can't be trusted to begin a request, so the connection ends.
+    bool refuse_with(int status, const std::string& reason) {
+        shared_->hooks.refused(status, reason);
+        head_ = request_head{};
+        closing_ = true;
+        caller_answer answer{status,
+                             {{"Content-Type", "application/json"}},
+                             core::render_error({kind_of(status), reason, std::nullopt})};
+        send(answer);
+        return false;
+    }
+
+    tcp::socket socket_;
+    watchdog watchdog_;
+    std::shared_ptr<server_shared> shared_;
+    beast::flat_buffer buffer_;
+    const asio::yield_context* yield_ = nullptr;
+    request_head head_;
+    std::shared_ptr<const std::string> body_;
+    std::function<void()> on_gone_;
+    std::uint64_t watch_turn_ = 0;
+    bool watching_ = false;
+    bool gone_ = false;
+    bool busy_ = false;
+    bool finished_ = false;
+    bool closing_ = false;
+};
+
+tcp::endpoint listen_endpoint(const std::string& address) {
+    const auto colon = address.rfind(':');
+    beast::error_code code;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), code);
+    if (colon == std::string::npos || code) {
+        throw std::runtime_error("listen address \"" + address + "\" is not IP:port");
+    }
+    return {ip, static_cast<unsigned short>(std::atoi(address.c_str() + colon + 1))};
+}
+
+} // namespace
+
+struct caller_server::state : std::enable_shared_from_this<caller_server::state> {
+    state(asio::io_context& io, std::shared_ptr<server_shared> common)
+        : context(io), acceptor(io), shared(std::move(common)) {}
+
+    void listen(const std::string& address) {
+        const auto endpoint = listen_endpoint(address);
+        beast::error_code code;
+        acceptor.open(endpoint.protocol(), code);
+        acceptor.set_option(asio::socket_base::reuse_address(true), code);
+        acceptor.bind(endpoint, code);
+        if (!code) {
+            acceptor.listen(asio::socket_base::max_listen_connections, code);
+        }
+        if (code) {
+            throw std::runtime_error("cannot listen on " + address + ": " + code.message());
+        }
+    }
+
+    void accept(const asio::yield_context& yield) {
+        while (acceptor.is_open()) {
+            tcp::socket socket(context);
+            beast::error_code code;
+            acceptor.async_accept(socket, yield[code]);
+            if (code == asio::error::operation_aborted) {
+                return;
+            }
+            if (code || shared->connections.size() >= shared->max_connections) {
+                adapters::sleep_for(accept_pause, yield);
+                continue;
+            }
+            auto link = std::make_shared<connection>(std::move(socket), shared);
+            asio::spawn(
+                context, [link](const asio::yield_context& own) { link->run(own); }, asio::detached);
+        }
+    }
+
+    asio::io_context& context;
+    tcp::acceptor acceptor;
+    std::shared_ptr<server_shared> shared;
+};
+
+caller_server::caller_server(asio::io_context& context, const std::string& address, caller_server_hooks hooks,
+                             std::size_t max_connections, std::size_t body_budget_bytes) {
+    auto shared = std::make_shared<server_shared>();
+    shared->hooks = std::move(hooks);
+    shared->max_connections = max_connections;
+    shared->body_budget = body_budget_bytes;
+    state_ = std::make_shared<state>(context, std::move(shared));
+    state_->listen(address);
+    asio::spawn(
+        context, [self = state_](const asio::yield_context& yield) { self->accept(yield); }, asio::detached);
+}
+
+caller_server::~caller_server() {
+    stop_accepting();
+}
+
+unsigned short caller_server::port() const {
+    return state_->acceptor.local_endpoint().port();
+}
+
+void caller_server::stop_accepting() {
+    beast::error_code ignored;
+    state_->acceptor.close(ignored);
+}
+
+void caller_server::close_idle() {
+    for (auto* link : state_->shared->connections) {
+        if (link->idle()) {
+            link->close();
+        }
+    }
+}
+
+std::size_t caller_server::running() const {
+    return state_->shared->running;
+}
+
+std::size_t caller_server::connections() const {
+    return state_->shared->connections.size();
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/candidates.cpp
@@ -0,0 +1,73 @@
+#include "relay/candidates.h"
+
+#include <algorithm>
+
+#include "relay/boot_clock.h"
+
+namespace figspoke::relay {
+namespace {
+
+// Part of an engine's memory that requests may fill by estimate. Beyond it running requests are preempted and
+// their prompts read again.
+constexpr double memory_fill_limit = 0.9;
+
+bool has_model(const state::upstream_entry& entry, const std::string& model) {
+    return model.empty() || entry.models.empty() ||
+           std::find(entry.models.begin(), entry.models.end(), model) != entry.models.end();
+}
+
+bool fits_memory(const relay_state& node, const std::string& service, std::int64_t used,
+                 std::int64_t wanted) {
+    const auto found = node.routes->services.find(service);
+    if (found == node.routes->services.end() || !found->second.engine || used == 0) {
+        return true;
+    }
+    const auto capacity = found->second.engine->kv_capacity_tokens;
+    return capacity <= 0 || double(used + wanted) <= memory_fill_limit * double(capacity);
+}
+
+policy::relay_candidate describe(const relay_state& node, const state::upstream_entry& entry,
+                                 const upstream_need& need, core::steady_time now) {
+    policy::relay_candidate candidate;
+    candidate.id = entry.id;
+    candidate.failure_domain = entry.failure_domain;
+    candidate.slots = entry.slots;
+    auto use = node.peers->peer_use(entry.id);
+    if (const auto own = node.uses.find(entry.id); own != node.uses.end()) {
+        use.requests += own->second.requests;
+        use.tokens += own->second.tokens;
+    }
+    candidate.load = use.requests;
+    candidate.waiting_tokens = double(use.tokens);
+    candidate.suspect = !policy::is_usable(node.health, entry.id, now, need.may_probe);
+    const auto full = node.full_until.find(entry.id);
+    candidate.backing_off = (full != node.full_until.end() && full->second > now) ||
+                            !fits_memory(node, need.service, use.tokens, need.tokens);
+    return candidate;
+}
+
+} // namespace
+
+std::vector<policy::relay_candidate> relay_candidates(const relay_state& node, const upstream_need& need) {
+    const auto now = boot_now();
+    std::vector<policy::relay_candidate> candidates;
+    for (const auto* entry : state::serving_upstreams(node.registry, need.service)) {
+        const bool right_version = (need.only_version.empty() || entry->version == need.only_version) &&
+                                   (need.avoided_version.empty() || entry->version != need.avoided_version);
+        if (right_version && has_model(*entry, need.model)) {
+            candidates.push_back(describe(node, *entry, need, now));
+        }
+    }
+    return candidates;
+}
+
+policy::relay_choice_settings choice_settings(const relay_state& node, const std::string& service) {
+    policy::relay_choice_settings settings;
+    const auto found = node.routes->services.find(service);
+    const bool engine = found != node.routes->services.end() && found->second.engine.has_value();
+    // Plain services queue a few requests beyond their slots; a short wait there beats one here.
+    settings.fill_limit = engine ? 1.0 : 1.5;
+    return settings;
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/candidates.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "policy/relay_choice.h"
+#include "relay/relay_state.h"
+
+namespace figspoke::relay {
+
+/// What a request needs of an upstream.
+struct upstream_need {
+    std::string service;
+    /// Empty for any.
+    std::string model;
+    /// The only version that may run the request, and one that may not; empty for any.
+    std::string only_version;
+    std::string avoided_version;
+    std::int64_t tokens = 0;
+    /// Whether the request may test an upstream that failed before.
+    bool may_probe = true;
+};
+
+/// Returns the upstreams of the service with their load from all nodes.
+std::vector<policy::relay_candidate> relay_candidates(const relay_state& node, const upstream_need& need);
+
+/// The choice's settings for a service.
+policy::relay_choice_settings choice_settings(const relay_state& node, const std::string& service);
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/document_loops.cpp
@@ -0,0 +1,209 @@
+#include "relay/document_loops.h"
+
+#include <nlohmann/json.hpp>
+
+#include "adapters/await.h"
+#include "relay/boot_clock.h"
+#include "relay/rollouts.h"
+
+namespace figspoke::relay {
+namespace {
+
+using nlohmann::json;
+
+// A change must be in effect within two seconds of its acceptance: the interval, the patience of the next
+// reader and one call stay below that also when the first reader has just died.
+constexpr state::reading_schedule config_schedule{core::milliseconds(800), core::milliseconds(350),
+                                                  core::milliseconds(200), 3};
+constexpr state::reading_schedule registry_schedule{core::milliseconds(900), core::milliseconds(350),
+                                                    core::milliseconds(200), 3};
+// Longest sleep before the schedule is looked at again.
+constexpr core::milliseconds longest_sleep{250};
+// Waits between failed reads: the store's outages last for seconds, and every call counts.
+constexpr core::milliseconds first_retry{250};
+constexpr core::milliseconds last_retry{1000};
+constexpr core::milliseconds peer_fetch_timeout{400};
+
+const char* name_of(document_kind kind) {
+    return kind == document_kind::operator_config ? "operator_config" : "registry";
+}
+
+state::shared_document& document_of(relay_state& node, document_kind kind) {
+    return node.documents.at(static_cast<std::size_t>(kind));
+}
+
+void log_registry(relay_state& node, const state::registry_changes& changes) {
+    const bool any = !changes.added.empty() || !changes.restarted.empty() || !changes.draining.empty() ||
+                     !changes.removed.empty() || !changes.kept.empty();
+    if (any) {
+        node.log.state("registry_changed", {{"added", changes.added},
+                                            {"restarted", changes.restarted},
+                                            {"draining", changes.draining},
+                                            {"removed", changes.removed},
+                                            {"kept", changes.kept}});
+    }
+}
+
+void forget_upstreams(relay_state& node, const state::registry_changes& changes) {
+    for (const auto* list : {&changes.restarted, &changes.draining, &changes.removed}) {
+        for (const auto& id : *list) {
+            node.pool.drop(id);
+        }
+    }
+    for (const auto* list : {&changes.restarted, &changes.removed}) {
+        for (const auto& id : *list) {
+            node.health.upstreams.erase(id);
+            node.full_until.erase(id);
+        }
+    }
+}
+
+void apply_routes(relay_state& node, const state::document_content& content) {
+    auto table = node.platform.decode_routes(content);
+    if (!table) {
+        node.log.state("configuration_unreadable", {{"at", content.at}});
+        return;
+    }
+    if (!node.routes || node.routes->version != table->version) {
+        node.log.state("configuration_in_effect", {{"version", table->version},
+                                                   {"previous", node.routes ? node.routes->version : 0},
+                                                   {"at", content.at}});
+    }
+    node.routes = std::make_shared<const state::route_table>(std::move(*table));
+}
+
+void apply(relay_state& node, document_kind kind, bool changed) {
+    const auto& document = document_of(node, kind);
+    if (kind == document_kind::operator_config) {
+        if (changed) {
+            apply_routes(node, *document.content);
+            note_rollout_orders(node, node.platform.decode_rollouts(*document.content));
+        }
+        return;
+    }
+    const auto now = boot_now();
+    const auto changes = changed
+                             ? state::apply_list(node.registry,
+                                                 node.platform.decode_upstreams(*document.content),
+                                                 document.confirmed_at, now, {})
+                             : state::confirm_list(node.registry, document.confirmed_at, now, {});
+    log_registry(node, changes);
+    forget_upstreams(node, changes);
+}
+
+void note_readiness(relay_state& node) {
+    if (is_ready(node) && node.peers->own_state() == state::member_state::joining) {
+        node.peers->set_state(state::member_state::serving);
+        node.log.state("ready", {{"config", node.routes->version}});
+        node.peers->announce();
+    }
+}
+
+void take(relay_state& node, document_kind kind, const state::document_content& content,
+          core::steady_time confirmed_at) {
+    const bool changed = state::take_content(document_of(node, kind), content, confirmed_at, boot_now());
+    apply(node, kind, changed);
+    note_readiness(node);
+}
+
+store_result<state::document_content> read_from_store(relay_state& node, document_kind kind,
+                                                      const boost::asio::yield_context& yield) {
+    return kind == document_kind::operator_config ? node.platform.read_operator_config(yield)
+                                                  : node.platform.read_registry(yield);
+}
+
+const state::reading_schedule& schedule_of(document_kind kind) {
+    return kind == document_kind::operator_config ? config_schedule : registry_schedule;
+}
+
+void fetch_from_peer(relay_state& node, document_kind kind, const std::string& address,
+                     const boost::asio::yield_context& yield) {
+    adapters::http_call call;
+    call.address = address;
+    call.target = document_path(kind);
+    call.timeout = peer_fetch_timeout;
+    const auto started = boot_now();
+    const auto reply = node.peer_client.fetch(call, yield);
+    if (!reply || reply->status != 200) {
+        node.log.state("peer_document_failed",
+                       {{"document", name_of(kind)},
+                        {"peer", address},
+                        {"cause", reply ? "status " + std::to_string(reply->status) : reply.error().message}});
+        return;
+    }
+    if (const auto document = decode_document(reply->body)) {
+        // The peer answered after the call began, so its confirmation is at most its age older than that.
+        take(node, kind, document->first, started - document->second);
+    }
+}
+
+} // namespace
+
+std::string document_path(document_kind kind) {
+    return std::string("/documents/") + name_of(kind);
+}
+
+state::document_claim own_claim(const relay_state& node, document_kind kind) {
+    const auto& document = node.documents.at(static_cast<std::size_t>(kind));
+    if (!document.content) {
+        return {};
+    }
+    const auto age = std::chrono::ceil<core::milliseconds>(boot_now() - document.confirmed_at);
+    return {document.content->at, document.content->hash, age};
+}
+
+void run_document_loop(relay_state& node, document_kind kind, const boost::asio::yield_context& yield) {
+    auto retry = first_retry;
+    bool failing = false;
+    while (!node.stopped) {
+        const auto due = state::next_read(document_of(node, kind), schedule_of(kind), node.peers->rank());
+        const auto now = boot_now();
+        if (due > now) {
+            adapters::sleep_for(std::min<core::nanoseconds>(due - now, longest_sleep), yield);
+            continue;
+        }
+        auto content = read_from_store(node, kind, yield);
+        node.metrics.add("relay_store_reads_total",
+                         {{"document", name_of(kind)}, {"outcome", content ? "read" : "failed"}});
+        if (content) {
+            if (failing) {
+                node.log.state("store_regained", {{"document", name_of(kind)}, {"at", content->at}});
+            }
+            failing = false;
+            retry = first_retry;
+            take(node, kind, *content, now);
+            node.peers->announce();
+            continue;
+        }
+        if (!failing) {
+            node.log.state("store_lost", {{"document", name_of(kind)}, {"cause", content.error().message}});
+        }
+        failing = true;
+        const auto jitter = core::milliseconds(std::int64_t(double(retry.count()) * 0.5 * draw(node)));
+        adapters::sleep_for(retry + jitter, yield);
+        retry = std::min(retry * 2, last_retry);
+    }
+}
+
+void handle_claim(relay_state& node, document_kind kind, const state::document_claim& claim,
+                  const state::clock_echo& echo, const state::member_entry& peer) {
+    auto& document = document_of(node, kind);
+    const auto verdict = state::merge_claim(document, claim, echo, boot_now());
+    if (verdict == state::claim_verdict::confirmed) {
+        apply(node, kind, false);
+    }
+    auto& fetching = node.fetching.at(static_cast<std::size_t>(kind));
+    if (verdict != state::claim_verdict::newer || fetching) {
+        return;
+    }
+    fetching = true;
+    boost::asio::spawn(
+        node.context,
+        [&node, kind, address = peer.mesh_address](const boost::asio::yield_context& yield) {
+            fetch_from_peer(node, kind, address, yield);
+            node.fetching.at(static_cast<std::size_t>(kind)) = false;
+        },
+        boost::asio::detached);
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/event_log.cpp
@@ -0,0 +1,38 @@
+#include "relay/event_log.h"
+
+#include <nlohmann/json.hpp>
+
+#include "adapters/decision_log.h"
+#include "relay/boot_clock.h"
+
+namespace figspoke::relay {
+
+using nlohmann::json;
+
+void event_log::request(json line) {
+    const auto now = boot_now();
+    if (now - second_began_ >= core::seconds(1)) {
+        if (suppressed_ > 0) {
+            write({{"event", "log_suppressed"}, {"lines", suppressed_}});
+            suppressed_ = 0;
+        }
+        second_began_ = now;
+        lines_in_second_ = 0;
+    }
+    if (++lines_in_second_ > max_request_lines_per_s) {
+        ++suppressed_;
+        return;
+    }
+    write(std::move(line));
+}
+
+void event_log::state(const std::string& event, json line) {
+    line["event"] = event;
+    write(std::move(line));
+}
+
+void event_log::write(json line) {
+    adapters::log_decision(line.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/event_log.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "core/time.h"
+
+namespace figspoke::relay {
+
+/// Writes structured log lines at a bounded rate. Lines beyond it are counted, and the count is written when
+/// the rate allows it again.
+class event_log {
+  public:
+    /// Writes a line of what touched a request. At most `max_request_lines_per_s` are written.
+    void request(nlohmann::json line);
+
+    /// Writes a line of what changed the process's belief: kind and fields.
+    void state(const std::string& event, nlohmann::json line);
+
+  private:
+    void write(nlohmann::json line);
+
+    core::steady_time second_began_{};
+    int lines_in_second_ = 0;
+    std::uint64_t suppressed_ = 0;
+};
+
+/// Bounds the volume to a few hundred kilobytes a second, about twice the usual peak of one node.
+inline constexpr int max_request_lines_per_s = 400;
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/event_splitter.cpp
@@ -0,0 +1,68 @@
+#include "relay/event_splitter.h"
+
+#include <charconv>
+
+namespace figspoke::relay {
+namespace {
+
+std::string_view next_line(std::string_view& text) {
+    const auto end = text.find('\n');
+    auto line = text.substr(0, end);
+    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    if (!line.empty() && line.back() == '\r') {
+        line.remove_suffix(1);
+    }
+    return line;
+}
+
+std::optional<std::uint64_t> id_of(std::string_view event) {
+    while (!event.empty()) {
+        auto line = next_line(event);
+        if (line.substr(0, 3) != "id:") {
+            continue;
+        }
+        line.remove_prefix(3);
+        if (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        std::uint64_t id = 0;
+        const auto [end, code] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (code == std::errc() && end == line.data() + line.size()) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+// Returns the position behind the empty line that ends the first event, or npos. The search goes on from
+// `from`, where the last one ended.
+std::size_t event_end(const std::string& text, std::size_t from) {
+    for (auto at = text.find('\n', from); at != std::string::npos; at = text.find('\n', at + 1)) {
+        if (at + 1 < text.size() && text[at + 1] == '\n') {
+            return at + 2;
+        }
+        if (at + 2 < text.size() && text[at + 1] == '\r' && text[at + 2] == '\n') {
+            return at + 3;
+        }
+    }
+    return std::string::npos;
+}
+
+} // namespace
+
+std::vector<stream_event> event_splitter::feed(std::string_view bytes) {
+    std::vector<stream_event> events;
+    pending_.append(bytes);
+    for (auto end = event_end(pending_, scanned_); end != std::string::npos; end = event_end(pending_, 0)) {
+        stream_event event{pending_.substr(0, end), std::nullopt};
+        event.id = id_of(event.bytes);
+        events.push_back(std::move(event));
+        pending_.erase(0, end);
+        scanned_ = 0;
+    }
+    // The last two bytes may begin the end mark.
+    scanned_ = pending_.size() < 2 ? 0 : pending_.size() - 2;
+    return events;
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/fleet.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include "relay/beat.h"
+#include "state/membership.h"
+
+namespace figspoke::relay {
+
+struct fleet_settings {
+    std::string node_id;
+    std::string failure_domain;
+    std::string callers_address;
+    /// `IP:port` of the beats; the port is the same on all nodes.
+    std::string peers_address;
+    std::vector<std::string> seed_addresses;
+};
+
+/// What the fleet asks of the node, and reports to it.
+struct fleet_hooks {
+    /// Fills in documents, uses, version counts, crashes and roll-outs of this node's beat.
+    std::function<void(beat&)> describe;
+    /// A peer's claim about a document, with the echo of this node's clock.
+    std::function<void(document_kind, const state::document_claim&, const state::clock_echo&,
+                       const state::member_entry& peer)>
+        on_claim;
+    /// Crash marks of a peer.
+    std::function<void(const std::vector<crash_mark>&)> on_crashes;
+    /// What a peer knows of roll-outs.
+    std::function<void(const std::vector<rollout_mark>&)> on_rollouts;
+    /// After each beat of a peer: its load may have made room.
+    std::function<void()> on_beat;
+};
+
+/// Members and what their beats say. Beats are datagrams: a lost one is made up for by the next, and a silent
+/// connection can't occur.
+class fleet {
+  public:
+    fleet(boost::asio::io_context& context, fleet_settings settings, fleet_hooks hooks);
+
+    /// Begins to send and to receive beats.
+    void start();
+
+    /// Sends a beat to all peers now: something changed that they should know at once.
+    void announce();
+
+    /// Changes this node's state in the next beats.
+    void set_state(state::member_state value);
+    state::member_state own_state() const;
+
+    /// Adds addresses to greet, from the store's list of nodes.
+    void add_seeds(const std::vector<std::string>& peers_addresses);
+
+    /// Addresses for callers of the members that serve.
+    std::vector<std::string> caller_addresses(const std::string& caller, std::size_t count,
+                                              bool include_self) const;
+
+    /// Position of this node among the live members, by id.
+    std::size_t rank() const;
+
+    /// Live members, this one included.
+    std::size_t size() const;
+
+    /// Requests of the peers on an upstream, by their latest beats.
+    upstream_use peer_use(const std::string& upstream) const;
+
+    /// Version counts of all members since the start of the oldest beat that was heard; `own` counts too.
+    policy::version_counts_table version_totals(const policy::version_counts_table& own) const;
+
+    void stop();
+
+  private:
+    struct peer {
+        std::int64_t last_stamp = 0;
+        core::steady_time stamp_at{};
+        core::steady_time heard_at{};
+        std::uint64_t incarnation = 0;
+        std::map<std::string, upstream_use> uses;
+        policy::version_counts_table versions;
+        /// Counts of earlier processes of this member.
+        policy::version_counts_table retired;
+    };
+
+    void send_loop(const boost::asio::yield_context& yield);
+    void receive_loop(const boost::asio::yield_context& yield);
+    void receive(const beat& message);
+    void note_peer(const beat& message, core::steady_time now);
+    void send_to(const std::string& address, const std::string& peer_id);
+    std::vector<std::pair<std::string, std::string>> targets(bool all) const;
+    beat make_beat(const std::string& peer_id) const;
+
+    boost::asio::io_context& context_;
+    fleet_settings settings_;
+    fleet_hooks hooks_;
+    boost::asio::ip::udp::socket socket_;
+    state::membership members_;
+    std::map<std::string, peer> peers_;
+    std::set<std::string> seeds_;
+    std::uint64_t rounds_ = 0;
+};
+
+/// Times since the last beat after which a member is suspected, failed and forgotten. Four beats are sent
+/// within the first.
+extern const state::health_timeouts fleet_timeouts;
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/relay_node.cpp
@@ -0,0 +1,351 @@
+#include "relay/relay_node.h"
+
+#include <csignal>
+
+#include <boost/asio/signal_set.hpp>
+#include <nlohmann/json.hpp>
+
+#include "adapters/await.h"
+#include "adapters/decision_log.h"
+#include "relay/boot_clock.h"
+#include "relay/caller_connection.h"
+#include "relay/document_loops.h"
+#include "relay/forward.h"
+#include "relay/relay_state.h"
+#include "relay/rollouts.h"
+
+namespace figspoke::relay {
+namespace {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+// Answers for callers name at most this many nodes.
+constexpr std::size_t max_addresses = 64;
+// Validity of an answer. Short, so that callers learn soon of a node that left; asking is cheap.
+constexpr core::milliseconds entry_validity{2000};
+// Part of the memory that request bodies may take up.
+constexpr double body_memory_part = 0.25;
+// Descriptors kept for listening sockets, peers and the store; the rest is shared by callers and upstreams.
+constexpr std::int64_t reserved_descriptors = 260;
+constexpr core::milliseconds tick{200};
+// Callers use an answer for up to three times its validity; idle connections stay open for that long after
+// the signal to stop.
+constexpr int stale_answer_factor = 2;
+// The process ends this much before the platform would kill it.
+constexpr core::milliseconds end_margin{700};
+constexpr core::milliseconds drain_poll{50};
+// Idle connections older than this are closed even where an upstream would keep them.
+constexpr core::milliseconds pool_idle{10000};
+
+std::vector<std::string> seed_addresses(const core::relay_settings& settings) {
+    const auto port = settings.listen.peers.substr(settings.listen.peers.rfind(':'));
+    std::vector<std::string> addresses;
+    for (const auto& seed : settings.seeds) {
+        addresses.push_back(seed.substr(0, seed.find(':')) + port);
+    }
+    return addresses;
+}
+
+class relay_node {
+  public:
+    relay_node(const core::relay_settings& settings, const wire_protocol& protocol,
+               const platform_builder& platform, directory_port directory,
+               std::function<core::result<core::relay_settings>()> reload)
+        : state_(context_, settings, protocol, platform(context_)), directory_(std::move(directory)),
+          reload_(std::move(reload)), signals_(context_, SIGTERM, SIGINT, SIGHUP) {
+        state_.peers = std::make_unique<fleet>(context_, make_fleet_settings(), make_fleet_hooks());
+    }
+
+    int run() {
+        log_start();
+        open_servers();
+        state_.peers->start();
+        spawn([this](const asio::yield_context& yield) { wait_for_signals(yield); });
+        spawn([this](const asio::yield_context& yield) {
+            run_document_loop(state_, document_kind::operator_config, yield);
+        });
+        spawn([this](const asio::yield_context& yield) {
+            run_document_loop(state_, document_kind::registry, yield);
+        });
+        spawn([this](const asio::yield_context& yield) { register_node(yield); });
+        spawn([this](const asio::yield_context& yield) { run_ticks(yield); });
+        context_.run();
+        return 0;
+    }
+
+  private:
+    template <class Function>
+    void spawn(Function function) {
+        asio::spawn(context_, std::move(function), [](const std::exception_ptr& thrown) {
+            if (thrown) {
+                std::rethrow_exception(thrown);
+            }
+        });
+    }
+
+    fleet_settings make_fleet_settings() const {
+        const auto& from = state_.settings;
+        return {from.node_id, from.failure_domain, from.listen.callers, from.listen.peers,
+                seed_addresses(from)};
+    }
+
+    fleet_hooks make_fleet_hooks() {
+        fleet_hooks hooks;
+        hooks.describe = [this](beat& message) { describe(message); };
+        hooks.on_claim = [this](document_kind kind, const state::document_claim& claim,
+                                const state::clock_echo& echo, const state::member_entry& peer) {
+            handle_claim(state_, kind, claim, echo, peer);
+        };
+        hooks.on_crashes = [this](const std::vector<crash_mark>& marks) {
+            for (const auto& mark : marks) {
+                policy::record_crash(state_.crashes, {}, mark.fingerprint, mark.upstream,
+                                     boot_now() - mark.age);
+            }
+        };
+        hooks.on_rollouts = [this](const std::vector<rollout_mark>& marks) {
+            for (const auto& mark : marks) {
+                note_rollout_mark(state_, mark);
+            }
+        };
+        hooks.on_beat = [this] {
+            for (const auto& [service, waiting] : state_.queue.services) {
+                wake_next(state_, service);
+            }
+        };
+        return hooks;
+    }
+
+    void describe(beat& message) {
+        for (std::size_t i = 0; i < document_count; ++i) {
+            message.documents.at(i) = own_claim(state_, static_cast<document_kind>(i));
+        }
+        message.uses = state_.uses;
+        message.versions = state_.versions;
+        message.rollouts = rollout_marks(state_);
+        for (const auto& [fingerprint, crashes] : state_.crashes.crashes) {
+            // A single crash blames nobody yet, and most fingerprints never come again.
+            const bool recent = boot_now() - crashes.back().at < recent_crash;
+            if (recent || crashes.size() > 1) {
+                for (const auto& one : crashes) {
+                    message.crashes.push_back({fingerprint, one.upstream, core::to_ms(boot_now() - one.at)});
+                }
+            }
+            if (message.crashes.size() >= max_crash_marks) {
+                break;
+            }
+        }
+    }
+
+    // ---- servers
+
+    void open_servers() {
+        const auto& listen = state_.settings.listen;
+        caller_server_hooks hooks;
+        hooks.serve = [this](caller_exchange& exchange) { serve(exchange); };
+        hooks.limits = [this] { return state_.routes ? state_.routes->limits : state::input_limits{}; };
+        hooks.leaving = [this] { return state_.leaving; };
+        hooks.refused = [this](int status, std::string_view reason) {
+            state_.metrics.add("relay_unreadable_requests_total", {{"status", std::to_string(status)}});
+            state_.log.request({{"event", "request_unreadable"}, {"status", status}, {"reason", reason}});
+        };
+        const auto callers = std::size_t(std::max<std::int64_t>(
+            (state_.settings.descriptors - reserved_descriptors) / 2, 64));
+        const auto body_budget =
+            std::size_t(body_memory_part * double(state_.settings.memory_mb) * 1024 * 1024);
+        callers_ = std::make_unique<caller_server>(context_, listen.callers, std::move(hooks), callers,
+                                                   body_budget);
+        readiness_ = make_server(listen.readiness, [this](const adapters::http_request& request) {
+            return directory_.answer_readiness(request, is_ready(state_));
+        });
+        lookups_ = make_server(listen.directory,
+                               [this](const adapters::http_request& request) { return look_up(request); });
+        documents_ = make_server(listen.peers,
+                                 [this](const adapters::http_request& request) { return document(request); });
+        if (!listen.metrics.empty()) {
+            metrics_ = make_server(listen.metrics, [this](const adapters::http_request& request) {
+                return render_metrics(request);
+            });
+        }
+    }
+
+    using simple_handler =
+        std::function<std::optional<adapters::http_reply>(const adapters::http_request&)>;
+
+    std::unique_ptr<adapters::http_server> make_server(const std::string& address, simple_handler handler) {
+        const auto serve = [handler = std::move(handler)](adapters::http_exchange& exchange) {
+            auto reply = handler(exchange.request());
+            exchange.send(reply ? *reply : adapters::http_reply{404, {}, {}});
+        };
+        const auto refuse = [](int status, std::string_view what) {
+            return adapters::http_reply{status, {}, std::string(what)};
+        };
+        return std::make_unique<adapters::http_server>(context_, address, serve, refuse);
+    }
+
+    void serve(caller_exchange& exchange) {
+        try {
+            forward_request(state_, exchange);
+        } catch (const std::exception& failure) {
+            // The connection ends without an answer, which promises nothing.
+            state_.log.state("request_failed_internally", {{"cause", failure.what()}});
+        }
+    }
+
+    std::optional<adapters::http_reply> look_up(const adapters::http_request& request) {
+        // A node whose configuration isn't confirmed any more sends callers to its peers.
+        const auto age = document_age(state_, document_kind::operator_config, boot_now());
+        const bool fresh = is_ready(state_) && age < state_.settings.bounds.revocation / 2;
+        const auto addresses =
+            state_.peers->caller_addresses(directory_.caller_of(request), max_addresses, fresh);
+        const auto validity = std::min(entry_validity, state_.settings.bounds.entry_validity);
+        return directory_.answer_lookup(request, addresses, validity);
+    }
+
+    std::optional<adapters::http_reply> document(const adapters::http_request& request) {
+        for (std::size_t i = 0; i < document_count; ++i) {
+            const auto kind = static_cast<document_kind>(i);
+            const auto& known = state_.documents.at(i);
+            if (request.path == document_path(kind) && known.content) {
+                const auto age = std::chrono::ceil<core::milliseconds>(boot_now() - known.confirmed_at);
+                return adapters::http_reply{200, {}, encode_document(*known.content, age)};
+            }
+        }
+        return std::nullopt;
+    }
+
+    std::optional<adapters::http_reply> render_metrics(const adapters::http_request& request) {
+        if (request.path != "/metrics") {
+            return std::nullopt;
+        }
+        state_.metrics.set("relay_caller_connections", {}, double(callers_->connections()));
+        state_.metrics.set("relay_running_requests", {}, double(callers_->running()));
+        state_.metrics.set("relay_live_members", {}, double(state_.peers->size()));
+        const auto age = document_age(state_, document_kind::operator_config, boot_now());
+        state_.metrics.set("relay_configuration_age_seconds", {}, core::to_seconds(age));
+        return adapters::http_reply{
+            200, {{"content-type", "text/plain; version=0.0.4"}}, state_.metrics.render()};
+    }
+
+    // ---- loops
+
+    void run_ticks(const asio::yield_context& yield) {
+        while (!state_.stopped) {
+            adapters::sleep_for(tick, yield);
+            step_rollouts(state_);
+            drive_rollouts(state_, yield);
+            state_.pool.expire(boot_now(), pool_idle);
+            policy::expire_crashes(state_.crashes, {}, boot_now());
+        }
+    }
+
+    // Nodes find each other through seeds and beats; the list in the store covers the case that no seed is up.
+    void register_node(const asio::yield_context& yield) {
+        for (auto pause = first_register_pause; !state_.stopped; pause = std::min(pause * 2, last_register_pause)) {
+            if (const auto known = state_.platform.list_nodes(yield)) {
+                state_.peers->add_seeds(*known);
+                const auto& settings = state_.settings;
+                if (state_.platform.register_node(settings.node_id, settings.listen.peers, yield)) {
+                    return;
+                }
+            }
+            adapters::sleep_for(pause, yield);
+        }
+    }
+
+    void wait_for_signals(const asio::yield_context& yield) {
+        while (true) {
+            boost::system::error_code code;
+            const int signal = signals_.async_wait(yield[code]);
+            if (code) {
+                return;
+            }
+            if (signal != SIGHUP) {
+                stop(yield);
+                return;
+            }
+            reload_settings();
+        }
+    }
+
+    void reload_settings() {
+        const auto read = reload_();
+        if (!read) {
+            state_.log.state("reload_failed", {{"cause", read.error().message}});
+            return;
+        }
+        // Addresses can't change while sockets are bound to them.
+        state_.settings.bounds = read->bounds;
+        state_.settings.seeds = read->seeds;
+        state_.peers->add_seeds(seed_addresses(state_.settings));
+        state_.log.state("reloaded", {});
+    }
+
+    // Callers keep coming for as long as they hold an old answer, and are served; idle connections are
+    // closed only after that, and running requests are waited for.
+    void stop(const asio::yield_context& yield) {
+        const auto began = boot_now();
+        const auto end = began + state_.settings.bounds.grace - end_margin;
+        state_.leaving = true;
+        state_.peers->set_state(state::member_state::leaving);
+        state_.peers->announce();
+        state_.log.state("stopping", {{"running", callers_->running()}});
+        const auto accept_until = std::min(began + entry_validity * stale_answer_factor, end);
+        while (boot_now() < accept_until) {
+            adapters::sleep_for(drain_poll, yield);
+        }
+        callers_->stop_accepting();
+        callers_->close_idle();
+        while (boot_now() < end && callers_->running() > 0) {
+            adapters::sleep_for(drain_poll, yield);
+            callers_->close_idle();
+        }
+        finish();
+    }
+
+    void finish() {
+        state_.peers->set_state(state::member_state::left);
+        state_.peers->announce();
+        state_.log.state("stopped", {{"running", callers_->running()}});
+        state_.stopped = true;
+        adapters::flush_log();
+        context_.stop();
+    }
+
+    void log_start() {
+        const auto& settings = state_.settings;
+        state_.log.state("started", {{"node", settings.node_id},
+                                     {"failure_domain", settings.failure_domain},
+                                     {"callers", settings.listen.callers},
+                                     {"peers", settings.listen.peers},
+                                     {"store", settings.store_address}});
+    }
+
+    // Time in which a first crash is worth telling the peers, and the number of marks in one beat.
+    static constexpr core::milliseconds recent_crash{4000};
+    static constexpr std::size_t max_crash_marks = 200;
+    static constexpr core::milliseconds first_register_pause{500};
+    static constexpr core::milliseconds last_register_pause{8000};
+
+    asio::io_context context_{1};
+    relay_state state_;
+    directory_port directory_;
+    std::function<core::result<core::relay_settings>()> reload_;
+    asio::signal_set signals_;
+    std::unique_ptr<caller_server> callers_;
+    std::unique_ptr<adapters::http_server> readiness_;
+    std::unique_ptr<adapters::http_server> lookups_;
+    std::unique_ptr<adapters::http_server> documents_;
+    std::unique_ptr<adapters::http_server> metrics_;
+};
+
+} // namespace
+
+int run_relay_node(const core::relay_settings& settings, const wire_protocol& protocol,
+                   const platform_builder& platform, const directory_port& directory,
+                   const std::function<core::result<core::relay_settings>()>& reload) {
+    relay_node node(settings, protocol, platform, directory, reload);
+    return node.run();
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/relay_state.cpp
@@ -0,0 +1,67 @@
+#include "relay/relay_state.h"
+
+#include "relay/boot_clock.h"
+
+namespace figspoke::relay {
+namespace {
+
+// Idle connections to one upstream; the steady load of one node needs a few.
+constexpr std::size_t max_idle_per_upstream = 8;
+constexpr core::milliseconds key_margin{350};
+
+policy::health_settings relay_health_settings() {
+    policy::health_settings settings;
+    settings.consecutive_failures = 3;
+    // An upstream back from a restart must not wait; two failures more cost less than missing capacity.
+    settings.ejection = core::milliseconds(600);
+    settings.max_ejection = core::milliseconds(4000);
+    settings.failure_share = 0.7;
+    settings.probes = 1;
+    settings.half_life = core::seconds(4);
+    settings.probe_timeout = core::seconds(5);
+    return settings;
+}
+
+} // namespace
+
+relay_state::relay_state(boost::asio::io_context& io, core::relay_settings from, wire_protocol wire,
+                         platform_port store)
+    : context(io), settings(std::move(from)), protocol(std::move(wire)), platform(std::move(store)),
+      random(std::random_device{}()), peer_client(io), pool(max_idle_per_upstream) {
+    health.settings = relay_health_settings();
+}
+
+double draw(relay_state& node) {
+    return std::uniform_real_distribution<double>(0, 1)(node.random);
+}
+
+core::nanoseconds document_age(const relay_state& node, document_kind kind, core::steady_time now) {
+    const auto& document = node.documents.at(static_cast<std::size_t>(kind));
+    return document.confirmed_at == core::steady_time::min() ? core::nanoseconds::max()
+                                                             : now - document.confirmed_at;
+}
+
+bool is_configured(const relay_state& node) {
+    return node.routes != nullptr &&
+           node.documents.at(static_cast<std::size_t>(document_kind::registry)).content.has_value();
+}
+
+bool is_ready(const relay_state& node) {
+    return is_configured(node) && !node.leaving;
+}
+
+void wake_next(relay_state& node, const std::string& service) {
+    const auto next = policy::next_waiting(node.queue, {}, service, boot_now());
+    if (!next) {
+        return;
+    }
+    if (const auto found = node.waiting.find(*next); found != node.waiting.end()) {
+        found->second->signal();
+    }
+}
+
+core::milliseconds key_confirmation_limit(const core::relay_bounds& bounds) {
+    return bounds.revocation - key_margin;
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/rollouts.cpp
@@ -0,0 +1,262 @@
+#include "relay/rollouts.h"
+
+#include <nlohmann/json.hpp>
+
+#include "policy/rollout_plan.h"
+#include "relay/boot_clock.h"
+
+namespace figspoke::relay {
+namespace {
+
+using nlohmann::json;
+
+// How long a driver waits after a failed call to the store.
+constexpr core::milliseconds retry_pause{700};
+
+policy::version_counts since_start(const rollout_progress& progress, const policy::version_key& key,
+                                   const policy::version_counts& now) {
+    const auto found = progress.counts_at_start.find(key);
+    if (found == progress.counts_at_start.end()) {
+        return now;
+    }
+    const auto& then = found->second;
+    const auto less = [](std::uint64_t a, std::uint64_t b) { return a > b ? a - b : 0; };
+    return {less(now.sent, then.sent), less(now.good, then.good), less(now.bad, then.bad),
+            less(now.slow, then.slow), less(now.first_byte_ms, then.first_byte_ms)};
+}
+
+policy::rollout_judgement judge(const relay_state& node, const rollout_progress& progress) {
+    policy::version_counts target;
+    policy::version_counts old;
+    for (const auto& [key, counts] : node.peers->version_totals(node.versions)) {
+        if (key.first != progress.order.service) {
+            continue;
+        }
+        auto& side = key.second == progress.order.target ? target : old;
+        policy::add_counts(side, since_start(progress, key, counts));
+    }
+    return policy::judge_version(target, old, {});
+}
+
+policy::rollout_clock clock_of(const rollout_progress& progress) {
+    return {boot_now() - progress.began, progress.order.duration};
+}
+
+int requests_on_old(const relay_state& node, const rollout_progress& progress) {
+    int requests = 0;
+    for (const auto& [id, record] : node.registry.upstreams) {
+        if (record.entry.service != progress.order.service || record.entry.version == progress.order.target) {
+            continue;
+        }
+        requests += node.peers->peer_use(id).requests;
+        if (const auto own = node.uses.find(id); own != node.uses.end()) {
+            requests += own->second.requests;
+        }
+    }
+    return requests;
+}
+
+bool is_final(const rollout_progress& progress) {
+    return progress.status.state != rollout_state::in_progress;
+}
+
+void stop_version(relay_state& node, rollout_progress& progress, const std::string& cause) {
+    if (progress.stopped) {
+        return;
+    }
+    progress.stopped = true;
+    progress.share = 0;
+    node.log.state("version_stopped", {{"service", progress.order.service},
+                                       {"version", progress.order.target},
+                                       {"order", progress.order.revision},
+                                       {"cause", cause}});
+}
+
+void begin_rollout(relay_state& node, const rollout_order& order) {
+    rollout_progress progress;
+    progress.order = order;
+    progress.status.target = order.target;
+    progress.status.order = order.revision;
+    progress.began = boot_now();
+    progress.counts_at_start = node.peers->version_totals(node.versions);
+    node.rollouts[order.service] = std::move(progress);
+    node.log.state("rollout_begun", {{"service", order.service},
+                                     {"version", order.target},
+                                     {"order", order.revision},
+                                     {"duration_s", order.duration.count()}});
+}
+
+void take_status(relay_state& node, rollout_progress& progress, const rollout_status& status) {
+    progress.status.revision = status.revision;
+    if (status.order != progress.order.revision || status.target != progress.order.target) {
+        return;
+    }
+    progress.began = std::min(progress.began, boot_now() - status.elapsed);
+    if (status.state == rollout_state::reverted) {
+        stop_version(node, progress, "the store says that it was reverted");
+    }
+    progress.status.state = status.state;
+    progress.share = status.state == rollout_state::completed ? 1.0 : progress.share;
+}
+
+// Coroutines may drop or replace a roll-out while a call waits, so it is looked up again after each one.
+rollout_progress* find_progress(relay_state& node, const std::string& service, std::uint64_t order) {
+    const auto found = node.rollouts.find(service);
+    return found != node.rollouts.end() && found->second.order.revision == order ? &found->second : nullptr;
+}
+
+std::optional<rollout_state> wanted_state(const relay_state& node, const rollout_progress& progress) {
+    if (progress.stopped) {
+        return rollout_state::reverted;
+    }
+    const auto at_full =
+        progress.full_since ? boot_now() - *progress.full_since : core::nanoseconds(0);
+    if (policy::may_complete(clock_of(progress), progress.verdict, at_full, requests_on_old(node, progress),
+                             {})) {
+        return rollout_state::completed;
+    }
+    return progress.written ? std::nullopt : std::make_optional(rollout_state::in_progress);
+}
+
+void write_state(relay_state& node, rollout_progress& progress, rollout_state wanted,
+                 const boost::asio::yield_context& yield) {
+    const auto service = progress.order.service;
+    const auto order = progress.order.revision;
+    if (!progress.status_read) {
+        const auto status = node.platform.read_rollout_status(service, yield);
+        auto* same = find_progress(node, service, order);
+        if (same == nullptr || !status) {
+            if (same != nullptr) {
+                same->retry_at = boot_now() + retry_pause;
+            }
+            return;
+        }
+        same->status_read = true;
+        take_status(node, *same, *status);
+        return;
+    }
+    rollout_status next = progress.status;
+    next.state = wanted;
+    next.target = progress.order.target;
+    next.order = order;
+    next.elapsed = core::to_ms(boot_now() - progress.began);
+    const auto written = node.platform.write_rollout_status(service, next, yield);
+    auto* same = find_progress(node, service, order);
+    if (same == nullptr) {
+        return;
+    }
+    if (!written) {
+        // A conflict means another driver; a lost reply is settled by reading back.
+        same->status_read = false;
+        same->retry_at = boot_now() + retry_pause;
+        node.log.state("rollout_write_failed",
+                       {{"service", service}, {"order", order}, {"cause", written.error().message}});
+        return;
+    }
+    same->status = next;
+    same->status.revision = *written;
+    same->written = true;
+    node.log.state("rollout_written", {{"service", service},
+                                       {"order", order},
+                                       {"state", static_cast<int>(wanted)},
+                                       {"elapsed_ms", next.elapsed.count()}});
+}
+
+} // namespace
+
+void note_rollout_orders(relay_state& node, const std::vector<rollout_order>& orders) {
+    std::map<std::string, const rollout_order*> by_service;
+    for (const auto& order : orders) {
+        by_service[order.service] = &order;
+    }
+    for (auto it = node.rollouts.begin(); it != node.rollouts.end();) {
+        it = by_service.count(it->first) == 0 ? node.rollouts.erase(it) : std::next(it);
+    }
+    for (const auto& [service, order] : by_service) {
+        const auto found = node.rollouts.find(service);
+        if (found == node.rollouts.end() || found->second.order.revision < order->revision) {
+            begin_rollout(node, *order);
+        }
+    }
+}
+
+void note_rollout_mark(relay_state& node, const rollout_mark& mark) {
+    auto* progress = find_progress(node, mark.service, mark.order);
+    if (progress == nullptr) {
+        return;
+    }
+    progress->began = std::min(progress->began, boot_now() - mark.elapsed);
+    if (mark.stopped) {
+        stop_version(node, *progress, "a peer stopped it");
+    }
+    if (mark.state != rollout_state::in_progress && !is_final(*progress)) {
+        progress->status.state = mark.state;
+        progress->share = mark.state == rollout_state::completed ? 1.0 : 0.0;
+    }
+    progress->written = progress->written || mark.written;
+}
+
+std::vector<rollout_mark> rollout_marks(const relay_state& node) {
+    std::vector<rollout_mark> marks;
+    for (const auto& [service, progress] : node.rollouts) {
+        marks.push_back({service, progress.order.revision, progress.status.state, progress.stopped,
+                         progress.written, core::to_ms(boot_now() - progress.began)});
+    }
+    return marks;
+}
+
+void step_rollouts(relay_state& node) {
+    for (auto& [service, progress] : node.rollouts) {
+        if (is_final(progress) || progress.stopped) {
+            continue;
+        }
+        const auto judgement = judge(node, progress);
+        if (judgement.verdict == policy::rollout_verdict::bad) {
+            stop_version(node, progress, "failures, ratio " + std::to_string(judgement.ratio) + ", slowdown " +
+                                             std::to_string(judgement.slowdown));
+            node.peers->announce();
+            continue;
+        }
+        progress.verdict = judgement.verdict;
+        const double share = policy::planned_share(clock_of(progress), judgement.verdict,
+                                                   node.settings.bounds.exposure_share, {});
+        if (share != progress.share) {
+            node.log.state("rollout_share", {{"service", service},
+                                             {"version", progress.order.target},
+                                             {"order", progress.order.revision},
+                                             {"share", share},
+                                             {"verdict", policy::to_string(judgement.verdict)},
+                                             {"ratio", judgement.ratio},
+                                             {"slowdown", judgement.slowdown}});
+        }
+        progress.share = share;
+        if (share < 1) {
+            progress.full_since.reset();
+        } else if (!progress.full_since) {
+            progress.full_since = boot_now();
+        }
+    }
+}
+
+void drive_rollouts(relay_state& node, const boost::asio::yield_context& yield) {
+    if (node.peers->rank() != 0 || node.leaving) {
+        return;
+    }
+    std::vector<std::pair<std::string, std::uint64_t>> open;
+    for (const auto& [service, progress] : node.rollouts) {
+        if (!is_final(progress) && progress.retry_at <= boot_now()) {
+            open.emplace_back(service, progress.order.revision);
+        }
+    }
+    for (const auto& [service, order] : open) {
+        auto* progress = find_progress(node, service, order);
+        if (progress == nullptr) {
+            continue;
+        }
+        if (const auto wanted = wanted_state(node, *progress)) {
+            write_state(node, *progress, *wanted, yield);
+        }
+    }
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/send_attempt.cpp
@@ -0,0 +1,114 @@
+#include "relay/send_attempt.h"
+
+#include "relay/boot_clock.h"
+
+namespace figspoke::relay {
+namespace {
+
+// An upstream may answer an earlier request a second time. More than a few such answers mean that the
+// connection is out of step.
+constexpr int max_discarded_answers = 2;
+constexpr std::size_t max_discarded_bytes = 256U * 1024;
+
+attempt_failure failure_of(const link_error& error) {
+    const bool sent = error.why != link_failure::not_connected;
+    return {sent ? policy::send_result::unknown : policy::send_result::not_sent, error.why, error.message};
+}
+
+link_result<void> discard(begun_answer& answer, core::milliseconds silence,
+                          const boost::asio::yield_context& yield) {
+    std::size_t total = 0;
+    while (true) {
+        auto piece = answer.link->read_piece(silence, yield);
+        if (!piece) {
+            return tl::make_unexpected(piece.error());
+        }
+        if (piece->empty()) {
+            return {};
+        }
+        total += piece->size();
+        if (total > max_discarded_bytes) {
+            return tl::make_unexpected(
+                link_error{link_failure::malformed, "an answer to another request doesn't end"});
+        }
+    }
+}
+
+link_result<begun_answer> read_own_head(relay_state& node, const attempt_plan& plan,
+                                        const upstream_link_ptr& link,
+                                        const boost::asio::yield_context& yield) {
+    for (int discarded = 0; discarded <= max_discarded_answers; ++discarded) {
+        auto head = link->read_head(plan.silence, yield);
+        if (!head) {
+            return tl::make_unexpected(head.error());
+        }
+        node.protocol.read_answer(*head);
+        begun_answer answer{link, std::move(*head)};
+        const bool unnamed_refusal = answer.head.request_id.empty() && answer.head.not_run && !link->reused;
+        if (answer.head.request_id == plan.request_id || unnamed_refusal) {
+            return answer;
+        }
+        node.metrics.add("relay_foreign_answers_total", {});
+        if (!link->reused || link->ends_with_connection()) {
+            break;
+        }
+        if (auto done = discard(answer, plan.silence, yield); !done) {
+            return tl::make_unexpected(done.error());
+        }
+    }
+    return tl::make_unexpected(
+        link_error{link_failure::malformed, "the answer belongs to another request"});
+}
+
+} // namespace
+
+tl::expected<begun_answer, attempt_failure> open_answer(relay_state& node, const attempt_plan& plan,
+                                                        upstream_link_ptr& current,
+                                                        const boost::asio::yield_context& yield) {
+    current = node.pool.take(plan.upstream.id, boot_now(), plan.max_idle);
+    if (!current) {
+        current = std::make_shared<upstream_link>(node.context);
+        const auto connected = current->connect(plan.upstream.address, plan.connect_timeout, yield);
+        node.metrics.add("relay_connections_total", {{"outcome", connected ? "opened" : "failed"}});
+        if (!connected) {
+            return tl::make_unexpected(failure_of(connected.error()));
+        }
+    }
+    const auto link = current;
+    link->start_request(*plan.head, plan.headers, plan.body);
+    auto answer = read_own_head(node, plan, link, yield);
+    if (!answer) {
+        link->close();
+        return tl::make_unexpected(failure_of(answer.error()));
+    }
+    return std::move(*answer);
+}
+
+link_result<std::string> read_whole(begun_answer& answer, core::milliseconds silence,
+                                    const boost::asio::yield_context& yield) {
+    std::string body;
+    while (true) {
+        auto piece = answer.link->read_piece(silence, yield);
+        if (!piece) {
+            return tl::make_unexpected(piece.error());
+        }
+        if (piece->empty()) {
+            return body;
+        }
+        if (body.size() + piece->size() > max_whole_answer_bytes) {
+            return tl::make_unexpected(link_error{link_failure::malformed, "the answer is too large"});
+        }
+        body += *piece;
+    }
+}
+
+void release_link(relay_state& node, const std::string& upstream, const begun_answer& answer) {
+    if (!answer.link->reusable() || node.registry.upstreams.count(upstream) == 0) {
+        answer.link->close();
+        return;
+    }
+    answer.link->idle_timeout = answer.head.idle_timeout;
+    node.pool.keep(upstream, answer.link, boot_now());
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/upstream_link.cpp
@@ -0,0 +1,268 @@
+#include "relay/upstream_link.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "relay/watchdog.h"
+
+namespace figspoke::relay {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr std::uint32_t max_answer_header_bytes = 64U * 1024;
+constexpr std::size_t piece_bytes = 16U * 1024;
+// Unacknowledged bytes end a connection after this time; the engine's own silence is judged by the reader.
+constexpr int user_timeout_ms = 3000;
+// Connections are kept for this much less than the upstream says, as its timer started before ours.
+constexpr core::milliseconds keep_alive_margin{700};
+// Where the upstream doesn't say how long it keeps an idle connection.
+constexpr core::milliseconds unstated_idle{2000};
+
+using request_message = http::request<http::span_body<const char>>;
+using answer_parser = http::response_parser<http::buffer_body>;
+
+struct outgoing {
+    std::shared_ptr<const std::string> body;
+    request_message message;
+};
+
+} // namespace
+
+struct upstream_link::impl {
+    explicit impl(asio::io_context& context) : socket(context), dog(socket) {}
+
+    link_error failure_of(const beast::error_code& code) const {
+        if (dog.expired()) {
+            return {link_failure::silent, "nothing came in time"};
+        }
+        const bool http_category = code.category() == make_error_code(http::error::bad_version).category();
+        const bool ended = code == http::error::end_of_stream || code == http::error::partial_message;
+        return {http_category && !ended ? link_failure::malformed : link_failure::broken, code.message()};
+    }
+
+    tcp::socket socket;
+    watchdog dog;
+    beast::flat_buffer buffer;
+    std::unique_ptr<answer_parser> parser;
+    std::array<char, piece_bytes> piece{};
+    bool head_request = false;
+    bool written = true;
+    bool write_failed = false;
+};
+
+upstream_link::upstream_link(asio::io_context& context) : impl_(std::make_unique<impl>(context)) {}
+
+upstream_link::~upstream_link() = default;
+
+link_result<void> upstream_link::connect(const std::string& address, core::milliseconds timeout,
+                                         const asio::yield_context& yield) {
+    const auto colon = address.rfind(':');
+    beast::error_code code;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), code);
+    if (code || colon == std::string::npos) {
+        return tl::make_unexpected(link_error{link_failure::not_connected, "address is not IP:port"});
+    }
+    const auto port = static_cast<unsigned short>(std::atoi(address.c_str() + colon + 1));
+    impl_->dog.arm(timeout);
+    impl_->socket.async_connect({ip, port}, yield[code]);
+    impl_->dog.disarm();
+    if (code) {
+        const std::string cause = impl_->dog.expired() ? "connect timed out" : code.message();
+        return tl::make_unexpected(link_error{link_failure::not_connected, cause});
+    }
+    impl_->socket.set_option(tcp::no_delay(true), code);
+    const int user_timeout = user_timeout_ms;
+    ::setsockopt(impl_->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
+                 sizeof(user_timeout));
+    return {};
+}
+
+void upstream_link::start_request(const request_head& head, const header_list& headers,
+                                  std::shared_ptr<const std::string> body) {
+    auto out = std::make_shared<outgoing>();
+    out->body = std::move(body);
+    auto& message = out->message;
+    message.version(11);
+    message.method_string(head.method);
+    message.target(head.target);
+    for (const auto& [name, value] : headers) {
+        message.insert(name, value);
+    }
+    const bool has_length = find_header(head.headers, "content-length") != nullptr ||
+                            find_header(head.headers, "transfer-encoding") != nullptr;
+    if (!out->body->empty() || has_length) {
+        message.content_length(out->body->size());
+    }
+    message.body() = {out->body->data(), out->body->size()};
+    impl_->head_request = head.method == "HEAD";
+    impl_->parser.reset();
+    impl_->written = false;
+    http::async_write(impl_->socket, message,
+                      [self = shared_from_this(), out](const beast::error_code& code, std::size_t) {
+                          self->impl_->written = !code;
+                          self->impl_->write_failed = bool(code);
+                      });
+}
+
+link_result<answer_head> upstream_link::read_head(core::milliseconds silence,
+                                                  const asio::yield_context& yield) {
+    const auto self = shared_from_this();
+    impl_->parser = std::make_unique<answer_parser>();
+    auto& parser = *impl_->parser;
+    parser.header_limit(max_answer_header_bytes);
+    parser.body_limit(boost::none);
+    parser.skip(impl_->head_request);
+    beast::error_code code;
+    impl_->dog.arm(silence);
+    http::async_read_header(impl_->socket, impl_->buffer, parser, yield[code]);
+    impl_->dog.disarm();
+    if (code) {
+        return tl::make_unexpected(impl_->failure_of(code));
+    }
+    answer_head head;
+    head.status = static_cast<int>(parser.get().result_int());
+    for (const auto& field : parser.get()) {
+        head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    head.keep_alive = parser.get().keep_alive() && !parser.need_eof();
+    return head;
+}
+
+link_result<std::string> upstream_link::read_piece(core::milliseconds silence,
+                                                   const asio::yield_context& yield) {
+    const auto self = shared_from_this();
+    auto& parser = *impl_->parser;
+    while (!parser.is_done()) {
+        parser.get().body().data = impl_->piece.data();
+        parser.get().body().size = impl_->piece.size();
+        beast::error_code code;
+        impl_->dog.arm(silence);
+        http::async_read_some(impl_->socket, impl_->buffer, parser, yield[code]);
+        impl_->dog.disarm();
+        const auto size = impl_->piece.size() - parser.get().body().size;
+        if (code && code != http::error::need_buffer) {
+            return tl::make_unexpected(impl_->failure_of(code));
+        }
+        if (size > 0) {
+            return std::string(impl_->piece.data(), size);
+        }
+    }
+    return std::string();
+}
+
+bool upstream_link::answer_complete() const {
+    return impl_->parser && impl_->parser->is_done();
+}
+
+bool upstream_link::ends_with_connection() const {
+    return impl_->parser && impl_->parser->need_eof();
+}
+
+bool upstream_link::reusable() const {
+    return answer_complete() && impl_->written && !impl_->write_failed && impl_->parser->get().keep_alive() &&
+           !impl_->parser->need_eof() && impl_->buffer.size() == 0 && quiet();
+}
+
+bool upstream_link::quiet() const {
+    if (!impl_->socket.is_open() || impl_->buffer.size() > 0) {
+        return false;
+    }
+    char byte = 0;
+    const auto size = ::recv(impl_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void upstream_link::close() {
+    impl_->dog.disarm();
+    beast::error_code ignored;
+    impl_->socket.close(ignored);
+}
+
+upstream_link_ptr upstream_pool::take(const std::string& upstream, core::steady_time now,
+                                      core::milliseconds max_idle) {
+    const auto found = std::find_if(entries_.begin(), entries_.end(),
+                                    [&](const entry& one) { return one.upstream == upstream; });
+    if (found == entries_.end()) {
+        return nullptr;
+    }
+    while (!found->links.empty()) {
+        auto link = std::move(found->links.back());
+        found->links.pop_back();
+        const core::milliseconds allowed =
+            link->idle_timeout
+                ? std::min(max_idle, core::milliseconds(*link->idle_timeout) - keep_alive_margin)
+                : std::min(max_idle, unstated_idle);
+        if (now - link->used_at <= allowed && link->quiet()) {
+            link->reused = true;
+            return link;
+        }
+        link->close();
+    }
+    return nullptr;
+}
+
+void upstream_pool::keep(const std::string& upstream, upstream_link_ptr link, core::steady_time now) {
+    link->used_at = now;
+    auto found = std::find_if(entries_.begin(), entries_.end(),
+                              [&](const entry& one) { return one.upstream == upstream; });
+    if (found == entries_.end()) {
+        entries_.push_back({upstream, {}});
+        found = std::prev(entries_.end());
+    }
+    if (found->links.size() >= max_idle_) {
+        link->close();
+        return;
+    }
+    found->links.push_back(std::move(link));
+}
+
+void upstream_pool::drop(const std::string& upstream) {
+    for (auto& one : entries_) {
+        if (one.upstream == upstream) {
+            for (auto& link : one.links) {
+                link->close();
+            }
+            one.links.clear();
+        }
+    }
+}
+
+void upstream_pool::expire(core::steady_time now, core::milliseconds max_idle) {
+    for (auto& one : entries_) {
+        auto& links = one.links;
+        const auto old = [&](const upstream_link_ptr& link) { return now - link->used_at > max_idle; };
+        std::for_each(links.begin(), links.end(), [&](const upstream_link_ptr& link) {
+            if (old(link)) {
+                link->close();
+            }
+        });
+        links.erase(std::remove_if(links.begin(), links.end(), old), links.end());
+    }
+    entries_.erase(
+        std::remove_if(entries_.begin(), entries_.end(), [](const entry& one) { return one.links.empty(); }),
+        entries_.end());
+}
+
+std::size_t upstream_pool::idle() const {
+    std::size_t count = 0;
+    for (const auto& one : entries_) {
+        count += one.links.size();
+    }
+    return count;
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/state/route_table.cpp
@@ -0,0 +1,70 @@
+#include "state/route_table.h"
+
+#include <algorithm>
+
+namespace figspoke::state {
+namespace {
+
+std::string_view without_query(std::string_view target) {
+    return target.substr(0, target.find('?'));
+}
+
+// A port in the Host header doesn't take part in the choice of the route.
+std::string_view without_port(std::string_view host) {
+    return host.substr(0, host.find(':'));
+}
+
+bool begins_with(std::string_view text, std::string_view prefix) {
+    return text.substr(0, prefix.size()) == prefix;
+}
+
+} // namespace
+
+void order_routes(route_table& table) {
+    for (auto& [host, routes] : table.hosts) {
+        std::stable_sort(routes.begin(), routes.end(), [](const relay_route& a, const relay_route& b) {
+            return a.prefix.size() > b.prefix.size();
+        });
+    }
+}
+
+const relay_route* find_route(const route_table& table, std::string_view host, std::string_view target) {
+    const auto found = table.hosts.find(std::string(without_port(host)));
+    if (found == table.hosts.end()) {
+        return nullptr;
+    }
+    const auto path = without_query(target);
+    for (const auto& route : found->second) {
+        if (begins_with(path, route.prefix)) {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
+const relay_account* find_account(const route_table& table, std::string_view key) {
+    const auto found = table.account_of_key.find(key);
+    return found == table.account_of_key.end() ? nullptr : &table.accounts.at(found->second);
+}
+
+std::string choose_service(const relay_route& route, double draw) {
+    double total = 0;
+    for (const auto& part : route.services) {
+        total += std::max(part.weight, 0.0);
+    }
+    if (total <= 0) {
+        return {};
+    }
+    double position = draw * total;
+    for (const auto& part : route.services) {
+        position -= std::max(part.weight, 0.0);
+        if (position < 0 && part.weight > 0) {
+            return part.service;
+        }
+    }
+    const auto last = std::find_if(route.services.rbegin(), route.services.rend(),
+                                   [](const weighted_service& part) { return part.weight > 0; });
+    return last->service;
+}
+
+} // namespace figspoke::state
--- /dev/null
+++ b/packages/state/upstream_registry.cpp
@@ -0,0 +1,101 @@
+#include "state/upstream_registry.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace figspoke::state {
+namespace {
+
+auto fields_of(const upstream_entry& entry) {
+    return std::tie(entry.id, entry.service, entry.address, entry.failure_domain, entry.version, entry.slots,
+                    entry.draining, entry.incarnation, entry.models);
+}
+
+// A confirmation after a long gap opens the time in which lapsed entries are kept.
+void note_confirmation(upstream_registry& registry, core::steady_time confirmed_at, core::steady_time now,
+                       const registry_timing& timing) {
+    const bool first = registry.confirmed_at == core::steady_time::min();
+    if (!first && confirmed_at - registry.confirmed_at > timing.outage) {
+        registry.grace_until = now + timing.return_grace;
+    }
+    registry.confirmed_at = std::max(registry.confirmed_at, confirmed_at);
+}
+
+void drop_lapsed(upstream_registry& registry, core::steady_time now, registry_changes& changes) {
+    if (now < registry.grace_until) {
+        return;
+    }
+    for (auto it = registry.upstreams.begin(); it != registry.upstreams.end();) {
+        if (it->second.missing) {
+            changes.removed.push_back(it->first);
+            it = registry.upstreams.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+void apply_entry(upstream_registry& registry, const upstream_entry& entry, registry_changes& changes) {
+    const auto found = registry.upstreams.find(entry.id);
+    if (found == registry.upstreams.end()) {
+        registry.upstreams.emplace(entry.id, upstream_record{entry, false, {}});
+        changes.added.push_back(entry.id);
+        return;
+    }
+    auto& record = found->second;
+    if (record.entry.incarnation != entry.incarnation || record.entry.address != entry.address) {
+        changes.restarted.push_back(entry.id);
+    } else if (entry.draining && !record.entry.draining) {
+        changes.draining.push_back(entry.id);
+    }
+    record = upstream_record{entry, false, {}};
+}
+
+} // namespace
+
+bool operator==(const upstream_entry& a, const upstream_entry& b) {
+    return fields_of(a) == fields_of(b);
+}
+
+registry_changes apply_list(upstream_registry& registry, const std::vector<upstream_entry>& list,
+                            core::steady_time confirmed_at, core::steady_time now,
+                            const registry_timing& timing) {
+    registry_changes changes;
+    note_confirmation(registry, confirmed_at, now, timing);
+    std::set<std::string> listed;
+    for (const auto& entry : list) {
+        listed.insert(entry.id);
+        apply_entry(registry, entry, changes);
+    }
+    for (auto& [id, record] : registry.upstreams) {
+        if (listed.count(id) == 0 && !record.missing) {
+            record.missing = true;
+            record.missing_since = now;
+            changes.kept.push_back(id);
+        }
+    }
+    drop_lapsed(registry, now, changes);
+    return changes;
+}
+
+registry_changes confirm_list(upstream_registry& registry, core::steady_time confirmed_at,
+                              core::steady_time now, const registry_timing& timing) {
+    registry_changes changes;
+    note_confirmation(registry, confirmed_at, now, timing);
+    drop_lapsed(registry, now, changes);
+    return changes;
+}
+
+std::vector<const upstream_entry*> serving_upstreams(const upstream_registry& registry,
+                                                     const std::string& service) {
+    std::vector<const upstream_entry*> serving;
+    for (const auto& [id, record] : registry.upstreams) {
+        if (record.entry.service == service && !record.entry.draining) {
+            serving.push_back(&record.entry);
+        }
+    }
+    return serving;
+}
+
+} // namespace figspoke::state
