Keep conversations on their version during a trial

Replay showed two causes: the place in the roll-out was drawn from the last part of the prompt, which differs for each request, and a conversation that was under way at the order moved to the new version. Ruled out: a changing share, which is constant in the trial. The place now follows the conversation, and nodes tell each other of conversations that a trial would move, so that those seen within the session time stay.

--- a/packages/policy/rollout_plan.cpp
+++ b/packages/policy/rollout_plan.cpp
@@ -16,17 +16,24 @@
 
 } // namespace
 
+double trial_share(double exposure_share, const rollout_plan_settings& settings) {
+    return std::min(settings.trial_part * exposure_share, settings.max_trial_share);
+}
+
+bool in_trial(const rollout_clock& clock, const rollout_plan_settings& settings) {
+    return part_elapsed(clock) < settings.trial_end;
+}
+
 double planned_share(const rollout_clock& clock, rollout_verdict verdict, double exposure_share,
                      const rollout_plan_settings& settings) {
-    const double trial = std::min(settings.trial_part * exposure_share, settings.max_trial_share);
+    const double trial = trial_share(exposure_share, settings);
     if (verdict == rollout_verdict::bad) {
         return 0;
     }
-    const double part = part_elapsed(clock);
-    if (part < settings.trial_end || verdict != rollout_verdict::good) {
+    if (in_trial(clock, settings) || verdict != rollout_verdict::good) {
         return trial;
     }
-    return part < settings.full_from ? std::max(trial, settings.middle_share) : 1.0;
+    return part_elapsed(clock) < settings.full_from ? std::max(trial, settings.middle_share) : 1.0;
 }
 
 bool may_complete(const rollout_clock& clock, rollout_verdict verdict, core::nanoseconds at_full_share,
--- a/packages/policy/rollout_plan.h
+++ b/packages/policy/rollout_plan.h
@@ -30,6 +30,12 @@
 double planned_share(const rollout_clock& clock, rollout_verdict verdict, double exposure_share,
                      const rollout_plan_settings& settings);
 
+/// Share of the trial under a bound on exposure.
+double trial_share(double exposure_share, const rollout_plan_settings& settings);
+
+/// Whether the trial is still on, in which conversations keep their version.
+bool in_trial(const rollout_clock& clock, const rollout_plan_settings& settings);
+
 /// Tells whether the roll-out may be declared complete, which stops the old upstreams at once: the whole
 /// traffic has moved, and nothing runs on the old version or the time is nearly over.
 bool may_complete(const rollout_clock& clock, rollout_verdict verdict, core::nanoseconds at_full_share,
--- /dev/null
+++ b/packages/policy/session_pins.cpp
@@ -0,0 +1,44 @@
+#include "policy/session_pins.h"
+
+#include <algorithm>
+#include <string>
+
+#include "core/hash.h"
+
+namespace figspoke::policy {
+
+void note_session(session_pins& pins, std::uint64_t session, bool on_target, core::steady_time at) {
+    auto& pin = pins.pins[session];
+    if (pin.seen <= at) {
+        pin = {on_target, at};
+    }
+    if (pins.pins.size() > max_session_pins) {
+        pins.pins.erase(
+            std::min_element(pins.pins.begin(), pins.pins.end(),
+                             [](const auto& a, const auto& b) { return a.second.seen < b.second.seen; }));
+    }
+}
+
+void expire_sessions(session_pins& pins, core::milliseconds session_gap, core::steady_time now) {
+    for (auto it = pins.pins.begin(); it != pins.pins.end();) {
+        it = now - it->second.seen > session_gap ? pins.pins.erase(it) : std::next(it);
+    }
+}
+
+double session_place(std::uint64_t session) {
+    constexpr std::uint64_t steps = 1U << 20U;
+    return double(core::stable_hash("place/" + std::to_string(session)) % steps) / double(steps);
+}
+
+bool takes_target(const session_pins& pins, std::uint64_t session, const rollout_side& side,
+                  core::steady_time now) {
+    if (side.place >= side.share) {
+        return false;
+    }
+    const auto found = pins.pins.find(session);
+    const bool pinned_to_old = found != pins.pins.end() && !found->second.on_target &&
+                               now - found->second.seen <= side.session_gap;
+    return !(side.trial && pinned_to_old);
+}
+
+} // namespace figspoke::policy
--- a/packages/relay/beat.cpp
+++ b/packages/relay/beat.cpp
@@ -65,6 +65,10 @@
         rollouts.push_back({mark.service, mark.order, static_cast<int>(mark.state), mark.stopped, mark.written,
                             mark.elapsed.count()});
     }
+    json sessions = json::array();
+    for (const auto& mark : message.sessions) {
+        sessions.push_back({mark.session, mark.on_target, mark.age.count()});
+    }
     json members = json::array();
     for (const auto& member : message.members) {
         members.push_back({member_json(member.entry), member.silence.count()});
@@ -73,6 +77,7 @@
             {"c", std::move(versions)},
             {"k", std::move(crashes)},
             {"r", std::move(rollouts)},
+            {"p", std::move(sessions)},
             {"m", std::move(members)}};
 }
 
@@ -96,6 +101,10 @@
                                     mark.at(4).get<bool>(),
                                     core::milliseconds(mark.at(5).get<std::int64_t>())});
     }
+    for (const auto& mark : value.at("p")) {
+        message.sessions.push_back({mark.at(0).get<std::uint64_t>(), mark.at(1).get<bool>(),
+                                    core::milliseconds(mark.at(2).get<std::int64_t>())});
+    }
     for (const auto& member : value.at("m")) {
         message.members.push_back(
             {member_of(member.at(0)), core::milliseconds(member.at(1).get<std::int64_t>())});
--- a/packages/relay/beat.h
+++ b/packages/relay/beat.h
@@ -35,6 +35,13 @@
     core::milliseconds age{0};
 };
 
+/// A conversation that ran lately.
+struct session_mark {
+    std::uint64_t session = 0;
+    bool on_target = false;
+    core::milliseconds age{0};
+};
+
 /// What a node knows of a roll-out.
 struct rollout_mark {
     std::string service;
@@ -66,6 +73,7 @@
     policy::version_counts_table versions;
     std::vector<crash_mark> crashes;
     std::vector<rollout_mark> rollouts;
+    std::vector<session_mark> sessions;
     std::vector<relayed_member> members;
 };
 
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -187,6 +187,7 @@
     }
     hooks_.on_crashes(message.crashes);
     hooks_.on_rollouts(message.rollouts);
+    hooks_.on_sessions(message.sessions);
     hooks_.on_beat();
 }
 
--- a/packages/relay/fleet.h
+++ b/packages/relay/fleet.h
@@ -28,7 +28,7 @@
 
 /// What the fleet asks of the node, and reports to it.
 struct fleet_hooks {
-    /// Fills in documents, uses, version counts, crashes and roll-outs of this node's beat.
+    /// Fills in documents, uses, version counts, crashes, roll-outs and conversations of this node's beat.
     std::function<void(beat&)> describe;
     /// A peer's claim about a document, with the echo of this node's clock.
     std::function<void(document_kind, const state::document_claim&, const state::clock_echo&,
@@ -38,6 +38,8 @@
     std::function<void(const std::vector<crash_mark>&)> on_crashes;
     /// What a peer knows of roll-outs.
     std::function<void(const std::vector<rollout_mark>&)> on_rollouts;
+    /// Conversations that ran at a peer.
+    std::function<void(const std::vector<session_mark>&)> on_sessions;
     /// After each beat of a peer: its load may have made room.
     std::function<void()> on_beat;
 };
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -7,6 +7,8 @@
 #include "core/error_json.h"
 #include "core/hash.h"
 #include "policy/model_choice.h"
+#include "policy/rollout_plan.h"
+#include "policy/session_pins.h"
 #include "relay/boot_clock.h"
 #include "relay/candidates.h"
 #include "relay/event_splitter.h"
@@ -133,9 +135,6 @@
         history_.repeat = route_.repeat;
         history_.max_attempts = route_.max_attempts;
         model_ = first_model();
-        version_draw_ = request_.prompt.empty()
-                            ? draw(node_)
-                            : double(core::stable_hash(request_.prompt.back().id) % 10000) / 10000.0;
         service_draw_ = draw(node_);
         return std::nullopt;
     }
@@ -257,10 +256,32 @@
         return need;
     }
 
+    // A conversation has a fixed place in each roll-out; a request without one is placed by chance.
+    void place_session() {
+        session_ = request_.session.empty() ? 0 : core::stable_hash(service_ + '/' + request_.session);
+        session_place_ = session_ == 0 ? draw(node_) : policy::session_place(session_);
+    }
+
     bool wants_target_version() const {
         const auto found = node_.rollouts.find(service_);
-        return found != node_.rollouts.end() && !found->second.stopped && !target_failed_ &&
-               version_draw_ < found->second.share;
+        if (found == node_.rollouts.end() || found->second.stopped || target_failed_) {
+            return false;
+        }
+        const policy::rollout_clock clock{boot_now() - found->second.began, found->second.order.duration};
+        const policy::rollout_side side{session_place_, found->second.share, policy::in_trial(clock, {}),
+                                        node_.settings.bounds.session};
+        return policy::takes_target(node_.sessions, session_, side, boot_now());
+    }
+
+    // Only conversations that a trial would move need to be known to the peers.
+    void note_session(const state::upstream_entry& entry) {
+        const auto trial = policy::trial_share(node_.settings.bounds.exposure_share, {});
+        if (session_ == 0 || session_place_ >= trial) {
+            return;
+        }
+        const auto found = node_.rollouts.find(entry.service);
+        const bool on_target = found != node_.rollouts.end() && found->second.order.target == entry.version;
+        policy::note_session(node_.sessions, session_, on_target, boot_now());
     }
 
     policy::relay_choice choose() {
@@ -290,6 +311,7 @@
     std::optional<state::upstream_entry> wait_for_upstream() {
         service_ = state::choose_service(route_, service_draw_);
         if (!counted_) {
+            place_session();
             policy::count_request(node_.budgets[service_], budget_settings(), boot_now());
             counted_ = true;
         }
@@ -412,6 +434,7 @@
             return take_refusal(entry, answer);
         }
         count_version(entry, [](auto& counts) { ++counts.sent; });
+        note_session(entry);
         if (drop_for_larger_model(answer)) {
             history_.sends.push_back({entry.id, send_result::unknown});
             history_.sends.back().result = send_result::failed;
@@ -736,7 +759,8 @@
     std::uint64_t config_version_ = 0;
     core::nanoseconds config_age_{0};
     std::uint64_t fingerprint_ = 0;
-    double version_draw_ = 0;
+    std::uint64_t session_ = 0;
+    double session_place_ = 0;
     double service_draw_ = 0;
     bool counted_ = false;
     std::string model_;
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -108,6 +108,11 @@
                 note_rollout_mark(state_, mark);
             }
         };
+        hooks.on_sessions = [this](const std::vector<session_mark>& marks) {
+            for (const auto& mark : marks) {
+                policy::note_session(state_.sessions, mark.session, mark.on_target, boot_now() - mark.age);
+            }
+        };
         hooks.on_beat = [this] {
             for (const auto& [service, waiting] : state_.queue.services) {
                 wake_next(state_, service);
@@ -123,6 +128,12 @@
         message.uses = state_.uses;
         message.versions = state_.versions;
         message.rollouts = rollout_marks(state_);
+        for (const auto& [session, pin] : state_.sessions.pins) {
+            const auto age = boot_now() - pin.seen;
+            if (age < recent_session && message.sessions.size() < max_session_marks) {
+                message.sessions.push_back({session, pin.on_target, core::to_ms(age)});
+            }
+        }
         for (const auto& [fingerprint, crashes] : state_.crashes.crashes) {
             // A single crash blames nobody yet, and most fingerprints never come again.
             const bool recent = boot_now() - crashes.back().at < recent_crash;
@@ -235,6 +246,7 @@
             step_rollouts(state_);
             drive_rollouts(state_, yield);
             state_.pool.expire(boot_now(), pool_idle);
+            policy::expire_sessions(state_.sessions, state_.settings.bounds.session + tick, boot_now());
             policy::expire_crashes(state_.crashes, {}, boot_now());
         }
     }
@@ -324,6 +336,9 @@
     // Time in which a first crash is worth telling the peers, and the number of marks in one beat.
     static constexpr core::milliseconds recent_crash{4000};
     static constexpr std::size_t max_crash_marks = 200;
+    // Conversations are told for a few beats, so that a lost datagram doesn't hide one.
+    static constexpr core::milliseconds recent_session{1000};
+    static constexpr std::size_t max_session_marks = 200;
     static constexpr core::milliseconds first_register_pause{500};
     static constexpr core::milliseconds last_register_pause{8000};
 
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -18,6 +18,7 @@
 #include "policy/relay_choice.h"
 #include "policy/relay_queue.h"
 #include "policy/rollout_verdict.h"
+#include "policy/session_pins.h"
 #include "policy/upstream_health.h"
 #include "policy/version_counts.h"
 #include "relay/document_source.h"
@@ -85,6 +86,7 @@
     std::map<std::string, policy::repeat_budget> budgets;
     policy::version_counts_table versions;
     policy::crash_ledger crashes;
+    policy::session_pins sessions;
 
     policy::relay_queue queue;
     std::map<std::uint64_t, std::shared_ptr<adapters::wakeup>> waiting;
