--- a/packages/adapters/decision_log.cpp
+++ b/packages/adapters/decision_log.cpp
@@ -41,7 +41,8 @@
 
 void open_log(const core::log_section& settings) {
     // Decisions are an audit record: a full queue makes the writer wait and drops no line.
-    start_logger(make_sink(settings.file), settings.level, audit_queue_lines, spdlog::async_overflow_policy::block);
+    start_logger(make_sink(settings.file), settings.level, audit_queue_lines,
+                 spdlog::async_overflow_policy::block);
 }
 
 void open_bounded_log(const std::string& level, std::size_t queue_lines) {
--- a/packages/adapters/decision_log.h
+++ b/packages/adapters/decision_log.h
@@ -10,8 +10,8 @@
 /// Opens the process's log as the settings say. Throws `std::runtime_error` where the file can't be opened.
 void open_log(const core::log_section& settings);
 
-/// Opens a log to standard output that holds at most `queue_lines` and drops the oldest rather than wait for a
-/// blocked output.
+/// Opens a log to standard output that holds at most `queue_lines` and drops the oldest rather than wait for
+/// a blocked output.
 void open_bounded_log(const std::string& level, std::size_t queue_lines);
 
 /// Writes one line, a JSON object, at level info: a routing or placement decision.
--- a/packages/policy/crash_ledger.cpp
+++ b/packages/policy/crash_ledger.cpp
@@ -6,15 +6,15 @@
 namespace {
 
 core::steady_time latest(const std::vector<seen_crash>& crashes) {
-    return std::max_element(crashes.begin(), crashes.end(), [](const seen_crash& a, const seen_crash& b) {
-               return a.at < b.at;
-           })->at;
+    return std::max_element(crashes.begin(), crashes.end(),
+                            [](const seen_crash& a, const seen_crash& b) { return a.at < b.at; })
+        ->at;
 }
 
 void drop_oldest(crash_ledger& ledger) {
-    const auto oldest = std::min_element(
-        ledger.crashes.begin(), ledger.crashes.end(),
-        [](const auto& a, const auto& b) { return latest(a.second) < latest(b.second); });
+    const auto oldest =
+        std::min_element(ledger.crashes.begin(), ledger.crashes.end(),
+                         [](const auto& a, const auto& b) { return latest(a.second) < latest(b.second); });
     ledger.crashes.erase(oldest);
 }
 
--- a/packages/policy/relay_queue.cpp
+++ b/packages/policy/relay_queue.cpp
@@ -40,8 +40,8 @@
     if (found == queue.services.end() || found->second.empty()) {
         return std::nullopt;
     }
-    const auto best = std::min_element(
-        found->second.begin(), found->second.end(), [&](const auto& a, const auto& b) {
+    const auto best =
+        std::min_element(found->second.begin(), found->second.end(), [&](const auto& a, const auto& b) {
             return std::make_pair(effective_rank(a.second, settings, now), a.second.since) <
                    std::make_pair(effective_rank(b.second, settings, now), b.second.since);
         });
--- a/packages/policy/rollout_plan.h
+++ b/packages/policy/rollout_plan.h
@@ -10,7 +10,8 @@
     double trial_part = 0.6;
     /// Largest share of the trial whatever the bound allows.
     double max_trial_share = 0.1;
-    /// Part of the duration that belongs to the trial. Conversations may move to the new version only after it.
+    /// Part of the duration that belongs to the trial. Conversations may move to the new version only after
+    /// it.
     double trial_end = 0.52;
     /// Part of the duration at which the whole traffic follows, after a step at `middle_share`.
     double full_from = 0.64;
--- a/packages/policy/rollout_verdict.cpp
+++ b/packages/policy/rollout_verdict.cpp
@@ -16,8 +16,7 @@
                      const rollout_verdict_settings& settings) {
     const double good = failure_rate(old, settings);
     const double bad = good + settings.worse_by;
-    return double(target.bad) * std::log(bad / good) +
-           double(target.good) * std::log((1 - bad) / (1 - good));
+    return double(target.bad) * std::log(bad / good) + double(target.good) * std::log((1 - bad) / (1 - good));
 }
 
 double mean_first_byte(const version_counts& counts) {
@@ -26,7 +25,8 @@
 
 double slowdown_of(const version_counts& target, const version_counts& old,
                    const rollout_verdict_settings& settings) {
-    const bool timed = double(target.good) >= settings.least_timed && double(old.good) >= settings.least_timed;
+    const bool timed =
+        double(target.good) >= settings.least_timed && double(old.good) >= settings.least_timed;
     const double base = mean_first_byte(old);
     return timed && base > 0 ? mean_first_byte(target) / base : 1;
 }
--- a/packages/policy/session_pins.cpp
+++ b/packages/policy/session_pins.cpp
@@ -36,8 +36,8 @@
         return false;
     }
     const auto found = pins.pins.find(session);
-    const bool pinned_to_old = found != pins.pins.end() && !found->second.on_target &&
-                               now - found->second.seen <= side.session_gap;
+    const bool pinned_to_old =
+        found != pins.pins.end() && !found->second.on_target && now - found->second.seen <= side.session_gap;
     return !(side.trial && pinned_to_old);
 }
 
--- a/packages/policy/session_pins.h
+++ b/packages/policy/session_pins.h
@@ -14,8 +14,8 @@
     core::steady_time seen{};
 };
 
-/// Conversations that were seen lately, by hash of service and conversation. Only those that a trial would move
-/// are kept, so the table stays small and fits into the beats between nodes.
+/// Conversations that were seen lately, by hash of service and conversation. Only those that a trial would
+/// move are kept, so the table stays small and fits into the beats between nodes.
 struct session_pins {
     std::map<std::uint64_t, session_pin> pins;
 };
--- a/packages/relay/beat.cpp
+++ b/packages/relay/beat.cpp
@@ -53,8 +53,8 @@
     }
     json versions = json::array();
     for (const auto& [key, counts] : message.versions) {
-        versions.push_back({key.first, key.second, counts.sent, counts.good, counts.bad, counts.slow,
-                            counts.first_byte_ms});
+        versions.push_back(
+            {key.first, key.second, counts.sent, counts.good, counts.bad, counts.slow, counts.first_byte_ms});
     }
     json crashes = json::array();
     for (const auto& mark : message.crashes) {
@@ -62,8 +62,8 @@
     }
     json rollouts = json::array();
     for (const auto& mark : message.rollouts) {
-        rollouts.push_back({mark.service, mark.order, static_cast<int>(mark.state), mark.stopped, mark.written,
-                            mark.elapsed.count()});
+        rollouts.push_back({mark.service, mark.order, static_cast<int>(mark.state), mark.stopped,
+                            mark.written, mark.elapsed.count()});
     }
     json sessions = json::array();
     for (const auto& mark : message.sessions) {
@@ -73,12 +73,8 @@
     for (const auto& member : message.members) {
         members.push_back({member_json(member.entry), member.silence.count()});
     }
-    return {{"u", std::move(uses)},
-            {"c", std::move(versions)},
-            {"k", std::move(crashes)},
-            {"r", std::move(rollouts)},
-            {"p", std::move(sessions)},
-            {"m", std::move(members)}};
+    return {{"u", std::move(uses)},     {"c", std::move(versions)}, {"k", std::move(crashes)},
+            {"r", std::move(rollouts)}, {"p", std::move(sessions)}, {"m", std::move(members)}};
 }
 
 void read_lists(const json& value, beat& message) {
--- a/packages/relay/beat.h
+++ b/packages/relay/beat.h
@@ -87,7 +87,6 @@
 std::string encode_document(const state::document_content& content, core::milliseconds age);
 
 /// Parses a document; empty where the bytes aren't one.
-std::optional<std::pair<state::document_content, core::milliseconds>>
-decode_document(std::string_view bytes);
+std::optional<std::pair<state::document_content, core::milliseconds>> decode_document(std::string_view bytes);
 
 } // namespace figspoke::relay
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -82,11 +82,10 @@
         return;
     }
     const auto now = boot_now();
-    const auto changes = changed
-                             ? state::apply_list(node.registry,
-                                                 node.platform.decode_upstreams(*document.content),
-                                                 document.confirmed_at, now, {})
-                             : state::confirm_list(node.registry, document.confirmed_at, now, {});
+    const auto changes =
+        changed ? state::apply_list(node.registry, node.platform.decode_upstreams(*document.content),
+                                    document.confirmed_at, now, {})
+                : state::confirm_list(node.registry, document.confirmed_at, now, {});
     log_registry(node, changes);
     forget_upstreams(node, changes);
 }
@@ -125,10 +124,10 @@
     const auto started = boot_now();
     const auto reply = node.peer_client.fetch(call, yield);
     if (!reply || reply->status != 200) {
-        node.log.state("peer_document_failed",
-                       {{"document", name_of(kind)},
-                        {"peer", address},
-                        {"cause", reply ? "status " + std::to_string(reply->status) : reply.error().message}});
+        node.log.state("peer_document_failed", {{"document", name_of(kind)},
+                                                {"peer", address},
+                                                {"cause", reply ? "status " + std::to_string(reply->status)
+                                                                : reply.error().message}});
         return;
     }
     if (const auto document = decode_document(reply->body)) {
--- a/packages/relay/document_source.h
+++ b/packages/relay/document_source.h
@@ -71,7 +71,8 @@
     /// Progress of a service's roll-out; a status of revision 0 where there is none.
     std::function<store_result<rollout_status>(const std::string& service, const yield_context&)>
         read_rollout_status;
-    /// Writes a status if the stored one still has the revision that `status` was read at; returns the new one.
+    /// Writes a status if the stored one still has the revision that `status` was read at; returns the new
+    /// one.
     std::function<store_result<std::uint64_t>(const std::string& service, const rollout_status& status,
                                               const yield_context&)>
         write_rollout_status;
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -41,9 +41,9 @@
 }
 
 std::uint64_t unix_ms() {
-    return std::uint64_t(std::chrono::duration_cast<core::milliseconds>(
-                             std::chrono::system_clock::now().time_since_epoch())
-                             .count());
+    return std::uint64_t(
+        std::chrono::duration_cast<core::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count());
 }
 
 state::member_entry own_entry(const fleet_settings& settings) {
@@ -245,9 +245,9 @@
         if (id == members_.self) {
             break;
         }
-        const bool live = state::health_of(members_, member, fleet_timeouts, now) ==
-                              state::member_health::alive &&
-                          member.entry.state != state::member_state::left;
+        const bool live =
+            state::health_of(members_, member, fleet_timeouts, now) == state::member_health::alive &&
+            member.entry.state != state::member_state::left;
         before += live ? 1 : 0;
     }
     return before;
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -125,8 +125,8 @@
                                "the configuration was not confirmed recently enough to accept keys",
                                std::nullopt};
         }
-        fingerprint_ = core::stable_hash(exchange_.head().target + '\n' + request_.api_key + '\n' +
-                                         *exchange_.body());
+        fingerprint_ =
+            core::stable_hash(exchange_.head().target + '\n' + request_.api_key + '\n' + *exchange_.body());
         if (policy::is_refused(node_.crashes, {}, fingerprint_)) {
             return core::error{core::error_kind::overloaded, "the request crashed several upstreams",
                                core::milliseconds(5000)};
@@ -210,9 +210,9 @@
                 return;
             }
             if (const auto refusal = resolve()) {
-                finish_with(policy::never_ran(history_)
-                                ? *refusal
-                                : core::error{core::error_kind::upstream_failed, refusal->message, std::nullopt},
+                finish_with(policy::never_ran(history_) ? *refusal
+                                                        : core::error{core::error_kind::upstream_failed,
+                                                                      refusal->message, std::nullopt},
                             "configuration changed");
                 return;
             }
@@ -297,8 +297,7 @@
         const auto settings = choice_settings(node_, service_);
         auto choice = policy::choose_relay_upstream(relay_candidates(node_, need_of(target)), settings, wish);
         if (choice.reason == policy::relay_reason::none && target) {
-            choice =
-                policy::choose_relay_upstream(relay_candidates(node_, need_of(false)), settings, wish);
+            choice = policy::choose_relay_upstream(relay_candidates(node_, need_of(false)), settings, wish);
         }
         if (choice.reason == policy::relay_reason::none && !wish.tried.empty()) {
             // Every upstream was tried; one that refused or was not reached may be asked again.
@@ -364,7 +363,8 @@
 
     std::optional<state::upstream_entry> entry_of(const std::string& id) const {
         const auto found = node_.registry.upstreams.find(id);
-        return found == node_.registry.upstreams.end() ? std::nullopt : std::make_optional(found->second.entry);
+        return found == node_.registry.upstreams.end() ? std::nullopt
+                                                       : std::make_optional(found->second.entry);
     }
 
     // ---- one send
@@ -389,8 +389,8 @@
             return time_left();
         }
         if (route_.streaming) {
-            const auto stall = begun ? stream_stall
-                                     : std::max(first_event_stall, route_.latency_target * 3 / 4);
+            const auto stall =
+                begun ? stream_stall : std::max(first_event_stall, route_.latency_target * 3 / 4);
             return std::min(time_left(), stall);
         }
         return std::min(time_left(),
@@ -429,7 +429,8 @@
         return step;
     }
 
-    next_step take_answer(const state::upstream_entry& entry, begun_answer& answer, core::steady_time sent_at) {
+    next_step take_answer(const state::upstream_entry& entry, begun_answer& answer,
+                          core::steady_time sent_at) {
         if (answer.head.not_run || answer.head.wrong_upstream) {
             return take_refusal(entry, answer);
         }
@@ -473,7 +474,8 @@
     }
     bool drop_for_larger_model(const begun_answer& answer) { return drop_for_larger_model(answer.head); }
 
-    next_step pass_whole(const state::upstream_entry& entry, begun_answer& answer, core::steady_time sent_at) {
+    next_step pass_whole(const state::upstream_entry& entry, begun_answer& answer,
+                         core::steady_time sent_at) {
         auto body = read_whole(answer, silence_limit(true), exchange_.yield());
         if (!body) {
             return fail_send(entry, {send_result::unknown, body.error().why, body.error().message});
@@ -496,10 +498,12 @@
     }
 
     bool can_repeat_failure() const {
-        return policy::may_send_again(history_) && !history_.answer_begun && time_left() > connect_timeout / 10;
+        return policy::may_send_again(history_) && !history_.answer_begun &&
+               time_left() > connect_timeout / 10;
     }
 
-    next_step pass_stream(const state::upstream_entry& entry, begun_answer& answer, core::steady_time sent_at) {
+    next_step pass_stream(const state::upstream_entry& entry, begun_answer& answer,
+                          core::steady_time sent_at) {
         const bool resumable = route_.repeat == state::repeat_rule::resumable;
         event_splitter splitter;
         bool first = true;
@@ -529,7 +533,8 @@
                 return next_step::finished;
             }
             if (splitter.rest().size() > max_event_bytes) {
-                return fail_send(entry, {send_result::unknown, link_failure::malformed, "an event is too long"});
+                return fail_send(entry,
+                                 {send_result::unknown, link_failure::malformed, "an event is too long"});
             }
         }
     }
@@ -570,7 +575,8 @@
     next_step end_stream(const state::upstream_entry& entry, begun_answer& answer, event_splitter& splitter) {
         const bool cut = answer.link->ends_with_connection() && !splitter.rest().empty();
         if (cut) {
-            return fail_send(entry, {send_result::unknown, link_failure::broken, "the stream ends in an event"});
+            return fail_send(entry,
+                             {send_result::unknown, link_failure::broken, "the stream ends in an event"});
         }
         release_link(node_, entry.id, answer);
         history_.sends.push_back({entry.id, send_result::succeeded});
@@ -616,8 +622,8 @@
     void note_bad(const state::upstream_entry& entry) {
         count_version(entry, [](auto& counts) { ++counts.bad; });
         const auto found = node_.rollouts.find(entry.service);
-        target_failed_ = target_failed_ ||
-                         (found != node_.rollouts.end() && found->second.order.target == entry.version);
+        target_failed_ =
+            target_failed_ || (found != node_.rollouts.end() && found->second.order.target == entry.version);
     }
 
     void record(const state::upstream_entry& entry, bool good, core::steady_time sent_at) {
@@ -664,7 +670,8 @@
     void finish_without_upstream() {
         const bool full = choice_.reason == policy::relay_reason::full;
         const bool late = boot_now() >= deadline_;
-        finish_failed(late ? end_cause::deadline : (full ? end_cause::refused_at_once : end_cause::no_upstream));
+        finish_failed(late ? end_cause::deadline
+                           : (full ? end_cause::refused_at_once : end_cause::no_upstream));
     }
 
     void finish_failed(end_cause cause) {
@@ -700,9 +707,10 @@
         }
         const auto& answer = core::error_answer_for(error.kind);
         status_ = answer.http_status;
-        caller_answer reply{answer.http_status, {{"Content-Type", "application/json"}},
-                            core::render_error(error)};
-        if (const auto retry = core::retry_time(error); retry && answer.execution == core::execution::not_run) {
+        caller_answer reply{
+            answer.http_status, {{"Content-Type", "application/json"}}, core::render_error(error)};
+        if (const auto retry = core::retry_time(error);
+            retry && answer.execution == core::execution::not_run) {
             char seconds[32];
             std::snprintf(seconds, sizeof(seconds), "%.3f", core::to_seconds(*retry));
             reply.headers.emplace_back("Retry-After", seconds);
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -160,12 +160,12 @@
             state_.metrics.add("relay_unreadable_requests_total", {{"status", std::to_string(status)}});
             state_.log.request({{"event", "request_unreadable"}, {"status", status}, {"reason", reason}});
         };
-        const auto callers = std::size_t(std::max<std::int64_t>(
-            (state_.settings.descriptors - reserved_descriptors) / 2, 64));
+        const auto callers =
+            std::size_t(std::max<std::int64_t>((state_.settings.descriptors - reserved_descriptors) / 2, 64));
         const auto body_budget =
             std::size_t(body_memory_part * double(state_.settings.memory_mb) * 1024 * 1024);
-        callers_ = std::make_unique<caller_server>(context_, listen.callers, std::move(hooks), callers,
-                                                   body_budget);
+        callers_ =
+            std::make_unique<caller_server>(context_, listen.callers, std::move(hooks), callers, body_budget);
         readiness_ = make_server(listen.readiness, [this](const adapters::http_request& request) {
             return directory_.answer_readiness(request, is_ready(state_));
         });
@@ -180,8 +180,7 @@
         }
     }
 
-    using simple_handler =
-        std::function<std::optional<adapters::http_reply>(const adapters::http_request&)>;
+    using simple_handler = std::function<std::optional<adapters::http_reply>(const adapters::http_request&)>;
 
     std::unique_ptr<adapters::http_server> make_server(const std::string& address, simple_handler handler) {
         const auto serve = [handler = std::move(handler)](adapters::http_exchange& exchange) {
@@ -251,9 +250,11 @@
         }
     }
 
-    // Nodes find each other through seeds and beats; the list in the store covers the case that no seed is up.
+    // Nodes find each other through seeds and beats; the list in the store covers the case that no seed is
+    // up.
     void register_node(const asio::yield_context& yield) {
-        for (auto pause = first_register_pause; !state_.stopped; pause = std::min(pause * 2, last_register_pause)) {
+        for (auto pause = first_register_pause; !state_.stopped;
+             pause = std::min(pause * 2, last_register_pause)) {
             if (const auto known = state_.platform.list_nodes(yield)) {
                 state_.peers->add_seeds(*known);
                 const auto& settings = state_.settings;
--- a/packages/relay/rollouts.cpp
+++ b/packages/relay/rollouts.cpp
@@ -109,8 +109,7 @@
     if (progress.stopped) {
         return rollout_state::reverted;
     }
-    const auto at_full =
-        progress.full_since ? boot_now() - *progress.full_since : core::nanoseconds(0);
+    const auto at_full = progress.full_since ? boot_now() - *progress.full_since : core::nanoseconds(0);
     if (policy::may_complete(clock_of(progress), progress.verdict, at_full, requests_on_old(node, progress),
                              {})) {
         return rollout_state::completed;
@@ -212,8 +211,9 @@
         }
         const auto judgement = judge(node, progress);
         if (judgement.verdict == policy::rollout_verdict::bad) {
-            stop_version(node, progress, "failures, ratio " + std::to_string(judgement.ratio) + ", slowdown " +
-                                             std::to_string(judgement.slowdown));
+            stop_version(node, progress,
+                         "failures, ratio " + std::to_string(judgement.ratio) + ", slowdown " +
+                             std::to_string(judgement.slowdown));
             node.peers->announce();
             continue;
         }
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -56,8 +56,7 @@
             return tl::make_unexpected(done.error());
         }
     }
-    return tl::make_unexpected(
-        link_error{link_failure::malformed, "the answer belongs to another request"});
+    return tl::make_unexpected(link_error{link_failure::malformed, "the answer belongs to another request"});
 }
 
 } // namespace
--- a/packages/relay/send_attempt.h
+++ b/packages/relay/send_attempt.h
@@ -36,8 +36,8 @@
     std::string message;
 };
 
-/// Sends the request and reads the head of its answer. `current` names the connection while it is used, so that
-/// a caller who leaves can have it closed. Answers to earlier requests that arrive late are discarded.
+/// Sends the request and reads the head of its answer. `current` names the connection while it is used, so
+/// that a caller who leaves can have it closed. Answers to earlier requests that arrive late are discarded.
 tl::expected<begun_answer, attempt_failure> open_answer(relay_state& node, const attempt_plan& plan,
                                                         upstream_link_ptr& current,
                                                         const boost::asio::yield_context& yield);
--- a/packages/relay/wire_protocol.cpp
+++ b/packages/relay/wire_protocol.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> hop_headers = {
-    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
-    "te",         "trailer",    "transfer-encoding", "upgrade",            "content-length"};
+    "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+    "trailer",    "transfer-encoding", "upgrade",          "content-length"};
 
 char lower(char c) {
     return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
--- /dev/null
+++ b/test/platform/decode_test.cpp
@@ -0,0 +1,189 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "platform/operator_config.h"
+#include "platform/registry_entries.h"
+#include "platform/store_client.h"
+#include "platform/wire_headers.h"
+
+using namespace figspoke;
+using namespace figspoke::platform;
+
+namespace {
+
+state::document_content with(const std::string& key, const std::string& value) {
+    state::document_content content;
+    content.at = 1;
+    content.items.push_back({key, value, 1});
+    return content;
+}
+
+const char* config = R"({"version":7,
+ "routes":[
+  {"name":"chat","host":"h","pathPrefix":"/c/","kind":"streaming","timeoutMs":20000,"targetLatencyMs":6000,
+   "priority":2,"sizes":["small","large"],"split":[{"service":"a","weight":90},{"service":"b","weight":10}],
+   "maxAttempts":3,"allowAnonymous":false,"sticky":true,"resumable":true,"targetGapMs":1000},
+  {"name":"order","host":"h","pathPrefix":"/o/","kind":"unsafe","timeoutMs":800,"service":"shop"},
+  {"name":"once","host":"h","pathPrefix":"/s/","kind":"streaming","resumable":false,"service":"a"},
+  {"name":"look","host":"h","pathPrefix":"/l/","kind":"safe","service":"shop","allowAnonymous":true}],
+ "services":[{"name":"a","maxConns":360,"engine":{"slots":64,"kvCapacityTokens":5000,
+   "models":[{"name":"small","cost":0.1},{"name":"large","cost":0.5}]}},{"name":"shop","maxConns":96}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1},{"name":"t2","apiKeys":["k3"]}]})";
+
+relay::request_head request(relay::header_list headers) {
+    return {"POST", "/c/x", std::move(headers), true};
+}
+
+} // namespace
+
+TEST_CASE("the operator's configuration is decoded into routes, services and accounts") {
+    const auto table = decode_routes(with("op/config", config));
+    REQUIRE(table.has_value());
+    CHECK(table->version == 7);
+    const auto* chat = state::find_route(*table, "h", "/c/1");
+    REQUIRE(chat != nullptr);
+    CHECK(chat->repeat == state::repeat_rule::resumable);
+    CHECK(chat->services.size() == 2);
+    CHECK(chat->models == std::vector<std::string>{"small", "large"});
+    CHECK(state::find_route(*table, "h", "/o/1")->repeat == state::repeat_rule::at_most_once);
+    CHECK(state::find_route(*table, "h", "/s/1")->repeat == state::repeat_rule::at_most_once);
+    CHECK(state::find_route(*table, "h", "/l/1")->repeat == state::repeat_rule::idempotent);
+    CHECK(table->services.at("a").engine->slots == 64);
+    CHECK(state::find_account(*table, "k2")->name == "t1");
+    CHECK(state::find_account(*table, "k2")->rank == 1);
+    CHECK_FALSE(state::find_account(*table, "k3")->rank.has_value());
+    CHECK(state::find_account(*table, "k9") == nullptr);
+    CHECK(table->limits.body_bytes == 1000);
+}
+
+TEST_CASE("keys are asked for only where the configuration has accounts") {
+    const auto table = decode_routes(with(
+        "op/config", R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","service":"s"}]})"));
+    REQUIRE(table.has_value());
+    CHECK(state::find_route(*table, "h", "/x")->anonymous);
+}
+
+TEST_CASE("a configuration that can't be read is no configuration") {
+    CHECK_FALSE(decode_routes(with("op/config", "{")).has_value());
+    CHECK_FALSE(decode_routes(with("op/config", R"({"routes":5})")).has_value());
+    CHECK_FALSE(decode_routes(with("op/other", config)).has_value());
+}
+
+TEST_CASE("entries of other writers name no engine, and the others hold") {
+    // Forged or torn entries must not take a node down or draw traffic.
+    auto content = with("servers/good", R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",
+        "slots":8,"state":"ready","born":5,"models":[{"name":"m"}]})");
+    const auto add = [&](const std::string& id, const std::string& value) {
+        content.items.push_back({"servers/" + id, value, 2});
+    };
+    add("torn", R"({"service":"s","addr)");
+    add("typed", R"({"service":5,"address":"10.0.0.1:80","slots":8,"state":"ready"})");
+    add("stateless", R"({"service":"s","address":"10.0.0.1:80","slots":8,"state":"odd"})");
+    add("nowhere", R"({"service":"s","address":"here","slots":8,"state":"ready"})");
+    add("list", "[1,2]");
+    add("bytes", std::string("\xff\xfe\x00", 3));
+    const auto entries = decode_upstreams(content);
+    REQUIRE(entries.size() == 1);
+    CHECK(entries[0].id == "good");
+    CHECK(entries[0].incarnation == 5);
+    CHECK(entries[0].models == std::vector<std::string>{"m"});
+}
+
+TEST_CASE("an engine's check-in doesn't change the hash of the registry") {
+    const auto entry = [](int sequence, const char* state) {
+        return with("servers/a", R"({"service":"s","address":"10.0.0.1:80","slots":8,"state":")" +
+                                     std::string(state) + R"(","sequence":)" + std::to_string(sequence) +
+                                     "}");
+    };
+    CHECK(registry_hash(entry(1, "ready")) == registry_hash(entry(2, "ready")));
+    CHECK(registry_hash(entry(1, "ready")) != registry_hash(entry(2, "draining")));
+}
+
+TEST_CASE("no decoder throws on arbitrary bytes") {
+    CHECK(rc::check([](const std::string& bytes) {
+        decode_routes(with("op/config", bytes));
+        decode_rollouts(with("op/rollout/s", bytes));
+        decode_upstreams(with("servers/a", bytes));
+        decode_base64(bytes);
+    }));
+}
+
+TEST_CASE("base64 survives its encoding") {
+    CHECK(
+        rc::check([](const std::string& bytes) { RC_ASSERT(decode_base64(encode_base64(bytes)) == bytes); }));
+}
+
+TEST_CASE("headers that are the relay's to set never come from the caller") {
+    // A forged tenant or target would run a request for another account.
+    const auto protocol = make_wire_protocol();
+    relay::upstream_send send;
+    send.upstream = "i-1";
+    send.account = "t1";
+    send.time_left = core::milliseconds(900);
+    const auto headers = protocol.write_send(request({{"Host", "h"},
+                                                      {"X-Tenant", "forged"},
+                                                      {"x-target-instance", "forged"},
+                                                      {"Api-Key", "k"},
+                                                      {"X-Kv-Hold", "1"},
+                                                      {"Kv-From", "1"},
+                                                      {"X-Pin-Ms", "9"},
+                                                      {"X-Kv-Backup", "1"},
+                                                      {"X-Deadline-Ms", "99999"},
+                                                      {"X-Request-Id", "r1"},
+                                                      {"X-Model", "m"}}),
+                                             send);
+    const auto value = [&](const char* name) {
+        const auto* found = relay::find_header(headers, name);
+        return found == nullptr ? std::string() : *found;
+    };
+    CHECK(value("X-Tenant") == "t1");
+    CHECK(value("X-Target-Instance") == "i-1");
+    CHECK(value("X-Deadline-Ms") == "900");
+    CHECK(value("X-Request-Id") == "r1");
+    CHECK(value("X-Model") == "m");
+    for (const auto* name : {"Api-Key", "X-Kv-Hold", "Kv-From", "X-Pin-Ms", "X-Kv-Backup"}) {
+        CHECK(relay::find_header(headers, name) == nullptr);
+    }
+}
+
+TEST_CASE("a request's headers are read, and odd ones don't count") {
+    const auto protocol = make_wire_protocol();
+    const auto read = protocol.read_request(request({{"Host", "h"},
+                                                     {"X-Request-Id", "r1"},
+                                                     {"X-Deadline-Ms", "1500"},
+                                                     {"X-Model", "*"},
+                                                     {"X-Token-Usage", "1460,80"},
+                                                     {"X-Prompt-Prefix", "5c:800,91:410,e4:250"},
+                                                     {"X-Output-Length-Hint", "40"},
+                                                     {"Last-Event-Id", "12"},
+                                                     {"Session", "s1"}}));
+    CHECK(read.deadline == core::milliseconds(1500));
+    CHECK(read.any_model);
+    CHECK(read.prompt_tokens == 1460);
+    CHECK(read.max_tokens == 80);
+    CHECK(read.prompt.size() == 3);
+    CHECK(read.prompt[1].tokens == 410);
+    CHECK(read.last_event_id == 12);
+    CHECK(read.session == "s1");
+    const auto odd = protocol.read_request(request({{"X-Deadline-Ms", "-5"}, {"Last-Event-Id", "x"}}));
+    CHECK_FALSE(odd.deadline.has_value());
+    CHECK_FALSE(odd.last_event_id.has_value());
+    CHECK(odd.request_id.empty());
+}
+
+TEST_CASE("an answer's headers tell refusals from answers") {
+    const auto protocol = make_wire_protocol();
+    relay::answer_head refused;
+    refused.status = 503;
+    refused.headers = {
+        {"X-Not-Executed", "1"}, {"X-Engine-Load", "3,1,8"}, {"Keep-Alive", "timeout=4, max=9"}};
+    protocol.read_answer(refused);
+    CHECK(refused.not_run);
+    CHECK(refused.load->waiting == 1);
+    CHECK(refused.idle_timeout == core::seconds(4));
+    relay::answer_head misdirected;
+    misdirected.status = 421;
+    protocol.read_answer(misdirected);
+    CHECK(misdirected.wrong_upstream);
+}
--- /dev/null
+++ b/test/relay/relay_parts_test.cpp
@@ -0,0 +1,136 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "core/relay_settings.h"
+#include "relay/beat.h"
+#include "relay/event_splitter.h"
+#include "relay/wire_protocol.h"
+
+using namespace figspoke;
+using namespace figspoke::relay;
+
+namespace {
+
+const char* whole_settings = R"(
+[node]
+id = "n1"
+failure_domain = "d1"
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+directory = "127.0.0.1:3"
+peers = "127.0.0.1:4"
+[peers]
+seeds = "10.0.0.1:9,10.0.0.2:9"
+[store]
+address = "127.0.0.1:5"
+[bounds]
+revocation_ms = 4000
+grace_s = 8.5
+repeat_ratio = 0.9
+)";
+
+beat sample_beat() {
+    beat message;
+    message.sender.id = "n1";
+    message.sender.http_address = "10.0.0.1:80";
+    message.sender.incarnation = 5;
+    message.sender.state = state::member_state::serving;
+    message.stamp = 123456;
+    message.echoed_stamp = 99;
+    message.echo_held = std::chrono::microseconds(1500);
+    message.documents[0] = {7, 8, core::milliseconds(9)};
+    message.uses["u1"] = {3, 4000};
+    message.versions[{"s", "v1"}] = {10, 8, 1, 0, 700};
+    message.crashes.push_back({42, "u1", core::milliseconds(10)});
+    message.rollouts.push_back({"s", 12, rollout_state::reverted, true, true, core::milliseconds(1000)});
+    message.sessions.push_back({77, true, core::milliseconds(20)});
+    message.members.push_back({message.sender, core::milliseconds(30)});
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("events are passed on whole, however the bytes are cut") {
+    // Guards against half events that reach a caller when an upstream stops in the middle of one.
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: no id\n\nid: 4\ndata: c";
+    CHECK(rc::check([&] {
+        event_splitter splitter;
+        std::vector<stream_event> events;
+        std::size_t at = 0;
+        while (at < stream.size()) {
+            const auto size = std::size_t(*rc::gen::inRange(1, 8));
+            for (auto& event : splitter.feed(std::string_view(stream).substr(at, size))) {
+                events.push_back(std::move(event));
+            }
+            at += size;
+        }
+        RC_ASSERT(events.size() == 3U);
+        RC_ASSERT(events[0].id == std::optional<std::uint64_t>(1));
+        RC_ASSERT(events[1].id == std::optional<std::uint64_t>(2));
+        RC_ASSERT(!events[2].id.has_value());
+        RC_ASSERT(events[0].bytes + events[1].bytes + events[2].bytes + splitter.rest() == stream);
+    }));
+}
+
+TEST_CASE("a beat survives its encoding") {
+    const auto decoded = decode_beat(encode_beat(sample_beat()));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->sender == sample_beat().sender);
+    CHECK(decoded->echoed_stamp == 99);
+    CHECK(decoded->documents[0].hash == 8);
+    CHECK(decoded->uses.at("u1").tokens == 4000);
+    CHECK(decoded->versions.at({"s", "v1"}).good == 8);
+    CHECK(decoded->crashes.at(0).fingerprint == 42);
+    CHECK(decoded->rollouts.at(0).state == rollout_state::reverted);
+    CHECK(decoded->sessions.at(0).on_target);
+    CHECK(decoded->members.at(0).silence == core::milliseconds(30));
+}
+
+TEST_CASE("a damaged beat or document is refused without an exception") {
+    // Any sender on the network can reach the port of the beats.
+    CHECK(rc::check([] {
+        auto bytes = encode_beat(sample_beat());
+        const auto position = std::size_t(*rc::gen::inRange(0, int(bytes.size())));
+        bytes[position] = static_cast<char>(*rc::gen::inRange(0, 256));
+        bytes.resize(std::size_t(*rc::gen::inRange(0, int(bytes.size()) + 1)));
+        decode_beat(bytes);
+        decode_document(bytes);
+    }));
+}
+
+TEST_CASE("a document survives its encoding, whatever bytes it holds") {
+    state::document_content content;
+    content.at = 5;
+    content.hash = 6;
+    content.items.push_back({"k", std::string("\xff\x00z", 3), 4});
+    const auto decoded = decode_document(encode_document(content, core::milliseconds(12)));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->first.items.at(0).value == content.items.at(0).value);
+    CHECK(decoded->second == core::milliseconds(12));
+}
+
+TEST_CASE("headers of one connection are not passed on") {
+    const header_list headers = {
+        {"Connection", "close, X-Private"}, {"X-Private", "1"},      {"Keep-Alive", "timeout=5"},
+        {"Transfer-Encoding", "chunked"},   {"Content-Length", "5"}, {"X-Kept", "yes"}};
+    CHECK(without_hop_headers(headers) == header_list{{"X-Kept", "yes"}});
+}
+
+TEST_CASE("relay settings are read, and each mistake is named") {
+    const auto settings = core::parse_relay_settings(whole_settings);
+    REQUIRE(settings.has_value());
+    CHECK(settings->seeds == std::vector<std::string>{"10.0.0.1:9", "10.0.0.2:9"});
+    CHECK(settings->bounds.revocation == core::milliseconds(4000));
+    CHECK(settings->bounds.grace == core::milliseconds(8500));
+    const std::string base = whole_settings;
+    const auto message = [](const std::string& text) {
+        const auto parsed = core::parse_relay_settings(text);
+        return parsed ? std::string() : parsed.error().message;
+    };
+    CHECK(message(base + "unknown = 1\n").find("bounds.unknown") != std::string::npos);
+    CHECK(message("[node]\nid = \"n\"\n").find("failure_domain") != std::string::npos);
+    CHECK(message(base + "change_ms = \"x\"\n").find("bounds.change_ms") != std::string::npos);
+    CHECK(message("[surprise]\n").find("surprise") != std::string::npos);
+    CHECK(message("[node\n").find("line 1") != std::string::npos);
+}
