Lower the confidence line as the larger model is expected later

The line now falls from 44 to 0 as the expected first byte moves from 0.35 to 1.1 of the latency target.

--- a/packages/policy/model_choice.cpp
+++ b/packages/policy/model_choice.cpp
@@ -3,25 +3,29 @@
 #include <algorithm>
 
 namespace figspoke::policy {
-namespace {
-
-// An answer with a lower opinion of itself goes to the largest model. On calm days of two deployments 30 and
-// 50 served about equally well, and 70 filled the engines with repeats.
-constexpr int least_confidence = 42;
-
-} // namespace
 
 std::size_t first_model_index(std::size_t /*models*/) {
     return 0;
 }
 
 std::optional<std::size_t> larger_model_index(const std::vector<std::string>& models,
-                                              const std::string& answered, int confidence) {
+                                              const std::string& answered) {
     const auto found = std::find(models.begin(), models.end(), answered);
-    if (found == models.end() || found + 1 == models.end() || confidence >= least_confidence) {
+    if (found == models.end() || found + 1 == models.end()) {
         return std::nullopt;
     }
     return models.size() - 1;
 }
 
+double escalation_line(const escalation_question& question, const model_choice_settings& settings) {
+    const double target = std::max(core::to_seconds(question.latency_target), 0.001);
+    const double part = core::to_seconds(question.spent + question.expected) / target;
+    const double room = (settings.no_line_from - part) / (settings.no_line_from - settings.full_line_until);
+    return settings.line * std::clamp(room, 0.0, 1.0);
+}
+
+bool should_escalate(const escalation_question& question, const model_choice_settings& settings) {
+    return question.confidence < escalation_line(question, settings);
+}
+
 } // namespace figspoke::policy
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -492,7 +492,7 @@
         }
         count_version(entry, [](auto& counts) { ++counts.sent; });
         note_session(entry);
-        if (drop_for_larger_model(answer)) {
+        if (drop_for_larger_model(answer.head)) {
             history_.sends.push_back({entry.id, send_result::unknown});
             history_.sends.back().result = send_result::failed;
             answer.link->close();
@@ -517,18 +517,27 @@
         return next_step::again;
     }
 
+    // A generation may be dropped for one of a larger model while the caller has received none of it.
     bool drop_for_larger_model(const answer_head& head) {
         if (begun_ || model_.empty() || !head.confidence || head.status != 200 || !attempts_remain()) {
             return false;
         }
-        const auto larger = policy::larger_model_index(route_.models, model_, *head.confidence);
+        const auto larger = policy::larger_model_index(route_.models, model_);
         if (!larger) {
             return false;
         }
-        model_ = route_.models.at(*larger);
-        return true;
+        const auto answered = std::exchange(model_, route_.models.at(*larger));
+        const policy::escalation_question question{*head.confidence, core::to_ms(boot_now() - arrived_),
+                                                   core::milliseconds(std::int64_t(choose().expected_ms)),
+                                                   route_.latency_target};
+        const bool escalate = policy::should_escalate(question, {});
+        if (!escalate) {
+            model_ = answered;
+        }
+        confidence_ = *head.confidence;
+        expected_larger_ms_ = question.expected.count();
+        return escalate;
     }
-    bool drop_for_larger_model(const begun_answer& answer) { return drop_for_larger_model(answer.head); }
 
     next_step pass_whole(const state::upstream_entry& entry, begun_answer& answer,
                          core::steady_time sent_at) {
@@ -808,6 +817,10 @@
                      {"first_byte_ms", first_byte_ms_},
                      {"total_ms", total.count()},
                      {"sends", std::move(sends_)}};
+        if (confidence_) {
+            line["confidence"] = *confidence_;
+            line["expected_larger_ms"] = expected_larger_ms_;
+        }
         if (!last_failure_.empty()) {
             line["failure"] = last_failure_;
         }
@@ -836,6 +849,8 @@
     use_guard* use_ = nullptr;
     double uncached_ = 0;
     double pending_ms_ = 0;
+    std::optional<int> confidence_;
+    std::int64_t expected_larger_ms_ = 0;
     std::string model_;
     policy::send_history history_;
     policy::relay_choice choice_;
