--- a/packages/policy/prefill.h
+++ b/packages/policy/prefill.h
@@ -27,7 +27,7 @@
     std::map<std::string, double> ms_per_token;
 };
 
-/// One observation: a prompt of which `tokens` were probably not cached took `took` to its first byte on an
+/// One observation: a prompt of which `tokens` were surely not cached took `took` to its first byte on an
 /// upstream where `pending_ms` of other work was expected before it.
 struct prefill_sample {
     double tokens = 0;
@@ -35,7 +35,8 @@
     double pending_ms = 0;
 };
 
-/// Learns from an answer. Queueing only ever makes an answer later, so low samples weigh more than high ones.
+/// Learns from an answer. Queueing and parts that had to be read again only ever make an answer later, so low
+/// samples weigh more than high ones.
 void learn_prefill(prefill_rates& rates, const std::string& model, const prefill_sample& sample);
 
 /// Returns the expected time in milliseconds to read a number of tokens.
--- a/packages/policy/relay_choice.cpp
+++ b/packages/policy/relay_choice.cpp
@@ -38,18 +38,20 @@
     });
     std::size_t best = 0;
     double best_cost = 0;
+    double best_reading = 0;
     for (std::size_t i = 0; i < open.size(); ++i) {
         // All nodes send a prefix to its first owner, so it is kept there whether this node saw it or not.
-        const double reading = i == 0 ? open[i]->expected_warm_ms : open[i]->expected_ms;
+        const double reading = i == 0 ? open[i]->warm_reading_ms : open[i]->reading_ms;
         const double scatter = i < settings.owners ? 0.0 : settings.scatter_ms;
-        const double cost = reading + settings.ms_per_request * open[i]->load + scatter;
+        const double cost = open[i]->pending_ms + reading + settings.ms_per_request * open[i]->load + scatter;
         if (i == 0 || cost < best_cost) {
             best = i;
             best_cost = cost;
+            best_reading = reading;
         }
     }
     const auto reason = best == 0 ? relay_reason::prefix_owner : relay_reason::prefix_overflow;
-    return {open[best]->id, reason, open[best]->load, open[best]->expected_ms};
+    return {open[best]->id, reason, open[best]->load, open[best]->pending_ms, best_reading};
 }
 
 relay_choice choose_better_of_two(const candidates_view& open, const relay_choice_settings& settings,
@@ -60,7 +62,7 @@
     const auto* first = pick(wish.first);
     const auto* second = pick(wish.second);
     const auto* best = cost_of(*second, settings, wish) < cost_of(*first, settings, wish) ? second : first;
-    return {best->id, reason, best->load, best->expected_ms};
+    return {best->id, reason, best->load, best->pending_ms, best->reading_ms};
 }
 
 } // namespace
@@ -88,7 +90,7 @@
     if (!suspects.empty()) {
         return choose_better_of_two(suspects, settings, wish, relay_reason::last_resort);
     }
-    return {{}, any ? relay_reason::full : relay_reason::none, 0, 0};
+    return {{}, any ? relay_reason::full : relay_reason::none, 0, 0, 0};
 }
 
 std::string_view to_string(relay_reason value) {
--- a/packages/policy/relay_choice.h
+++ b/packages/policy/relay_choice.h
@@ -16,10 +16,12 @@
     int slots = 1;
     /// Estimated requests on the upstream from all nodes.
     int load = 0;
-    /// Expected time until the request's first byte there, in milliseconds.
-    double expected_ms = 0;
-    /// The same if the upstream keeps all shared parts of the prompt.
-    double expected_warm_ms = 0;
+    /// Expected time of the work before this request, in milliseconds.
+    double pending_ms = 0;
+    /// Expected time to read the prompt there, by what this node knows to be kept, and if all its shared
+    /// parts are kept.
+    double reading_ms = 0;
+    double warm_reading_ms = 0;
     /// Whether recent evidence speaks against it.
     bool suspect = false;
     /// Until when it said that it is full.
@@ -58,7 +60,9 @@
     std::string id;
     relay_reason reason = relay_reason::none;
     int load = 0;
-    double expected_ms = 0;
+    /// Expected time of the work before the request and of reading its prompt.
+    double pending_ms = 0;
+    double reading_ms = 0;
 };
 
 /// Chooses an upstream. Requests with a prompt go where their first byte is expected soonest, which is the
--- a/packages/relay/candidates.cpp
+++ b/packages/relay/candidates.cpp
@@ -34,9 +34,18 @@
     candidate.slots = entry.slots;
     const auto use = total_use(node, entry.id);
     candidate.load = use.requests;
-    candidate.expected_ms =
-        policy::pending_before(use.pending, need.rank) +
-        policy::prefill_ms(node.prefill, need.model, uncached_tokens(node, entry.id, need));
+    std::int64_t shared = 0;
+    for (const auto& step : need.shared) {
+        shared += step.tokens;
+    }
+    const auto cached = policy::cached_tokens(node.prefixes, entry.id, need.shared, now);
+    const auto reading = [&](std::int64_t kept) {
+        const auto tokens = std::max<std::int64_t>(need.prompt_tokens - kept, 0);
+        return policy::prefill_ms(node.prefill, need.model, double(tokens));
+    };
+    candidate.pending_ms = policy::pending_before(use.pending, need.rank);
+    candidate.reading_ms = reading(cached);
+    candidate.warm_reading_ms = reading(shared);
     candidate.suspect = !policy::is_usable(node.health, entry.id, now, need.may_probe);
     const auto full = node.full_until.find(entry.id);
     candidate.backing_off = (full != node.full_until.end() && full->second > now) ||
@@ -46,11 +55,6 @@
 
 } // namespace
 
-double uncached_tokens(const relay_state& node, const std::string& upstream, const upstream_need& need) {
-    const auto cached = policy::cached_tokens(node.prefixes, upstream, need.shared, boot_now());
-    return double(std::max<std::int64_t>(need.prompt_tokens - cached, 0));
-}
-
 upstream_use total_use(const relay_state& node, const std::string& upstream) {
     auto use = node.peers->peer_use(upstream);
     if (const auto own = node.uses.find(upstream); own != node.uses.end()) {
--- a/packages/relay/candidates.h
+++ b/packages/relay/candidates.h
@@ -28,9 +28,6 @@
 /// Returns the upstreams of the service with their load from all nodes.
 std::vector<policy::relay_candidate> relay_candidates(const relay_state& node, const upstream_need& need);
 
-/// Tokens of the prompt that the upstream probably doesn't keep.
-double uncached_tokens(const relay_state& node, const std::string& upstream, const upstream_need& need);
-
 /// Requests on an upstream from all nodes.
 upstream_use total_use(const relay_state& node, const std::string& upstream);
 
--- a/packages/relay/event_log.cpp
+++ b/packages/relay/event_log.cpp
@@ -23,15 +23,15 @@
         ++suppressed_;
         return;
     }
-    write(std::move(line));
+    write(line);
 }
 
 void event_log::state(const std::string& event, json line) {
     line["event"] = event;
-    write(std::move(line));
+    write(line);
 }
 
-void event_log::write(json line) {
+void event_log::write(const json& line) {
     adapters::log_decision(line.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
--- a/packages/relay/event_log.h
+++ b/packages/relay/event_log.h
@@ -20,7 +20,7 @@
     void state(const std::string& event, nlohmann::json line);
 
   private:
-    void write(nlohmann::json line);
+    void write(const nlohmann::json& line);
 
     core::steady_time second_began_{};
     int lines_in_second_ = 0;
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -131,7 +131,7 @@
             return core::error{core::error_kind::store_unavailable, "no configuration was read yet",
                                std::nullopt};
         }
-        if (const auto refusal = resolve()) {
+        if (auto refusal = resolve()) {
             return refusal;
         }
         if (!route_.anonymous && config_age_ > key_confirmation_limit(node_.settings.bounds)) {
@@ -263,7 +263,7 @@
         need.model = model_;
         need.tokens = own_tokens();
         need.shared = shared_steps(request_, model_);
-        need.prompt_tokens = request_.prompt_tokens;
+        need.prompt_tokens = prompt_tokens();
         need.rank = rank_;
         need.may_probe = route_.repeat != state::repeat_rule::at_most_once;
         if (const auto found = node_.rollouts.find(service_); found != node_.rollouts.end()) {
@@ -303,7 +303,7 @@
 
     // A prompt without shared parts has an owner as well: any fixed one will do.
     std::uint64_t prefix_of(const std::vector<policy::prompt_step>& shared) const {
-        if (request_.prompt_tokens <= 0) {
+        if (prompt_tokens() <= 0) {
             return 0;
         }
         return shared.empty() ? id_ : shared.back().chain;
@@ -394,9 +394,22 @@
 
     // ---- one send
 
+    // The part of the prompt that no other request shares, so that it is surely read.
+    double own_part() const {
+        return request_.prompt.empty() ? double(prompt_tokens()) : double(request_.prompt.back().tokens);
+    }
+
+    std::int64_t prompt_tokens() const {
+        std::int64_t parts = 0;
+        for (const auto& part : request_.prompt) {
+            parts += part.tokens;
+        }
+        return std::max(parts, request_.prompt_tokens);
+    }
+
     std::int64_t own_tokens() const {
         const auto out = request_.expected_tokens.value_or(request_.max_tokens);
-        return request_.prompt_tokens + out;
+        return prompt_tokens() + out;
     }
 
     core::milliseconds time_left() const {
@@ -442,9 +455,8 @@
 
     next_step send_to(const state::upstream_entry& entry) {
         const auto need = need_of(false);
-        uncached_ = uncached_tokens(node_, entry.id, need);
-        pending_ms_ = policy::pending_before(total_use(node_, entry.id).pending, rank_);
-        const double prefill = policy::prefill_ms(node_.prefill, model_, uncached_);
+        pending_ms_ = choice_.pending_ms;
+        const double prefill = choice_.reading_ms;
         use_guard use(node_, entry.id, service_, {own_tokens(), prefill, rank_});
         use_ = &use;
         policy::note_prefixes(node_.prefixes, entry.id, need.shared, boot_now());
@@ -527,9 +539,10 @@
             return false;
         }
         const auto answered = std::exchange(model_, route_.models.at(*larger));
-        const policy::escalation_question question{*head.confidence, core::to_ms(boot_now() - arrived_),
-                                                   core::milliseconds(std::int64_t(choose().expected_ms)),
-                                                   route_.latency_target};
+        const auto choice = choose();
+        const policy::escalation_question question{
+            *head.confidence, core::to_ms(boot_now() - arrived_),
+            core::milliseconds(std::int64_t(choice.pending_ms + choice.reading_ms)), route_.latency_target};
         const bool escalate = policy::should_escalate(question, {});
         if (!escalate) {
             model_ = answered;
@@ -701,7 +714,7 @@
         }
         const auto took = core::to_ms(boot_now() - sent_at);
         if (!model_.empty()) {
-            policy::learn_prefill(node_.prefill, model_, {uncached_, took, pending_ms_});
+            policy::learn_prefill(node_.prefill, model_, {own_part(), took, pending_ms_});
         }
         count_version(entry, [&](auto& counts) {
             ++counts.good;
@@ -797,7 +810,7 @@
                           {"model", model_},
                           {"reason", policy::to_string(choice_.reason)},
                           {"load", choice_.load},
-                          {"expected_ms", std::int64_t(choice_.expected_ms)},
+                          {"expected_ms", std::int64_t(choice_.pending_ms + choice_.reading_ms)},
                           {"result", policy::to_string(last.result)},
                           {"ms", core::to_ms(boot_now() - sent_at).count()}});
     }
@@ -847,7 +860,6 @@
     double service_draw_ = 0;
     bool counted_ = false;
     use_guard* use_ = nullptr;
-    double uncached_ = 0;
     double pending_ms_ = 0;
     std::optional<int> confidence_;
     std::int64_t expected_larger_ms_ = 0;
