--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -40,7 +40,7 @@
     message.echoed_stamp = 99;
     message.echo_held = std::chrono::microseconds(1500);
     message.documents[0] = {7, 8, core::milliseconds(9)};
-    message.uses["u1"] = {3, 4000};
+    message.uses["u1"] = {3, 4000, {}, {}};
     message.versions[{"s", "v1"}] = {10, 8, 1, 0, 700};
     message.crashes.push_back({42, "u1", core::milliseconds(10)});
     message.rollouts.push_back({"s", 12, rollout_state::reverted, true, true, core::milliseconds(1000)});
