Test the platform program against stand-ins; count crashes only when confirmed

Writing them showed that a reset alone counted as a crash of the upstream, so that a lookup that many callers send would be refused after three resets. A crash now counts only when the upstream is found to be down or restarted, and a success clears it.

--- a/packages/policy/crash_ledger.cpp
+++ b/packages/policy/crash_ledger.cpp
@@ -1,6 +1,7 @@
 #include "policy/crash_ledger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figspoke::policy {
 namespace {
@@ -22,6 +23,10 @@
 
 bool record_crash(crash_ledger& ledger, const crash_ledger_settings& settings, std::uint64_t fingerprint,
                   const std::string& upstream, core::steady_time at) {
+    const auto cleared = ledger.cleared.find(fingerprint);
+    if (cleared != ledger.cleared.end() && at <= cleared->second) {
+        return false;
+    }
     auto& crashes = ledger.crashes[fingerprint];
     const bool known = std::any_of(crashes.begin(), crashes.end(), [&](const seen_crash& one) {
         const auto apart = one.at < at ? at - one.at : one.at - at;
@@ -37,6 +42,39 @@
     return true;
 }
 
+void note_broken_run(crash_ledger& ledger, const crash_ledger_settings& settings, const broken_run& run) {
+    auto& runs = ledger.unconfirmed;
+    const auto old = [&](const broken_run& one) { return run.at - one.at > settings.confirm_within; };
+    runs.erase(std::remove_if(runs.begin(), runs.end(), old), runs.end());
+    if (runs.size() < settings.max_fingerprints) {
+        runs.push_back(run);
+    }
+}
+
+std::vector<std::uint64_t> confirm_crash(crash_ledger& ledger, const crash_ledger_settings& settings,
+                                         const std::string& upstream, core::steady_time now) {
+    std::vector<std::uint64_t> refused;
+    auto runs = std::exchange(ledger.unconfirmed, {});
+    for (auto& run : runs) {
+        if (run.upstream != upstream) {
+            ledger.unconfirmed.push_back(std::move(run));
+            continue;
+        }
+        const bool recent = now - run.at <= settings.confirm_within;
+        if (recent && record_crash(ledger, settings, run.fingerprint, upstream, run.at) &&
+            is_refused(ledger, settings, run.fingerprint)) {
+            refused.push_back(run.fingerprint);
+        }
+    }
+    return refused;
+}
+
+void clear_fingerprint(crash_ledger& ledger, std::uint64_t fingerprint, core::steady_time now) {
+    if (ledger.crashes.erase(fingerprint) > 0) {
+        ledger.cleared[fingerprint] = now;
+    }
+}
+
 std::size_t crash_count(const crash_ledger& ledger, std::uint64_t fingerprint) {
     const auto found = ledger.crashes.find(fingerprint);
     return found == ledger.crashes.end() ? 0 : found->second.size();
@@ -51,6 +89,9 @@
     for (auto it = ledger.crashes.begin(); it != ledger.crashes.end();) {
         it = now - latest(it->second) > settings.expiry ? ledger.crashes.erase(it) : std::next(it);
     }
+    for (auto it = ledger.cleared.begin(); it != ledger.cleared.end();) {
+        it = now - it->second > settings.expiry ? ledger.cleared.erase(it) : std::next(it);
+    }
 }
 
 } // namespace figspoke::policy
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -52,6 +52,7 @@
     }
     for (const auto* list : {&changes.restarted, &changes.removed}) {
         for (const auto& id : *list) {
+            policy::confirm_crash(node.crashes, {}, id, boot_now());
             node.health.upstreams.erase(id);
             node.full_until.erase(id);
         }
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -681,13 +681,14 @@
         const bool out_of_time = failure.why == link_failure::silent && boot_now() >= deadline_;
         if (failure.result == send_result::not_sent) {
             ++unsent_tries_;
+            confirm_crash(entry);
             policy::record_outcome(node_.health, entry.id, false, boot_now());
         } else if (!out_of_time || attempts_remain()) {
             policy::record_outcome(node_.health, entry.id, false, boot_now());
             note_bad(entry);
         }
         if (failure.why == link_failure::broken) {
-            note_crash(entry);
+            note_broken(entry);
         }
         return next_step::again;
     }
@@ -712,6 +713,7 @@
             note_bad(entry);
             return;
         }
+        policy::clear_fingerprint(node_.crashes, fingerprint_, boot_now());
         const auto took = core::to_ms(boot_now() - sent_at);
         if (!model_.empty()) {
             policy::learn_prefill(node_.prefill, model_, {own_part(), took, pending_ms_});
@@ -724,13 +726,17 @@
         node_.metrics.observe("relay_first_byte_seconds", {{"service", entry.service}}, took);
     }
 
-    // A connection that breaks while the upstream works may be a crash that the request caused.
-    void note_crash(const state::upstream_entry& entry) {
+    // A connection that breaks while the upstream works may be a crash that the request caused. It counts
+    // once the upstream is found to be down, since connections are reset for other reasons too.
+    void note_broken(const state::upstream_entry& entry) {
         node_.pool.drop(entry.id);
-        if (policy::record_crash(node_.crashes, {}, fingerprint_, entry.id, boot_now()) &&
-            policy::is_refused(node_.crashes, {}, fingerprint_)) {
-            node_.log.state("request_refused_for_crashes",
-                            {{"id", request_.request_id}, {"fingerprint", fingerprint_}});
+        policy::note_broken_run(node_.crashes, {}, {fingerprint_, entry.id, boot_now()});
+    }
+
+    void confirm_crash(const state::upstream_entry& entry) {
+        for (const auto fingerprint : policy::confirm_crash(node_.crashes, {}, entry.id, boot_now())) {
+            node_.log.state("requests_refused_for_crashes",
+                            {{"fingerprint", fingerprint}, {"upstream", entry.id}});
         }
     }
 
--- a/test/correctness/relay_routing_test.cpp
+++ b/test/correctness/relay_routing_test.cpp
@@ -95,6 +95,30 @@
     CHECK_FALSE(is_refused(ledger, {}, 7));
 }
 
+TEST_CASE("a broken connection counts as a crash only where the upstream is found to be down") {
+    // Found by reading: connections are reset for other reasons, and many callers send the same lookup.
+    crash_ledger ledger;
+    for (int i = 0; i < 10; ++i) {
+        note_broken_run(ledger, {}, {7, "u" + std::to_string(i), at(i * 100)});
+    }
+    CHECK(crash_count(ledger, 7) == 0);
+    CHECK(confirm_crash(ledger, {}, "u1", at(1000)).empty());
+    CHECK(confirm_crash(ledger, {}, "u2", at(1000)).empty());
+    CHECK(confirm_crash(ledger, {}, "u3", at(1000)) == std::vector<std::uint64_t>{7});
+    CHECK(confirm_crash(ledger, {}, "u4", at(9000)).empty());
+    CHECK(crash_count(ledger, 7) == 3);
+}
+
+TEST_CASE("a request that succeeds clears its fingerprint, also against late reports of earlier crashes") {
+    crash_ledger ledger;
+    record_crash(ledger, {}, 7, "u1", at(0));
+    record_crash(ledger, {}, 7, "u2", at(100));
+    clear_fingerprint(ledger, 7, at(200));
+    CHECK_FALSE(record_crash(ledger, {}, 7, "u3", at(150)));
+    CHECK(crash_count(ledger, 7) == 0);
+    CHECK(record_crash(ledger, {}, 7, "u3", at(300)));
+}
+
 TEST_CASE("a conversation that runs on the old version stays there during the trial") {
     // Found by hunts: conversations under way at the order were moved, which changes their version.
     session_pins pins;
--- /dev/null
+++ b/test/platform/support/relay_world.cpp
@@ -0,0 +1,123 @@
+#include "platform/support/relay_world.h"
+
+#include <stdexcept>
+
+#include <nlohmann/json.hpp>
+
+namespace figspoke::test {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int ports_of_node = 5;
+
+json route(const std::string& name, const std::string& kind, const std::string& service) {
+    return {{"name", name},
+            {"host", "h"},
+            {"pathPrefix", "/" + name + "/"},
+            {"kind", kind},
+            {"service", service},
+            {"timeoutMs", 8000},
+            {"targetLatencyMs", 300},
+            {"priority", 1},
+            {"maxAttempts", kind == "unsafe" ? 1 : 3},
+            {"resumable", false},
+            {"allowAnonymous", false}};
+}
+
+} // namespace
+
+relay_world::relay_world() : ports_(pick_free_ports(ports_of_node)) {}
+
+void relay_world::add_engine(const std::string& id, const std::string& service, const engine_stand_in& engine,
+                             const std::string& state) {
+    const json entry = {{"service", service}, {"address", engine.address()},
+                        {"zone", "z"},        {"version", "v1"},
+                        {"slots", 8},         {"state", state},
+                        {"sequence", 1},      {"born", 1000}};
+    store_.put("servers/" + id, entry.dump());
+}
+
+void relay_world::configure(int version, const std::vector<std::string>& keys) {
+    auto open = route("open", "safe", "shop");
+    open["allowAnonymous"] = true;
+    auto chat = route("chat", "streaming", "model");
+    chat["resumable"] = true;
+    const json config = {
+        {"version", version},
+        {"routes",
+         {route("order", "unsafe", "shop"), route("look", "safe", "shop"), open, chat,
+          route("once", "streaming", "model")}},
+        {"services", {{{"name", "shop"}, {"maxConns", 50}}, {{"name", "model"}, {"maxConns", 50}}}},
+        {"limits",
+         {{"maxHeaderBytes", 4096},
+          {"maxBodyBytes", 4194304},
+          {"headerTimeoutMs", 1000},
+          {"idleTimeoutMs", 9000}}},
+        {"tenants", {{{"name", "tenant-1"}, {"apiKeys", keys}}}}};
+    store_.put("op/config", config.dump());
+}
+
+std::string relay_world::settings_of(const relay_process& node) const {
+    return "[node]\nid = \"n-" + node.ip + "\"\nfailure_domain = \"z\"\n[listen]\ncallers = \"" +
+           node.callers + "\"\nreadiness = \"" + node.readiness + "\"\ndirectory = \"" + node.directory +
+           "\"\npeers = \"" + node.ip + ":" + std::to_string(ports_[3]) + "\"\nmetrics = \"" + node.metrics +
+           "\"\n[peers]\nseeds = \"127.0.1.1:1\"\n[store]\naddress = \"" + store_.address() +
+           "\"\n[bounds]\nrevocation_ms = 3000\ngrace_s = 6\nrepeat_ratio = 0.9\nrepeat_slack = 50\n";
+}
+
+relay_process& relay_world::launch_node() {
+    auto node = std::make_unique<relay_process>();
+    node->ip = "127.0.1." + std::to_string(nodes_.size() + 1);
+    const auto at = [&](int port) { return node->ip + ":" + std::to_string(ports_[std::size_t(port)]); };
+    node->callers = at(0);
+    node->readiness = at(1);
+    node->directory = at(2);
+    node->metrics = at(4);
+    const auto file = directory_.path() + "/" + node->ip + ".toml";
+    write_file(file, settings_of(*node));
+    node->process = std::make_unique<child_process>(std::string(FIGSPOKE_PLATFORM_PROGRAM),
+                                                    std::vector<std::string>{"--settings", file},
+                                                    directory_.path(), node->ip);
+    nodes_.push_back(std::move(node));
+    return *nodes_.back();
+}
+
+relay_process& relay_world::start_node() {
+    auto& node = launch_node();
+    const auto settled = [&] { return is_ready(node) || node.process->exit_code().has_value(); };
+    if (!wait_until(settled) || !is_ready(node)) {
+        throw std::runtime_error("the node did not become ready: " + node.process->output() +
+                                 node.process->errors());
+    }
+    return node;
+}
+
+http_answer relay_world::send(const relay_process& node, const std::string& path, const std::string& id,
+                              const std::string& body, const std::string& key) {
+    adapters::http_call call;
+    call.address = node.callers;
+    call.method = "POST";
+    call.target = path;
+    call.body = body;
+    call.headers = {{"host", "h"}, {"x-request-id", id}, {"x-deadline-ms", "8000"}};
+    if (!key.empty()) {
+        call.headers["api-key"] = key;
+    }
+    return http_send(call);
+}
+
+std::vector<std::string> relay_world::look_up(const relay_process& node) {
+    const auto answer = http_get(node.directory, "/lookup?name=h&region=r&zone=z");
+    if (answer.status != 200) {
+        return {};
+    }
+    return json_of(answer).at("addresses").get<std::vector<std::string>>();
+}
+
+bool relay_world::is_ready(const relay_process& node) {
+    return http_get(node.readiness, "/ready").status == 200;
+}
+
+} // namespace figspoke::test
