--- a/packages/relay/event_log.cpp
+++ b/packages/relay/event_log.cpp
@@ -9,7 +9,7 @@
 
 using nlohmann::json;
 
-void event_log::request(json line) {
+void event_log::request(const json& line) {
     const auto now = boot_now();
     if (now - second_began_ >= core::seconds(1)) {
         if (suppressed_ > 0) {
--- a/packages/relay/event_log.h
+++ b/packages/relay/event_log.h
@@ -14,7 +14,7 @@
 class event_log {
   public:
     /// Writes a line of what touched a request. At most `max_request_lines_per_s` are written.
-    void request(nlohmann::json line);
+    void request(const nlohmann::json& line);
 
     /// Writes a line of what changed the process's belief: kind and fields.
     void state(const std::string& event, nlohmann::json line);
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -457,6 +457,7 @@
         const auto need = need_of(false);
         pending_ms_ = choice_.pending_ms;
         const double prefill = choice_.reading_ms;
+        sent_model_ = model_;
         use_guard use(node_, entry.id, service_, {own_tokens(), prefill, rank_});
         use_ = &use;
         policy::note_prefixes(node_.prefixes, entry.id, need.shared, boot_now());
@@ -716,7 +717,7 @@
         policy::clear_fingerprint(node_.crashes, fingerprint_, boot_now());
         const auto took = core::to_ms(boot_now() - sent_at);
         if (!model_.empty()) {
-            policy::learn_prefill(node_.prefill, model_, {own_part(), took, pending_ms_});
+            policy::learn_prefill(node_.prefill, sent_model_, {own_part(), took, pending_ms_});
         }
         count_version(entry, [&](auto& counts) {
             ++counts.good;
@@ -813,7 +814,7 @@
         const auto& last = history_.sends.empty() ? policy::send_record{} : history_.sends.back();
         sends_.push_back({{"upstream", entry.id},
                           {"version", entry.version},
-                          {"model", model_},
+                          {"model", sent_model_},
                           {"reason", policy::to_string(choice_.reason)},
                           {"load", choice_.load},
                           {"expected_ms", std::int64_t(choice_.pending_ms + choice_.reading_ms)},
@@ -843,7 +844,7 @@
         if (!last_failure_.empty()) {
             line["failure"] = last_failure_;
         }
-        node_.log.request(std::move(line));
+        node_.log.request(line);
         node_.metrics.add("relay_requests_total", {{"status", std::to_string(status_)}});
         node_.metrics.observe("relay_request_seconds", {}, total);
     }
@@ -870,6 +871,8 @@
     std::optional<int> confidence_;
     std::int64_t expected_larger_ms_ = 0;
     std::string model_;
+    /// Model of the send under way; `model_` may already name the next one.
+    std::string sent_model_;
     policy::send_history history_;
     policy::relay_choice choice_;
     int unsent_tries_ = 0;
--- a/test/correctness/relay_placing_test.cpp
+++ b/test/correctness/relay_placing_test.cpp
@@ -29,6 +29,7 @@
 
 std::vector<relay_candidate> engines(int count) {
     std::vector<relay_candidate> list;
+    list.reserve(std::size_t(count));
     for (int i = 0; i < count; ++i) {
         list.push_back(engine(i));
     }
