--- a/packages/policy/model_choice.h
+++ b/packages/policy/model_choice.h
@@ -13,12 +13,12 @@
     /// An answer with a lower opinion of itself, from 0 to 100, is asked again of a larger model while that
     /// one answers well within the latency target. On calm days of two deployments 30 and 50 served about
     /// equally well, and 70 filled the engines with repeats.
-    double line = 44;
+    double line = 52;
     /// Part of the latency target up to which the larger model's first byte may be expected without a lower
     /// line, and part from which nothing is asked again. Under load a repeat delays the urgent work of others
     /// and comes late itself.
-    double full_line_until = 0.35;
-    double no_line_from = 1.1;
+    double full_line_until = 0.15;
+    double no_line_from = 0.9;
 };
 
 /// What is known when a model has answered.
