Let other nodes write a roll-out's state when the first one can't

The live members now write in turn, 0.9 s apart, fenced by the revision. Reading the log showed a second fault: after a total power loss no upstream of the old version is left, and requests failed until the status was read; any version that isn't stopped serves then.

--- a/packages/policy/rollout_plan.cpp
+++ b/packages/policy/rollout_plan.cpp
@@ -14,6 +14,10 @@
                : 1.0;
 }
 
+// How much later each following node writes, and the number of nodes that wait for each other.
+constexpr core::milliseconds turn_step{900};
+constexpr std::size_t max_turns = 5;
+
 } // namespace
 
 double trial_share(double exposure_share, const rollout_plan_settings& settings) {
@@ -36,6 +40,10 @@
     return part_elapsed(clock) < settings.full_from ? std::max(trial, settings.middle_share) : 1.0;
 }
 
+bool may_write_state(core::nanoseconds waited, std::size_t rank) {
+    return waited >= turn_step * std::int64_t(std::min(rank, max_turns));
+}
+
 bool may_complete(const rollout_clock& clock, rollout_verdict verdict, core::nanoseconds at_full_share,
                   int requests_on_old, const rollout_plan_settings& settings) {
     if (verdict != rollout_verdict::good || at_full_share < least_at_full) {
--- a/packages/policy/rollout_plan.h
+++ b/packages/policy/rollout_plan.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 #include "core/time.h"
 #include "policy/rollout_verdict.h"
 
@@ -42,4 +44,8 @@
 bool may_complete(const rollout_clock& clock, rollout_verdict verdict, core::nanoseconds at_full_share,
                   int requests_on_old, const rollout_plan_settings& settings);
 
+/// Tells whether the node of this rank among the live members writes a state that waits to be written for
+/// this long: the first at once, the next ones in turn.
+bool may_write_state(core::nanoseconds waited, std::size_t rank);
+
 } // namespace figspoke::policy
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -273,6 +273,17 @@
         return need;
     }
 
+    // Where no upstream of the old version is left, the other one serves, unless it was found bad: the old
+    // ones stop at the end of a roll-out, which this node may not know yet.
+    upstream_need any_version_need() const {
+        auto need = need_of(false);
+        const auto found = node_.rollouts.find(service_);
+        if (found != node_.rollouts.end() && !found->second.stopped) {
+            need.avoided_version.clear();
+        }
+        return need;
+    }
+
     // A conversation has a fixed place in each roll-out; a request without one is placed by chance.
     void place_session() {
         session_ = request_.session.empty() ? 0 : core::stable_hash(service_ + '/' + request_.session);
@@ -324,6 +335,10 @@
         if (choice.reason == policy::relay_reason::none && target) {
             choice = policy::choose_relay_upstream(relay_candidates(node_, need_of(false)), settings, wish);
         }
+        if (choice.reason == policy::relay_reason::none && wish.tried.empty()) {
+            choice =
+                policy::choose_relay_upstream(relay_candidates(node_, any_version_need()), settings, wish);
+        }
         if (choice.reason == policy::relay_reason::none && !wish.tried.empty()) {
             // Every upstream was tried; one that refused or was not reached may be asked again.
             wish.tried.clear();
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -51,6 +51,8 @@
     /// Whether the store holds a status for the order, and whether this node has read it.
     bool written = false;
     bool status_read = false;
+    /// Since when a state waits to be written.
+    std::optional<core::steady_time> wanted_since;
     /// Earliest time of the next call to the store.
     core::steady_time retry_at{};
 };
--- a/packages/relay/rollouts.cpp
+++ b/packages/relay/rollouts.cpp
@@ -117,6 +117,18 @@
     return progress.written ? std::nullopt : std::make_optional(rollout_state::in_progress);
 }
 
+// The first of the live members writes. The next ones follow one after the other, since the store may turn
+// single nodes away; the condition on the revision fences those that come too late.
+bool is_my_turn(relay_state& node, rollout_progress& progress, bool wanted) {
+    if (!wanted) {
+        progress.wanted_since.reset();
+        return false;
+    }
+    const auto now = boot_now();
+    progress.wanted_since = progress.wanted_since.value_or(now);
+    return policy::may_write_state(now - *progress.wanted_since, node.peers->rank());
+}
+
 void write_state(relay_state& node, rollout_progress& progress, rollout_state wanted,
                  const boost::asio::yield_context& yield) {
     const auto service = progress.order.service;
@@ -239,7 +251,7 @@
 }
 
 void drive_rollouts(relay_state& node, const boost::asio::yield_context& yield) {
-    if (node.peers->rank() != 0 || node.leaving) {
+    if (node.leaving) {
         return;
     }
     std::vector<std::pair<std::string, std::uint64_t>> open;
@@ -253,7 +265,8 @@
         if (progress == nullptr) {
             continue;
         }
-        if (const auto wanted = wanted_state(node, *progress)) {
+        const auto wanted = wanted_state(node, *progress);
+        if (is_my_turn(node, *progress, wanted.has_value())) {
             write_state(node, *progress, *wanted, yield);
         }
     }
--- a/packages/relay/rollouts.h
+++ b/packages/relay/rollouts.h
@@ -21,8 +21,8 @@
 /// version is left at once whoever drives.
 void step_rollouts(relay_state& node);
 
-/// Writes progress to the store where this node is the first of the live members. Conditional writes fence a
-/// second driver.
+/// Writes progress to the store. The first of the live members does it, the next ones where it fails to;
+/// conditional writes fence late ones.
 void drive_rollouts(relay_state& node, const boost::asio::yield_context& yield);
 
 } // namespace figspoke::relay
--- a/test/correctness/relay_routing_test.cpp
+++ b/test/correctness/relay_routing_test.cpp
@@ -193,6 +193,15 @@
     CHECK(share(9000, rollout_verdict::bad) == 0.0);
 }
 
+TEST_CASE("another node writes a roll-out's state where the first one fails to") {
+    // Found on a heavy day: the store turned the first node away until the deadline of the roll-out had passed.
+    CHECK(may_write_state(milliseconds(0), 0));
+    CHECK_FALSE(may_write_state(milliseconds(0), 1));
+    CHECK(may_write_state(milliseconds(1000), 1));
+    CHECK_FALSE(may_write_state(milliseconds(1000), 2));
+    CHECK(may_write_state(milliseconds(5000), 300));
+}
+
 TEST_CASE("a roll-out completes only when the old version has nothing left or time is nearly over") {
     // Completion stops the old upstreams at once, so requests there would be cut off.
     const rollout_clock early{milliseconds(7000), milliseconds(10000)};
