--- a/test/correctness/relay_routing_test.cpp
+++ b/test/correctness/relay_routing_test.cpp
@@ -194,7 +194,8 @@
 }
 
 TEST_CASE("another node writes a roll-out's state where the first one fails to") {
-    // Found on a heavy day: the store turned the first node away until the deadline of the roll-out had passed.
+    // Found on a heavy day: the store turned the first node away until the deadline of the roll-out had
+    // passed.
     CHECK(may_write_state(milliseconds(0), 0));
     CHECK_FALSE(may_write_state(milliseconds(0), 1));
     CHECK(may_write_state(milliseconds(1000), 1));
--- a/test/platform/relay_process_test.cpp
+++ b/test/platform/relay_process_test.cpp
@@ -227,7 +227,10 @@
                                       "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                                       "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
                                       "Transfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
-        const auto answer = exchange_raw(small.node->callers, head + framing + hidden);
+        std::string bytes = head;
+        bytes += framing;
+        bytes += hidden;
+        const auto answer = exchange_raw(small.node->callers, bytes);
         CHECK(answer.substr(0, 12) == "HTTP/1.1 400");
         CHECK(answer.find("whole answer") == std::string::npos);
     }
