--- /dev/null
+++ b/packages/relay/forward_admission.cpp
@@ -0,0 +1,99 @@
+#include "relay/forward_run.h"
+
+#include "core/hash.h"
+#include "policy/model_choice.h"
+#include "relay/boot_clock.h"
+
+namespace figspoke::relay {
+namespace {
+
+// Answers are given this much before the caller stops waiting.
+constexpr core::milliseconds answer_margin{15};
+
+} // namespace
+
+std::optional<core::error> forward_run::admit() {
+    if (request_.request_id.empty()) {
+        return core::error{core::error_kind::bad_request, "the request has no usable id", std::nullopt};
+    }
+    if (exchange_.head().target.empty() || exchange_.head().target.front() != '/') {
+        return core::error{core::error_kind::bad_request, "the target is not a path", std::nullopt};
+    }
+    if (!is_configured(node_)) {
+        return core::error{core::error_kind::store_unavailable, "no configuration was read yet",
+                           std::nullopt};
+    }
+    if (auto refusal = resolve()) {
+        return refusal;
+    }
+    if (!route_.anonymous && config_age_ > key_confirmation_limit(node_.settings.bounds)) {
+        return core::error{core::error_kind::store_unavailable,
+                           "the configuration was not confirmed recently enough to accept keys",
+                           std::nullopt};
+    }
+    fingerprint_ =
+        core::stable_hash(exchange_.head().target + '\n' + request_.api_key + '\n' + *exchange_.body());
+    if (policy::is_refused(node_.crashes, {}, fingerprint_)) {
+        return core::error{core::error_kind::overloaded, "the request crashed several upstreams",
+                           core::milliseconds(5000)};
+    }
+    set_deadline();
+    history_.repeat = route_.repeat;
+    history_.max_attempts = route_.max_attempts;
+    model_ = first_model();
+    service_draw_ = draw(node_);
+    return std::nullopt;
+}
+
+// Reads route and account from the present configuration. Done again before each send, so that a route
+// or key that was taken away meanwhile ends the request.
+std::optional<core::error> forward_run::resolve() {
+    const auto table = node_.routes;
+    config_version_ = table->version;
+    config_age_ = document_age(node_, document_kind::operator_config, boot_now());
+    const bool current = config_age_ < node_.settings.bounds.change;
+    const auto* route = state::find_route(*table, request_.host, exchange_.head().target);
+    if (route == nullptr) {
+        return missing(current, core::error_kind::not_found, "no route leads there");
+    }
+    rank_ = route->rank;
+    account_.clear();
+    if (!route->anonymous) {
+        const auto* account = state::find_account(*table, request_.api_key);
+        if (account == nullptr) {
+            return missing(current, core::error_kind::unauthorized, "the API key is not known");
+        }
+        account_ = account->name;
+        rank_ = account->rank.value_or(route->rank);
+    } else if (const auto* account = state::find_account(*table, request_.api_key)) {
+        account_ = account->name;
+    }
+    route_ = *route;
+    return std::nullopt;
+}
+
+// A node that may have missed a change doesn't claim that something doesn't exist.
+core::error forward_run::missing(bool current, core::error_kind kind, const std::string& what) {
+    if (current) {
+        return {kind, what, std::nullopt};
+    }
+    return {core::error_kind::store_unavailable, what + " in a configuration that may be out of date",
+            std::nullopt};
+}
+
+void forward_run::set_deadline() {
+    auto wait = route_.timeout;
+    if (request_.deadline) {
+        wait = std::min(wait, *request_.deadline);
+    }
+    deadline_ = arrived_ + std::max(wait - answer_margin, answer_margin);
+}
+
+std::string forward_run::first_model() const {
+    if (route_.models.empty() || !request_.any_model) {
+        return {};
+    }
+    return route_.models.at(policy::first_model_index(route_.models.size()));
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/forward_end.cpp
@@ -0,0 +1,75 @@
+#include "relay/forward_run.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "core/error_json.h"
+#include "relay/boot_clock.h"
+
+namespace figspoke::relay {
+
+void forward_run::leave() {
+    if (current_) {
+        current_->close();
+    }
+    if (const auto found = node_.waiting.find(id_); found != node_.waiting.end()) {
+        found->second->signal();
+    }
+}
+
+void forward_run::deliver(const caller_answer& answer) {
+    status_ = answer.status;
+    end_ = exchange_.send(answer) ? "served" : "caller left";
+}
+
+void forward_run::finish_without_upstream() {
+    const bool full = choice_.reason == policy::relay_reason::full;
+    const bool late = boot_now() >= deadline_;
+    finish_failed(late ? policy::end_cause::deadline
+                       : (full ? policy::end_cause::refused_at_once : policy::end_cause::no_upstream));
+}
+
+void forward_run::finish_failed(policy::end_cause cause) {
+    if (begun_) {
+        // The answer ends without its end mark, so that it can't be taken for a whole one.
+        end_ = "stream broken off: " + std::string(policy::to_string(cause));
+        return;
+    }
+    if (fallback_) {
+        deliver(*fallback_);
+        return;
+    }
+    core::error error{policy::final_error(history_, cause), last_failure_, std::nullopt};
+    if (error.message.empty()) {
+        error.message = policy::to_string(cause);
+    }
+    if (policy::never_ran(history_)) {
+        error.retry_after = retry_pause();
+    }
+    finish_with(error, std::string(policy::to_string(cause)));
+}
+
+// Spreads the returns over a part of the time that the caller has left.
+core::milliseconds forward_run::retry_pause() {
+    const double left = double(std::max<std::int64_t>(core::to_ms(deadline_ - boot_now()).count(), 0));
+    return core::milliseconds(std::int64_t(std::min(left * (0.08 + 0.17 * draw(node_)), 1500.0)));
+}
+
+void forward_run::finish_with(const core::error& error, const std::string& end) {
+    end_ = end + ": " + error.message;
+    if (begun_) {
+        return;
+    }
+    const auto& answer = core::error_answer_for(error.kind);
+    status_ = answer.http_status;
+    caller_answer reply{
+        answer.http_status, {{"Content-Type", "application/json"}}, core::render_error(error)};
+    if (const auto retry = core::retry_time(error); retry && answer.execution == core::execution::not_run) {
+        char seconds[32];
+        std::snprintf(seconds, sizeof(seconds), "%.3f", core::to_seconds(*retry));
+        reply.headers.emplace_back("Retry-After", seconds);
+    }
+    exchange_.send(reply);
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/forward_evidence.cpp
@@ -0,0 +1,52 @@
+#include "relay/forward_run.h"
+
+#include "policy/crash_ledger.h"
+#include "policy/prefill.h"
+#include "relay/boot_clock.h"
+
+namespace figspoke::relay {
+
+policy::version_counts& forward_run::counts_of(const state::upstream_entry& entry) {
+    return node_.versions[{entry.service, entry.version}];
+}
+
+void forward_run::note_bad(const state::upstream_entry& entry) {
+    ++counts_of(entry).bad;
+    const auto found = node_.rollouts.find(entry.service);
+    target_failed_ =
+        target_failed_ || (found != node_.rollouts.end() && found->second.order.target == entry.version);
+}
+
+void forward_run::record(const state::upstream_entry& entry, bool good, core::steady_time sent_at) {
+    policy::record_outcome(node_.health, entry.id, good, boot_now());
+    if (!good) {
+        note_bad(entry);
+        return;
+    }
+    policy::clear_fingerprint(node_.crashes, fingerprint_, boot_now());
+    const auto took = core::to_ms(boot_now() - sent_at);
+    if (!model_.empty()) {
+        policy::learn_prefill(node_.prefill, sent_model_, {own_part(), took, pending_ms_});
+    }
+    auto& counts = counts_of(entry);
+    ++counts.good;
+    counts.slow += took > route_.latency_target ? 1 : 0;
+    counts.first_byte_ms += std::uint64_t(took.count());
+    node_.metrics.observe("relay_first_byte_seconds", {{"service", entry.service}}, took);
+}
+
+// A connection that breaks while the upstream works may be a crash that the request caused. It counts
+// once the upstream is found to be down, since connections are reset for other reasons too.
+void forward_run::note_broken(const state::upstream_entry& entry) {
+    node_.pool.drop(entry.id);
+    policy::note_broken_run(node_.crashes, {}, {fingerprint_, entry.id, boot_now()});
+}
+
+void forward_run::confirm_crash(const state::upstream_entry& entry) {
+    for (const auto fingerprint : policy::confirm_crash(node_.crashes, {}, entry.id, boot_now())) {
+        node_.log.state("requests_refused_for_crashes",
+                        {{"fingerprint", fingerprint}, {"upstream", entry.id}});
+    }
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/forward_log.cpp
@@ -0,0 +1,46 @@
+#include "relay/forward_run.h"
+
+#include "relay/boot_clock.h"
+
+namespace figspoke::relay {
+
+void forward_run::log_send(const state::upstream_entry& entry, core::steady_time sent_at) {
+    const auto& last = history_.sends.empty() ? policy::send_record{} : history_.sends.back();
+    sends_.push_back({{"upstream", entry.id},
+                      {"version", entry.version},
+                      {"model", sent_model_},
+                      {"reason", policy::to_string(choice_.reason)},
+                      {"load", choice_.load},
+                      {"expected_ms", std::int64_t(choice_.pending_ms + choice_.reading_ms)},
+                      {"result", policy::to_string(last.result)},
+                      {"ms", core::to_ms(boot_now() - sent_at).count()}});
+}
+
+void forward_run::write_log() {
+    const auto total = core::to_ms(boot_now() - arrived_);
+    nlohmann::json line = {{"event", "request"},
+                           {"id", request_.request_id},
+                           {"route", route_.name},
+                           {"account", account_},
+                           {"rank", rank_},
+                           {"status", status_},
+                           {"end", end_},
+                           {"config", config_version_},
+                           {"config_age_ms", core::to_ms(config_age_).count()},
+                           {"queued_ms", queued_ms_},
+                           {"first_byte_ms", first_byte_ms_},
+                           {"total_ms", total.count()},
+                           {"sends", std::move(sends_)}};
+    if (confidence_) {
+        line["confidence"] = *confidence_;
+        line["expected_larger_ms"] = expected_larger_ms_;
+    }
+    if (!last_failure_.empty()) {
+        line["failure"] = last_failure_;
+    }
+    node_.log.request(line);
+    node_.metrics.add("relay_requests_total", {{"status", std::to_string(status_)}});
+    node_.metrics.observe("relay_request_seconds", {}, total);
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/use_guard.cpp
@@ -0,0 +1,31 @@
+#include "relay/use_guard.h"
+
+#include "policy/prefill.h"
+
+namespace figspoke::relay {
+
+use_guard::use_guard(relay_state& node, std::string upstream, std::string service, work counted)
+    : node_(node), upstream_(std::move(upstream)), service_(std::move(service)), work_(counted) {
+    auto& use = node_.uses[upstream_];
+    ++use.requests;
+    use.tokens += work_.tokens;
+    use.pending.at(policy::rank_slot(work_.rank)) += work_.prefill_ms;
+}
+
+use_guard::~use_guard() {
+    prompt_is_read();
+    auto& use = node_.uses[upstream_];
+    --use.requests;
+    use.tokens -= work_.tokens;
+    if (use.requests <= 0) {
+        node_.uses.erase(upstream_);
+    }
+    wake_next(node_, service_);
+}
+
+void use_guard::prompt_is_read() {
+    node_.uses[upstream_].pending.at(policy::rank_slot(work_.rank)) -= work_.prefill_ms;
+    work_.prefill_ms = 0;
+}
+
+} // namespace figspoke::relay
--- /dev/null
+++ b/packages/relay/use_guard.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "relay/relay_state.h"
+
+namespace figspoke::relay {
+
+/// Counts a request on an upstream while it runs there, and its prompt until the first byte.
+class use_guard {
+  public:
+    struct work {
+        std::int64_t tokens = 0;
+        /// Expected time to read the prompt, in milliseconds.
+        double prefill_ms = 0;
+        int rank = 0;
+    };
+
+    use_guard(relay_state& node, std::string upstream, std::string service, work counted);
+    ~use_guard();
+    use_guard(const use_guard&) = delete;
+    use_guard& operator=(const use_guard&) = delete;
+
+    /// Ends the count of the prompt: the first byte came.
+    void prompt_is_read();
+
+  private:
+    relay_state& node_;
+    std::string upstream_;
+    std::string service_;
+    work work_;
+};
+
+} // namespace figspoke::relay
