Keep one parser of IP:port and one reader of settings files

The look for repeated code showed that the relay had written again what the adapters have: the address of a socket was parsed in five places and a settings file in two. Both stand once now, in adapters/endpoint and core/section_reader.

--- a/packages/adapters/http_client.cpp
+++ b/packages/adapters/http_client.cpp
@@ -16,6 +16,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "adapters/endpoint.h"
+
 namespace figspoke::adapters {
 namespace {
 
@@ -121,24 +123,10 @@
     return {progress, deadline.expired(), malformed, doing + " " + call.address + call.target + ": " + cause};
 }
 
-std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address) {
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    beast::error_code code;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), code);
-    const int port = std::atoi(address.c_str() + colon + 1);
-    if (code || port <= 0 || port > 65535) {
-        return std::nullopt;
-    }
-    return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
-}
-
 http_result<void> connect(connection& link, const http_call& call, operation_deadline& deadline,
                           const asio::yield_context& yield) {
     const auto endpoint = parse_endpoint(call.address);
-    if (!endpoint) {
+    if (!endpoint || endpoint->port() == 0) {
         return tl::make_unexpected(http_failure{call_progress::not_sent, false, false,
                                                 "address \"" + call.address + "\" is not IP:port"});
     }
--- a/packages/adapters/http_server.cpp
+++ b/packages/adapters/http_server.cpp
@@ -13,6 +13,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "adapters/endpoint.h"
+
 namespace figspoke::adapters {
 namespace {
 
@@ -150,16 +152,6 @@
     bool finished_ = false;
 };
 
-tcp::endpoint parse_listen_address(const std::string& address) {
-    const auto colon = address.rfind(':');
-    beast::error_code code;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), code);
-    if (colon == std::string::npos || code) {
-        throw std::runtime_error("listen address \"" + address + "\" is not IP:port");
-    }
-    return {ip, static_cast<unsigned short>(std::atoi(address.c_str() + colon + 1))};
-}
-
 int status_of(const beast::error_code& code) {
     if (code == http::error::body_limit || code == http::error::buffer_overflow) {
         return 413;
@@ -178,7 +170,7 @@
           error_body(std::move(render)), limits(bounds) {}
 
     void listen(const std::string& address) {
-        const auto endpoint = parse_listen_address(address);
+        const auto endpoint = listen_endpoint(address);
         beast::error_code code;
         acceptor.open(endpoint.protocol(), code);
         acceptor.set_option(asio::socket_base::reuse_address(true), code);
--- a/packages/core/relay_settings.cpp
+++ b/packages/core/relay_settings.cpp
@@ -67,20 +67,14 @@
 
 result<relay_settings> parse_relay_settings(std::string_view text) {
     relay_settings parsed;
-    std::optional<error> first;
-    try {
-        const toml::table root = toml::parse(text);
-        first = find_unknown_section(root, known_sections);
+    const auto read = [&](const toml::table& root, std::optional<error>& first) {
         read_places(root, parsed, first);
         read_bounds(root, parsed.bounds, first);
         section_reader log(root, "log", first);
         log.choice("level", {"debug", "info", "warn", "error"}, parsed.log_level);
-    } catch (const toml::parse_error& failure) {
-        return fail(error_kind::bad_request, "settings line " + std::to_string(failure.source().begin.line) +
-                                                 ": " + std::string(failure.description()));
-    }
-    if (first) {
-        return tl::make_unexpected(*first);
+    };
+    if (auto done = parse_sections(text, known_sections, read); !done) {
+        return tl::make_unexpected(done.error());
     }
     return parsed;
 }
--- a/packages/core/section_reader.cpp
+++ b/packages/core/section_reader.cpp
@@ -22,6 +22,17 @@
     return out.str();
 }
 
+std::optional<error> find_unknown_section(const toml::table& root, const std::set<std::string>& known) {
+    for (const auto& [key, value] : root) {
+        const std::string name(key.str());
+        if (known.count(name) == 0) {
+            return error{error_kind::bad_request, "settings section [" + name + "] does not exist",
+                         std::nullopt};
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 section_reader::section_reader(const toml::table& root, std::string section,
@@ -147,15 +158,21 @@
     into = *value;
 }
 
-std::optional<error> find_unknown_section(const toml::table& root, const std::set<std::string>& known) {
-    for (const auto& [key, value] : root) {
-        const std::string name(key.str());
-        if (known.count(name) == 0) {
-            return error{error_kind::bad_request, "settings section [" + name + "] does not exist",
-                         std::nullopt};
-        }
-    }
-    return std::nullopt;
+result<void> parse_sections(std::string_view text, const std::set<std::string>& known,
+                            const std::function<void(const toml::table&, std::optional<error>&)>& read) {
+    std::optional<error> first;
+    try {
+        const toml::table root = toml::parse(text);
+        first = find_unknown_section(root, known);
+        read(root, first);
+    } catch (const toml::parse_error& failure) {
+        return fail(error_kind::bad_request, "settings line " + std::to_string(failure.source().begin.line) +
+                                                 ": " + std::string(failure.description()));
+    }
+    if (first) {
+        return tl::make_unexpected(*first);
+    }
+    return {};
 }
 
 result<std::string> read_settings_file(const std::string& path) {
--- a/packages/core/section_reader.h
+++ b/packages/core/section_reader.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <toml++/toml.h>
@@ -58,8 +61,10 @@
     std::set<std::string> known_;
 };
 
-/// Returns an error where the root has a section that isn't in `known`.
-std::optional<error> find_unknown_section(const toml::table& root, const std::set<std::string>& known);
+/// Parses TOML and calls `read` with the root and the place of the first error. Fails with that error, with
+/// one for a section that isn't in `known`, or with one that names the line that can't be parsed.
+result<void> parse_sections(std::string_view text, const std::set<std::string>& known,
+                            const std::function<void(const toml::table&, std::optional<error>&)>& read);
 
 /// Reads a settings file; fails where it can't be read.
 result<std::string> read_settings_file(const std::string& path);
--- a/packages/core/settings.cpp
+++ b/packages/core/settings.cpp
@@ -84,10 +84,7 @@
 
 result<settings> parse_settings(std::string_view text) {
     settings parsed;
-    std::optional<error> first;
-    try {
-        const toml::table root = toml::parse(text);
-        first = find_unknown_section(root, known_sections);
+    const auto read = [&](const toml::table& root, std::optional<error>& first) {
         read_node(root, parsed, first);
         read_mesh(root, parsed, first);
         read_platform(root, parsed, first);
@@ -95,12 +92,9 @@
         read_policy(root, parsed, first);
         read_limits(root, parsed, first);
         read_rest(root, parsed, first);
-    } catch (const toml::parse_error& failure) {
-        return fail(error_kind::bad_request, "settings line " + std::to_string(failure.source().begin.line) +
-                                                 ": " + std::string(failure.description()));
-    }
-    if (first) {
-        return tl::make_unexpected(*first);
+    };
+    if (auto done = parse_sections(text, known_sections, read); !done) {
+        return tl::make_unexpected(done.error());
     }
     return parsed;
 }
--- a/packages/relay/caller_connection.cpp
+++ b/packages/relay/caller_connection.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http.hpp>
 
 #include "adapters/await.h"
+#include "adapters/endpoint.h"
 #include "core/error_json.h"
 #include "relay/watchdog.h"
 
@@ -362,16 +363,6 @@
     bool closing_ = false;
 };
 
-tcp::endpoint listen_endpoint(const std::string& address) {
-    const auto colon = address.rfind(':');
-    beast::error_code code;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), code);
-    if (colon == std::string::npos || code) {
-        throw std::runtime_error("listen address \"" + address + "\" is not IP:port");
-    }
-    return {ip, static_cast<unsigned short>(std::atoi(address.c_str() + colon + 1))};
-}
-
 } // namespace
 
 struct caller_server::state : std::enable_shared_from_this<caller_server::state> {
@@ -379,7 +370,7 @@
         : context(io), acceptor(io), shared(std::move(common)) {}
 
     void listen(const std::string& address) {
-        const auto endpoint = listen_endpoint(address);
+        const auto endpoint = adapters::listen_endpoint(address);
         beast::error_code code;
         acceptor.open(endpoint.protocol(), code);
         acceptor.set_option(asio::socket_base::reuse_address(true), code);
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "adapters/await.h"
-#include "adapters/decision_log.h"
+#include "adapters/endpoint.h"
 #include "relay/boot_clock.h"
 #include "state/entry_choice.h"
 
@@ -30,14 +30,10 @@
     return core::steady_time(microseconds(stamp));
 }
 
-udp::endpoint parse_endpoint(const std::string& address) {
-    const auto colon = address.rfind(':');
-    boost::system::error_code code;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), code);
-    if (code || colon == std::string::npos) {
-        return {};
-    }
-    return {ip, static_cast<unsigned short>(std::atoi(address.c_str() + colon + 1))};
+// The port of the beats is that of the documents' server, on UDP.
+udp::endpoint datagram_endpoint(const std::string& address) {
+    const auto endpoint = adapters::parse_endpoint(address);
+    return endpoint ? udp::endpoint(endpoint->address(), endpoint->port()) : udp::endpoint();
 }
 
 std::uint64_t unix_ms() {
@@ -67,7 +63,7 @@
       seeds_(settings_.seed_addresses.begin(), settings_.seed_addresses.end()) {}
 
 void fleet::start() {
-    const auto own = parse_endpoint(settings_.peers_address);
+    const auto own = datagram_endpoint(settings_.peers_address);
     socket_.open(own.protocol());
     socket_.bind(own);
     asio::spawn(
@@ -145,7 +141,7 @@
 void fleet::send_to(const std::string& address, const std::string& peer_id) {
     const auto bytes = encode_beat(make_beat(peer_id));
     boost::system::error_code code;
-    socket_.send_to(asio::buffer(bytes), parse_endpoint(address), 0, code);
+    socket_.send_to(asio::buffer(bytes), datagram_endpoint(address), 0, code);
     // A datagram that can't be sent is like a lost one.
 }
 
--- a/packages/relay/upstream_link.cpp
+++ b/packages/relay/upstream_link.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "adapters/endpoint.h"
 #include "relay/watchdog.h"
 
 namespace figspoke::relay {
@@ -71,15 +72,13 @@
 
 link_result<void> upstream_link::connect(const std::string& address, core::milliseconds timeout,
                                          const asio::yield_context& yield) {
-    const auto colon = address.rfind(':');
-    beast::error_code code;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), code);
-    if (code || colon == std::string::npos) {
+    const auto endpoint = adapters::parse_endpoint(address);
+    if (!endpoint) {
         return tl::make_unexpected(link_error{link_failure::not_connected, "address is not IP:port"});
     }
-    const auto port = static_cast<unsigned short>(std::atoi(address.c_str() + colon + 1));
+    beast::error_code code;
     impl_->dog.arm(timeout);
-    impl_->socket.async_connect({ip, port}, yield[code]);
+    impl_->socket.async_connect(*endpoint, yield[code]);
     impl_->dog.disarm();
     if (code) {
         const std::string cause = impl_->dog.expired() ? "connect timed out" : code.message();
