Take no work before the admission queue has its capacity

A trace of the gate shows it: the queue is built with a capacity of 1, the table's 16 / 3 slots are set by the next upkeep turn, and the four streams arrived 4 to 7 ms before that. One started, one was queued and two were refused as too late (expected wait 6,271 ms), though the node had room. Ready now also means that admission was sized from a table.

--- a/packages/node/new_work.cpp
+++ b/packages/node/new_work.cpp
@@ -14,7 +14,7 @@
     if (node.refuses_new_work.load()) {
         return core::error{error_kind::draining, "this node is being stopped", std::nullopt};
     }
-    if (!current_config(node.config)) {
+    if (!current_config(node.config) || !node.admission_sized.load()) {
         return core::error{error_kind::isolated, "this node has no configuration table yet", std::nullopt};
     }
     if (decide_service(node.nodes, clock::now()) == state::service_decision::isolated) {
--- a/packages/node/node.cpp
+++ b/packages/node/node.cpp
@@ -54,10 +54,9 @@
 }
 
 // All nodes together fill the engines once: each takes an equal share of the slots.
-double admission_capacity(node_state& node) {
-    const auto config = current_config(node.config);
+double admission_capacity(node_state& node, const core::config_snapshot* config) {
     double slots = 0;
-    if (config) {
+    if (config != nullptr) {
         for (const auto& [name, upstream] : config->upstreams) {
             slots += upstream.versions.empty() ? 0 : upstream.slots;
         }
@@ -67,13 +66,12 @@
 }
 
 // Floors and queue limits come from the table and change with it.
-policy::admission_settings admission_settings(node_state& node) {
+policy::admission_settings admission_settings(node_state& node, const core::config_snapshot* config) {
     const auto profile = node.settings.policy.profile == "dependable_drafts"
                              ? policy::deployment_profile::dependable_drafts
                              : policy::deployment_profile::low_latency;
-    const auto config = current_config(node.config);
-    auto settings = config ? policy::admission_settings_from(*config, profile)
-                           : policy::default_admission_settings(profile);
+    auto settings = config != nullptr ? policy::admission_settings_from(*config, profile)
+                                      : policy::default_admission_settings(profile);
     if (node.settings.policy.admission == "fifo") {
         settings.discipline = policy::queue_discipline::fifo;
     }
@@ -82,7 +80,10 @@
 
 void upkeep_loop(node_state& node, const yield_context& yield) {
     for (;;) {
-        update_admission(node.admission, admission_settings(node), admission_capacity(node), clock::now());
+        const auto config = current_config(node.config);
+        update_admission(node.admission, admission_settings(node, config.get()),
+                         admission_capacity(node, config.get()), clock::now());
+        node.admission_sized = config != nullptr;
         send_due_charges(node);
         expire_keyed(node, clock::now());
         adapters::sleep_for(upkeep_period, yield);
@@ -94,7 +95,7 @@
     node.kv = adapters::make_kv_store(node.client, node.settings.platform.kv, kv_timeout);
     node.charges.held.writer = node.incarnation;
     node.charges.held.limits.max_charges = static_cast<std::size_t>(node.settings.journal.unsettled_limit);
-    node.admission.queue = policy::make_admission_queue(admission_settings(node), 1, clock::now());
+    node.admission.queue = policy::make_admission_queue(admission_settings(node, nullptr), 1, clock::now());
     node.journal.is_gone = [&node](std::string_view incarnation) {
         return is_incarnation_gone(node.nodes, incarnation, clock::now());
     };
--- a/packages/node/node_state.h
+++ b/packages/node/node_state.h
@@ -65,6 +65,9 @@
     std::atomic<bool> draining{false};
     /// Set a few seconds after `draining`, when callers have stopped using this address.
     std::atomic<bool> refuses_new_work{false};
+    /// Whether the admission queue has its capacity from a table. Until then it holds one request, and would
+    /// refuse work for which the node has room.
+    std::atomic<bool> admission_sized{false};
     /// Set when nothing runs any more and the node is about to end.
     std::atomic<bool> stopped{false};
 };
