Remove state and settings of the relay that nothing reads

Reading the change again: the time since an entry is missing, the costs of models, the count of slow answers (spread to all nodes and never judged), the pool's count of idle connections, and the settings for drain, rollback and the slack of exposure were read, kept or sent, and used by nothing. A setting that does nothing misleads whoever sets it. No behaviour changes; assertions of tests are as they were, initialisers lost one number.

--- a/packages/core/relay_settings.cpp
+++ b/packages/core/relay_settings.cpp
@@ -51,7 +51,6 @@
     section_reader reader(root, "bounds", first);
     reader.duration("revocation_ms", 100, most_ms, into.revocation);
     reader.duration("change_ms", 100, most_ms, into.change);
-    reader.duration("drain_ms", 100, most_ms, into.drain);
     reader.fractional_seconds("grace_s", 1, most_seconds, into.grace);
     reader.fractional_seconds("entry_validity_s", 0.1, most_seconds, into.entry_validity);
     reader.fractional_seconds("session_s", 0, most_seconds, into.session);
@@ -59,8 +58,6 @@
     reader.number("repeat_slack", 0, 1e6, into.repeat_slack);
     reader.fractional_seconds("repeat_window_s", 0.1, most_seconds, into.repeat_window);
     reader.number("exposure_share", 0, 1, into.exposure_share);
-    reader.number("exposure_slack", 0, 1e6, into.exposure_slack);
-    reader.duration("rollback_ms", 100, most_ms, into.rollback);
 }
 
 } // namespace
--- a/packages/core/relay_settings.h
+++ b/packages/core/relay_settings.h
@@ -25,8 +25,6 @@
     milliseconds revocation{5000};
     /// A change must be in effect this long after it was accepted.
     milliseconds change{2000};
-    /// An upstream gets nothing new this long after it reported that it leaves.
-    milliseconds drain{2000};
     /// Time between the signal to stop and the end of the process.
     milliseconds grace{8000};
     /// Longest validity of an address answer.
@@ -37,12 +35,8 @@
     double repeat_ratio = 0.1;
     double repeat_slack = 10;
     milliseconds repeat_window{10000};
-    /// Part of a service's requests that a version under roll-out may get while it isn't proven good, and
-    /// requests allowed besides.
+    /// Part of a service's requests that a version under roll-out may get while it isn't proven good.
     double exposure_share = 0.1;
-    double exposure_slack = 10;
-    /// A bad version gets nothing this long after its failures show.
-    milliseconds rollback{5000};
 };
 
 /// Settings of a relay node.
--- a/packages/policy/version_counts.h
+++ b/packages/policy/version_counts.h
@@ -13,8 +13,6 @@
     std::uint64_t good = 0;
     /// Failures that the upstream answered or caused.
     std::uint64_t bad = 0;
-    /// Answers that began later than their latency target.
-    std::uint64_t slow = 0;
     /// Sum of the times to the first byte of good answers, in milliseconds.
     std::uint64_t first_byte_ms = 0;
 };
@@ -28,7 +26,6 @@
     total.sent += more.sent;
     total.good += more.good;
     total.bad += more.bad;
-    total.slow += more.slow;
     total.first_byte_ms += more.first_byte_ms;
 }
 
--- a/packages/relay/beat.cpp
+++ b/packages/relay/beat.cpp
@@ -54,7 +54,7 @@
     json versions = json::array();
     for (const auto& [key, counts] : message.versions) {
         versions.push_back(
-            {key.first, key.second, counts.sent, counts.good, counts.bad, counts.slow, counts.first_byte_ms});
+            {key.first, key.second, counts.sent, counts.good, counts.bad, counts.first_byte_ms});
     }
     json crashes = json::array();
     for (const auto& mark : message.crashes) {
@@ -90,8 +90,7 @@
     for (const auto& one : value.at("c")) {
         auto& counts = message.versions[{one.at(0).get<std::string>(), one.at(1).get<std::string>()}];
         counts = {one.at(2).get<std::uint64_t>(), one.at(3).get<std::uint64_t>(),
-                  one.at(4).get<std::uint64_t>(), one.at(5).get<std::uint64_t>(),
-                  one.at(6).get<std::uint64_t>()};
+                  one.at(4).get<std::uint64_t>(), one.at(5).get<std::uint64_t>()};
     }
     for (const auto& mark : value.at("k")) {
         message.crashes.push_back({mark.at(0).get<std::uint64_t>(), mark.at(1).get<std::string>(),
--- a/packages/relay/forward_evidence.cpp
+++ b/packages/relay/forward_evidence.cpp
@@ -30,7 +30,6 @@
     }
     auto& counts = counts_of(entry);
     ++counts.good;
-    counts.slow += took > route_.latency_target ? 1 : 0;
     counts.first_byte_ms += std::uint64_t(took.count());
     node_.metrics.observe("relay_first_byte_seconds", {{"service", entry.service}}, took);
 }
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -126,7 +126,7 @@
 /// Whether the node has read what it needs to serve.
 bool is_configured(const relay_state& node);
 
-/// Whether callers should be sent here: configured, not leaving, and with a fresh enough configuration.
+/// Whether callers may be sent here: configured and not leaving.
 bool is_ready(const relay_state& node);
 
 /// Wakes the next request that waits for the service.
--- a/packages/relay/rollouts.cpp
+++ b/packages/relay/rollouts.cpp
@@ -22,7 +22,7 @@
     const auto& then = found->second;
     const auto less = [](std::uint64_t a, std::uint64_t b) { return a > b ? a - b : 0; };
     return {less(now.sent, then.sent), less(now.good, then.good), less(now.bad, then.bad),
-            less(now.slow, then.slow), less(now.first_byte_ms, then.first_byte_ms)};
+            less(now.first_byte_ms, then.first_byte_ms)};
 }
 
 policy::rollout_judgement judge(const relay_state& node, const rollout_progress& progress) {
--- a/packages/relay/upstream_link.cpp
+++ b/packages/relay/upstream_link.cpp
@@ -262,12 +262,4 @@
         entries_.end());
 }
 
-std::size_t upstream_pool::idle() const {
-    std::size_t count = 0;
-    for (const auto& one : entries_) {
-        count += one.links.size();
-    }
-    return count;
-}
-
 } // namespace figspoke::relay
--- a/packages/relay/upstream_link.h
+++ b/packages/relay/upstream_link.h
@@ -102,8 +102,6 @@
     /// Closes connections that were idle for longer than `max_idle`.
     void expire(core::steady_time now, core::milliseconds max_idle);
 
-    std::size_t idle() const;
-
   private:
     struct entry {
         std::string upstream;
--- a/packages/state/route_table.h
+++ b/packages/state/route_table.h
@@ -57,8 +57,6 @@
 struct engine_profile {
     int slots = 1;
     std::int64_t kv_capacity_tokens = 0;
-    /// Cost of a model for 1,000 generated tokens.
-    std::map<std::string, double> model_costs;
 };
 
 /// A service that routes lead to.
--- a/packages/state/upstream_registry.cpp
+++ b/packages/state/upstream_registry.cpp
@@ -39,7 +39,7 @@
 void apply_entry(upstream_registry& registry, const upstream_entry& entry, registry_changes& changes) {
     const auto found = registry.upstreams.find(entry.id);
     if (found == registry.upstreams.end()) {
-        registry.upstreams.emplace(entry.id, upstream_record{entry, false, {}});
+        registry.upstreams.emplace(entry.id, upstream_record{entry, false});
         changes.added.push_back(entry.id);
         return;
     }
@@ -49,7 +49,7 @@
     } else if (entry.draining && !record.entry.draining) {
         changes.draining.push_back(entry.id);
     }
-    record = upstream_record{entry, false, {}};
+    record = upstream_record{entry, false};
 }
 
 } // namespace
@@ -71,7 +71,6 @@
     for (auto& [id, record] : registry.upstreams) {
         if (listed.count(id) == 0 && !record.missing) {
             record.missing = true;
-            record.missing_since = now;
             changes.kept.push_back(id);
         }
     }
--- a/packages/state/upstream_registry.h
+++ b/packages/state/upstream_registry.h
@@ -33,7 +33,6 @@
     upstream_entry entry;
     /// Set while the entry is missing from the list but may come back.
     bool missing = false;
-    core::steady_time missing_since{};
 };
 
 /// Changes that one list brought, for the log.
--- a/test/correctness/relay_routing_test.cpp
+++ b/test/correctness/relay_routing_test.cpp
@@ -157,7 +157,7 @@
 
 TEST_CASE("a version that fails a third of its requests is found within fifty bad answers") {
     // The bound on exposure counts from the fiftieth bad answer.
-    version_counts old{400, 390, 10, 0, 40000};
+    version_counts old{400, 390, 10, 40000};
     version_counts target;
     int bad = 0;
     while (judge_version(target, old, {}).verdict != rollout_verdict::bad) {
@@ -175,10 +175,10 @@
 }
 
 TEST_CASE("a version that fails as seldom as the old one is found good, and a slow one bad") {
-    const version_counts old{1000, 860, 140, 0, 86000};
-    CHECK(judge_version({50, 43, 7, 0, 4300}, old, {}).verdict == rollout_verdict::good);
-    CHECK(judge_version({20, 20, 0, 0, 16000}, old, {}).verdict == rollout_verdict::bad);
-    CHECK(judge_version({5, 5, 0, 0, 500}, old, {}).verdict == rollout_verdict::unknown);
+    const version_counts old{1000, 860, 140, 86000};
+    CHECK(judge_version({50, 43, 7, 4300}, old, {}).verdict == rollout_verdict::good);
+    CHECK(judge_version({20, 20, 0, 16000}, old, {}).verdict == rollout_verdict::bad);
+    CHECK(judge_version({5, 5, 0, 500}, old, {}).verdict == rollout_verdict::unknown);
 }
 
 TEST_CASE("the share of a roll-out grows only after the trial and only for a good version") {
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -41,7 +41,7 @@
     message.echo_held = std::chrono::microseconds(1500);
     message.documents[0] = {7, 8, core::milliseconds(9)};
     message.uses["u1"] = {3, 4000, {}, {}};
-    message.versions[{"s", "v1"}] = {10, 8, 1, 0, 700};
+    message.versions[{"s", "v1"}] = {10, 8, 1, 700};
     message.crashes.push_back({42, "u1", core::milliseconds(10)});
     message.rollouts.push_back({"s", 12, rollout_state::reverted, true, true, core::milliseconds(1000)});
     message.sessions.push_back({77, true, core::milliseconds(20)});
