Wait for the second engine before the checks of a repeat

"A repeatable request goes to another engine" failed once, then 1 of 25 and 4 of 60 runs alone. The log of a failed run shows the cause: until the node had read the second engine's entry, the case polled with requests, each of which was sent again to the one engine that resets, until the budget of repeats was spent; the six requests that are checked found none left. The budget did what it should.

--- a/test/platform/relay_process_test.cpp
+++ b/test/platform/relay_process_test.cpp
@@ -131,6 +131,8 @@
     engine_stand_in second(answer_ok);
     small_world small([](engine_connection& connection, const engine_request&) { connection.reset(); });
     small.world.add_engine("i-shop-2", "shop", second);
+    // Polling with requests would spend the budget of repeats on the engine that is known so far.
+    REQUIRE(wait_until([&] { return small.node->process->output().find("i-shop-2") != std::string::npos; }));
     CHECK(wait_until(
         [&] { return small.world.send(*small.node, "/look/1", "r1").body == "whole answer of r1"; }));
     for (int i = 0; i < 6; ++i) {
