--- a/packages/adapters/mesh_transport.cpp
+++ b/packages/adapters/mesh_transport.cpp
@@ -1,7 +1,6 @@
 #include "adapters/mesh_transport.h"
 
 #include <chrono>
-#include <cstdlib>
 #include <stdexcept>
 #include <unordered_map>
 
@@ -14,6 +13,8 @@
 #include <websocketpp/random/random_device.hpp>
 #include <websocketpp/server.hpp>
 
+#include "adapters/endpoint.h"
+
 // websocketpp provides the protocol only. Connections are accepted and dialled here: its endpoints hand raw
 // pointers to themselves to the io_context, which would have to outlive them, and its client starts a thread
 // to resolve names, although addresses are numeric.
@@ -62,18 +63,6 @@
     endpoint.set_max_http_body_size(max_http_body_bytes);
 }
 
-bool parse_endpoint(const std::string& address, tcp::endpoint& endpoint) {
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return false;
-    }
-    boost::system::error_code code;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), code);
-    const auto port = std::strtoul(address.c_str() + colon + 1, nullptr, 10);
-    endpoint = tcp::endpoint(ip, static_cast<unsigned short>(port));
-    return !code && port <= 65535;
-}
-
 struct live_connection {
     connection_ptr socket;
     bool dialled = false;
@@ -92,14 +81,14 @@
     }
 
     void listen(const std::string& address) {
-        tcp::endpoint endpoint;
-        if (!parse_endpoint(address, endpoint)) {
+        const auto endpoint = parse_endpoint(address);
+        if (!endpoint) {
             throw std::runtime_error("mesh listen address \"" + address + "\" is not IP:port");
         }
         boost::system::error_code code;
-        acceptor_.open(endpoint.protocol(), code);
+        acceptor_.open(endpoint->protocol(), code);
         acceptor_.set_option(asio::socket_base::reuse_address(true), code);
-        acceptor_.bind(endpoint, code);
+        acceptor_.bind(*endpoint, code);
         if (code) {
             throw std::runtime_error("mesh cannot listen on " + address + ": " + code.message());
         }
@@ -141,15 +130,15 @@
     std::uint64_t dial(const std::string& address) override {
         websocketpp::lib::error_code code;
         auto socket = endpoints_->client.get_connection("ws://" + address + "/mesh", code);
-        tcp::endpoint endpoint;
-        if (code || !parse_endpoint(address, endpoint)) {
+        const auto endpoint = parse_endpoint(address);
+        if (code || !endpoint) {
             const auto id = ++last_id_;
             post_closed(id, false);
             return id;
         }
         const auto id = add(socket, true);
         socket->get_raw_socket().async_connect(
-            endpoint,
+            *endpoint,
             asio::bind_executor(strand_, [self = shared_from_this(), socket, id](const auto& failed) {
                 if (failed) {
                     self->forget(id, false);
--- a/packages/policy/relay_choice.cpp
+++ b/packages/policy/relay_choice.cpp
@@ -1,6 +1,7 @@
 #include "policy/relay_choice.h"
 
 #include <algorithm>
+#include <map>
 
 #include "core/hash.h"
 
@@ -27,15 +28,26 @@
     return load_per_slot(candidate) - (near ? settings.domain_preference : 0.0);
 }
 
-std::uint64_t owner_weight(std::uint64_t prefix, const std::string& id) {
-    return core::stable_hash(std::to_string(prefix) + '/' + id);
+// The same order on every node, so that all of them name the same owner of a prefix.
+candidates_view order_by_prefix(const candidates_view& open, std::uint64_t prefix) {
+    std::map<std::string, const relay_candidate*> by_id;
+    std::vector<std::string> ids;
+    ids.reserve(open.size());
+    for (const auto* candidate : open) {
+        by_id.emplace(candidate->id, candidate);
+        ids.push_back(candidate->id);
+    }
+    candidates_view ordered;
+    ordered.reserve(open.size());
+    for (const auto& id : core::rendezvous_order(std::to_string(prefix), std::move(ids))) {
+        ordered.push_back(by_id.at(id));
+    }
+    return ordered;
 }
 
-relay_choice choose_soonest(candidates_view open, const relay_choice_settings& settings,
+relay_choice choose_soonest(const candidates_view& candidates, const relay_choice_settings& settings,
                             const relay_wish& wish) {
-    std::sort(open.begin(), open.end(), [&](const relay_candidate* a, const relay_candidate* b) {
-        return owner_weight(wish.prefix, a->id) > owner_weight(wish.prefix, b->id);
-    });
+    const auto open = order_by_prefix(candidates, wish.prefix);
     std::size_t best = 0;
     double best_cost = 0;
     double best_reading = 0;
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -36,19 +36,13 @@
     return endpoint ? udp::endpoint(endpoint->address(), endpoint->port()) : udp::endpoint();
 }
 
-std::uint64_t unix_ms() {
-    return std::uint64_t(
-        std::chrono::duration_cast<core::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-            .count());
-}
-
 state::member_entry own_entry(const fleet_settings& settings) {
     state::member_entry entry;
     entry.id = settings.node_id;
     entry.http_address = settings.callers_address;
     entry.mesh_address = settings.peers_address;
     entry.failure_domain = settings.failure_domain;
-    entry.incarnation = unix_ms();
+    entry.incarnation = std::uint64_t(unix_time().count());
     return entry;
 }
 
@@ -128,6 +122,8 @@
         message.echoed_stamp = found->second.last_stamp;
         message.echo_held = std::chrono::duration_cast<microseconds>(now - found->second.stamp_at);
     }
+    // Described for each peer after its echo was taken: an age that was read before a pause of the VM, beside
+    // an echo that was read after it, would make a confirmation look younger than it is.
     hooks_.describe(message);
     for (const auto& [id, member] : members_.members) {
         const auto health = state::health_of(members_, member, fleet_timeouts, now);
--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -16,25 +16,25 @@
 constexpr double stream_wait_part = 0.6;
 constexpr double plain_wait_part = 1.0;
 
+} // namespace
+
 // The parts of a prompt that other requests may share: all but the last.
-std::vector<policy::prompt_step> shared_steps(const caller_request& request, const std::string& model) {
+std::vector<policy::prompt_step> forward_run::shared_steps() const {
     std::vector<policy::prompt_step> steps;
-    std::string text = model;
-    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
-        text += '/' + request.prompt[i].id;
-        steps.push_back({core::stable_hash(text), request.prompt[i].tokens});
+    std::string text = model_;
+    for (std::size_t i = 0; i + 1 < request_.prompt.size(); ++i) {
+        text += '/' + request_.prompt[i].id;
+        steps.push_back({core::stable_hash(text), request_.prompt[i].tokens});
     }
     return steps;
 }
 
-} // namespace
-
 upstream_need forward_run::need_of(bool target_version) const {
     upstream_need need;
     need.service = service_;
     need.model = model_;
     need.tokens = own_tokens();
-    need.shared = shared_steps(request_, model_);
+    need.shared = shared_steps();
     need.prompt_tokens = prompt_tokens();
     need.rank = rank_;
     need.may_probe = route_.repeat != state::repeat_rule::at_most_once;
@@ -94,7 +94,7 @@
 
 policy::relay_choice forward_run::choose() {
     policy::relay_wish wish;
-    wish.prefix = prefix_of(shared_steps(request_, model_));
+    wish.prefix = prefix_of(shared_steps());
     wish.failure_domain = node_.settings.failure_domain;
     wish.first = draw(node_);
     wish.second = draw(node_);
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -43,6 +43,7 @@
     void place_session();
     bool wants_target_version() const;
     void note_session(const state::upstream_entry& entry);
+    std::vector<policy::prompt_step> shared_steps() const;
     std::uint64_t prefix_of(const std::vector<policy::prompt_step>& shared) const;
     policy::relay_choice choose();
     std::optional<state::upstream_entry> wait_for_upstream();
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -66,13 +66,12 @@
 }
 
 forward_run::next_step forward_run::send_to(const state::upstream_entry& entry) {
-    const auto need = need_of(false);
     pending_ms_ = choice_.pending_ms;
     const double prefill = choice_.reading_ms;
     sent_model_ = model_;
     use_guard use(node_, entry.id, service_, {own_tokens(), prefill, rank_});
     use_ = &use;
-    policy::note_prefixes(node_.prefixes, entry.id, need.shared, boot_now());
+    policy::note_prefixes(node_.prefixes, entry.id, shared_steps(), boot_now());
     policy::record_dispatch(node_.health, entry.id, boot_now());
     const auto plan = plan_for(entry);
     const auto sent_at = boot_now();
