Judge roll-outs by reports that may be passed on

Cause: every beat carried the counts of all versions since the start of the process, and a roll-out was judged by the sum over the peers that beat to this node. That needs a beat from every node to every other one, which ends at about 30 nodes; requests that still run on the old version were summed in the same way.

Change: policy/trial_evidence holds the newest report of each process about a roll-out: counts since the process learnt of the order, and its requests on the old versions. Reports only grow and carry their process and a sequence, so they count once however they travel. Beats carry them only while a roll-out runs. What a dead process still ran ends with its silence.

Ruled out: sums by groups of nodes. A node that moves to another group would be missing from both sums or counted twice for a moment, and the judgement subtracts.

--- a/packages/relay/beat.cpp
+++ b/packages/relay/beat.cpp
@@ -38,6 +38,15 @@
     return static_cast<rollout_state>(number);
 }
 
+json counts_json(const policy::version_counts& counts) {
+    return json::array({counts.sent, counts.good, counts.bad, counts.first_byte_ms});
+}
+
+policy::version_counts counts_of(const json& value) {
+    return {value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>(),
+            value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()};
+}
+
 json documents_json(const beat& message) {
     json list = json::array();
     for (const auto& claim : message.documents) {
@@ -51,10 +60,12 @@
     for (const auto& [id, use] : message.uses) {
         uses.push_back({id, use.requests, use.tokens, use.pending, use.silence ? use.silence->count() : -1});
     }
-    json versions = json::array();
-    for (const auto& [key, counts] : message.versions) {
-        versions.push_back(
-            {key.first, key.second, counts.sent, counts.good, counts.bad, counts.first_byte_ms});
+    json trials = json::array();
+    for (const auto& mark : message.trials) {
+        const auto& report = mark.report;
+        trials.push_back({mark.service, mark.order, report.node, report.incarnation, report.sequence,
+                          counts_json(report.target), counts_json(report.old), report.running_on_old,
+                          mark.age.count()});
     }
     json crashes = json::array();
     for (const auto& mark : message.crashes) {
@@ -73,7 +84,7 @@
     for (const auto& member : message.members) {
         members.push_back({member_json(member.entry), member.silence.count()});
     }
-    return {{"u", std::move(uses)},     {"c", std::move(versions)}, {"k", std::move(crashes)},
+    return {{"u", std::move(uses)},     {"c", std::move(trials)},   {"k", std::move(crashes)},
             {"r", std::move(rollouts)}, {"p", std::move(sessions)}, {"m", std::move(members)}};
 }
 
@@ -88,9 +99,11 @@
         }
     }
     for (const auto& one : value.at("c")) {
-        auto& counts = message.versions[{one.at(0).get<std::string>(), one.at(1).get<std::string>()}];
-        counts = {one.at(2).get<std::uint64_t>(), one.at(3).get<std::uint64_t>(),
-                  one.at(4).get<std::uint64_t>(), one.at(5).get<std::uint64_t>()};
+        policy::trial_report report{one.at(2).get<std::string>(),   one.at(3).get<std::uint64_t>(),
+                                    one.at(4).get<std::uint64_t>(), counts_of(one.at(5)),
+                                    counts_of(one.at(6)),           one.at(7).get<int>()};
+        message.trials.push_back({one.at(0).get<std::string>(), one.at(1).get<std::uint64_t>(),
+                                  std::move(report), core::milliseconds(one.at(8).get<std::int64_t>())});
     }
     for (const auto& mark : value.at("k")) {
         message.crashes.push_back({mark.at(0).get<std::uint64_t>(), mark.at(1).get<std::string>(),
--- a/packages/relay/beat.h
+++ b/packages/relay/beat.h
@@ -11,7 +11,7 @@
 
 #include "core/time.h"
 #include "policy/prefill.h"
-#include "policy/version_counts.h"
+#include "policy/trial_evidence.h"
 #include "relay/rollout_state.h"
 #include "state/membership.h"
 #include "state/shared_document.h"
@@ -62,6 +62,15 @@
     core::milliseconds elapsed{0};
 };
 
+/// What a process saw of a roll-out, as a beat relays it.
+struct trial_mark {
+    std::string service;
+    /// Revision of the operator's order.
+    std::uint64_t order = 0;
+    policy::trial_report report;
+    core::milliseconds age{0};
+};
+
 /// A member as a beat relays it.
 struct relayed_member {
     state::member_entry entry;
@@ -78,7 +87,7 @@
     std::chrono::microseconds echo_held{0};
     std::array<state::document_claim, document_count> documents;
     std::map<std::string, upstream_use> uses;
-    policy::version_counts_table versions;
+    std::vector<trial_mark> trials;
     std::vector<crash_mark> crashes;
     std::vector<rollout_mark> rollouts;
     std::vector<session_mark> sessions;
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -179,6 +179,7 @@
     }
     hooks_.on_crashes(message.crashes);
     hooks_.on_rollouts(message.rollouts);
+    hooks_.on_trials(message.trials);
     hooks_.on_sessions(message.sessions);
     hooks_.on_beat();
 }
@@ -189,17 +190,11 @@
     if (known && message.sender.incarnation < one.incarnation) {
         return;
     }
-    if (message.sender.incarnation > one.incarnation) {
-        for (const auto& [key, counts] : one.versions) {
-            policy::add_counts(one.retired[key], counts);
-        }
-    }
     one.incarnation = message.sender.incarnation;
     one.last_stamp = message.stamp;
     one.stamp_at = now;
     one.heard_at = now;
     one.uses = message.uses;
-    one.versions = message.versions;
     if (!known) {
         send_to(message.sender.mesh_address, message.sender.id);
     }
@@ -215,6 +210,10 @@
     return state::self_entry(members_).state;
 }
 
+std::uint64_t fleet::incarnation() const {
+    return state::self_entry(members_).incarnation;
+}
+
 void fleet::add_seeds(const std::vector<std::string>& peers_addresses) {
     seeds_.insert(peers_addresses.begin(), peers_addresses.end());
 }
@@ -267,17 +266,4 @@
     return total;
 }
 
-policy::version_counts_table fleet::version_totals(const policy::version_counts_table& own) const {
-    auto totals = own;
-    for (const auto& [id, one] : peers_) {
-        for (const auto& [key, counts] : one.versions) {
-            policy::add_counts(totals[key], counts);
-        }
-        for (const auto& [key, counts] : one.retired) {
-            policy::add_counts(totals[key], counts);
-        }
-    }
-    return totals;
-}
-
 } // namespace figspoke::relay
--- a/packages/relay/fleet.h
+++ b/packages/relay/fleet.h
@@ -28,7 +28,7 @@
 
 /// What the fleet asks of the node, and reports to it.
 struct fleet_hooks {
-    /// Fills in documents, uses, version counts, crashes, roll-outs and conversations of this node's beat.
+    /// Fills in documents, uses, trials, crashes, roll-outs and conversations of this node's beat.
     std::function<void(beat&)> describe;
     /// A peer's claim about a document, with the echo of this node's clock.
     std::function<void(document_kind, const state::document_claim&, const state::clock_echo&,
@@ -38,6 +38,8 @@
     std::function<void(const std::vector<crash_mark>&)> on_crashes;
     /// What a peer knows of roll-outs.
     std::function<void(const std::vector<rollout_mark>&)> on_rollouts;
+    /// What processes saw of roll-outs.
+    std::function<void(const std::vector<trial_mark>&)> on_trials;
     /// Conversations that ran at a peer.
     std::function<void(const std::vector<session_mark>&)> on_sessions;
     /// After each beat of a peer: its load may have made room.
@@ -60,6 +62,9 @@
     void set_state(state::member_state value);
     state::member_state own_state() const;
 
+    /// Tells apart this process from earlier ones of the node.
+    std::uint64_t incarnation() const;
+
     /// Adds addresses to greet, from the store's list of nodes.
     void add_seeds(const std::vector<std::string>& peers_addresses);
 
@@ -76,9 +81,6 @@
     /// Requests of the peers on an upstream, by their latest beats.
     upstream_use peer_use(const std::string& upstream) const;
 
-    /// Version counts of all members since the start of the oldest beat that was heard; `own` counts too.
-    policy::version_counts_table version_totals(const policy::version_counts_table& own) const;
-
     void stop();
 
   private:
@@ -88,9 +90,6 @@
         core::steady_time heard_at{};
         std::uint64_t incarnation = 0;
         std::map<std::string, upstream_use> uses;
-        policy::version_counts_table versions;
-        /// Counts of earlier processes of this member.
-        policy::version_counts_table retired;
     };
 
     void send_loop(const boost::asio::yield_context& yield);
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -114,6 +114,7 @@
                 note_rollout_mark(state_, mark);
             }
         };
+        hooks.on_trials = [this](const std::vector<trial_mark>& marks) { note_trial_marks(state_, marks); };
         hooks.on_sessions = [this](const std::vector<session_mark>& marks) {
             for (const auto& mark : marks) {
                 policy::note_session(state_.sessions, mark.session, mark.on_target, boot_now() - mark.age);
@@ -137,7 +138,7 @@
                 use.silence = core::to_ms(boot_now() - heard->second);
             }
         }
-        message.versions = state_.versions;
+        message.trials = trial_marks(state_, recent_trial);
         message.rollouts = rollout_marks(state_);
         for (const auto& [session, pin] : state_.sessions.pins) {
             const auto age = boot_now() - pin.seen;
@@ -355,6 +356,8 @@
     // Conversations are told for a few beats, so that a lost datagram doesn't hide one.
     static constexpr core::milliseconds recent_session{1000};
     static constexpr std::size_t max_session_marks = 200;
+    // Reports are made with each tick; older ones were told in earlier beats.
+    static constexpr core::milliseconds recent_trial{1000};
     static constexpr core::milliseconds first_register_pause{500};
     static constexpr core::milliseconds last_register_pause{8000};
 
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -20,6 +20,7 @@
 #include "policy/relay_queue.h"
 #include "policy/rollout_verdict.h"
 #include "policy/session_pins.h"
+#include "policy/trial_evidence.h"
 #include "policy/upstream_health.h"
 #include "policy/version_counts.h"
 #include "relay/document_source.h"
@@ -39,8 +40,10 @@
     rollout_status status;
     /// When this node first saw the order, less the time that the status says had passed.
     core::steady_time began{};
-    /// Counts at the start of the order, so that only what came since is judged.
+    /// Own counts at the start of the order, so that only what came since is judged.
     policy::version_counts_table counts_at_start;
+    /// What the processes of the fleet saw since then, this one included.
+    policy::trial_evidence evidence;
     /// Part of new requests that go to the target version.
     double share = 0;
     policy::rollout_verdict verdict = policy::rollout_verdict::unknown;
--- a/packages/relay/rollouts.cpp
+++ b/packages/relay/rollouts.cpp
@@ -25,35 +25,43 @@
             less(now.first_byte_ms, then.first_byte_ms)};
 }
 
-policy::rollout_judgement judge(const relay_state& node, const rollout_progress& progress) {
-    policy::version_counts target;
-    policy::version_counts old;
-    for (const auto& [key, counts] : node.peers->version_totals(node.versions)) {
-        if (key.first != progress.order.service) {
-            continue;
+int own_requests_on_old(const relay_state& node, const rollout_progress& progress) {
+    int requests = 0;
+    for (const auto& [id, use] : node.uses) {
+        const auto found = node.registry.upstreams.find(id);
+        const bool old = found != node.registry.upstreams.end() &&
+                         found->second.entry.service == progress.order.service &&
+                         found->second.entry.version != progress.order.target;
+        requests += old ? use.requests : 0;
+    }
+    return requests;
+}
+
+// The time since boot serves as the sequence: it rises with each report of a process.
+void refresh_own_report(const relay_state& node, rollout_progress& progress) {
+    const auto now = boot_now();
+    policy::trial_report report;
+    report.node = node.settings.node_id;
+    report.incarnation = node.peers->incarnation();
+    report.sequence = std::uint64_t(now.time_since_epoch().count());
+    for (const auto& [key, counts] : node.versions) {
+        if (key.first == progress.order.service) {
+            auto& side = key.second == progress.order.target ? report.target : report.old;
+            policy::add_counts(side, since_start(progress, key, counts));
         }
-        auto& side = key.second == progress.order.target ? target : old;
-        policy::add_counts(side, since_start(progress, key, counts));
     }
-    return policy::judge_version(target, old, {});
+    report.running_on_old = own_requests_on_old(node, progress);
+    policy::merge_report(progress.evidence, report, core::milliseconds(0), now);
 }
 
-policy::rollout_clock clock_of(const rollout_progress& progress) {
-    return {boot_now() - progress.began, progress.order.duration};
+policy::rollout_judgement judge(const relay_state& node, rollout_progress& progress) {
+    refresh_own_report(node, progress);
+    const auto totals = policy::total_of(progress.evidence, fleet_timeouts.suspect, boot_now());
+    return policy::judge_version(totals.target, totals.old, {});
 }
 
-int requests_on_old(const relay_state& node, const rollout_progress& progress) {
-    int requests = 0;
-    for (const auto& [id, record] : node.registry.upstreams) {
-        if (record.entry.service != progress.order.service || record.entry.version == progress.order.target) {
-            continue;
-        }
-        requests += node.peers->peer_use(id).requests;
-        if (const auto own = node.uses.find(id); own != node.uses.end()) {
-            requests += own->second.requests;
-        }
-    }
-    return requests;
+policy::rollout_clock clock_of(const rollout_progress& progress) {
+    return {boot_now() - progress.began, progress.order.duration};
 }
 
 bool is_final(const rollout_progress& progress) {
@@ -78,7 +86,7 @@
     progress.status.target = order.target;
     progress.status.order = order.revision;
     progress.began = boot_now();
-    progress.counts_at_start = node.peers->version_totals(node.versions);
+    progress.counts_at_start = node.versions;
     node.rollouts[order.service] = std::move(progress);
     node.log.state("rollout_begun", {{"service", order.service},
                                      {"version", order.target},
@@ -105,13 +113,14 @@
     return found != node.rollouts.end() && found->second.order.revision == order ? &found->second : nullptr;
 }
 
-std::optional<rollout_state> wanted_state(const relay_state& node, const rollout_progress& progress) {
+std::optional<rollout_state> wanted_state(const rollout_progress& progress) {
     if (progress.stopped) {
         return rollout_state::reverted;
     }
     const auto at_full = progress.full_since ? boot_now() - *progress.full_since : core::nanoseconds(0);
-    if (policy::may_complete(clock_of(progress), progress.verdict, at_full, requests_on_old(node, progress),
-                             {})) {
+    const auto running =
+        policy::total_of(progress.evidence, fleet_timeouts.suspect, boot_now()).running_on_old;
+    if (policy::may_complete(clock_of(progress), progress.verdict, at_full, running, {})) {
         return rollout_state::completed;
     }
     return progress.written ? std::nullopt : std::make_optional(rollout_state::in_progress);
@@ -216,6 +225,28 @@
     return marks;
 }
 
+void note_trial_marks(relay_state& node, const std::vector<trial_mark>& marks) {
+    for (const auto& mark : marks) {
+        if (auto* progress = find_progress(node, mark.service, mark.order)) {
+            policy::merge_report(progress->evidence, mark.report, mark.age, boot_now());
+        }
+    }
+}
+
+std::vector<trial_mark> trial_marks(const relay_state& node, core::milliseconds lifetime) {
+    std::vector<trial_mark> marks;
+    const auto now = boot_now();
+    for (const auto& [service, progress] : node.rollouts) {
+        for (const auto& [process, held] : progress.evidence.reports) {
+            if (!is_final(progress) && now - held.made_at <= lifetime) {
+                marks.push_back(
+                    {service, progress.order.revision, held.report, core::to_ms(now - held.made_at)});
+            }
+        }
+    }
+    return marks;
+}
+
 void step_rollouts(relay_state& node) {
     for (auto& [service, progress] : node.rollouts) {
         if (is_final(progress) || progress.stopped) {
@@ -265,7 +296,7 @@
         if (progress == nullptr) {
             continue;
         }
-        const auto wanted = wanted_state(node, *progress);
+        const auto wanted = wanted_state(*progress);
         if (is_my_turn(node, *progress, wanted.has_value())) {
             write_state(node, *progress, *wanted, yield);
         }
--- a/packages/relay/rollouts.h
+++ b/packages/relay/rollouts.h
@@ -17,6 +17,12 @@
 /// What this node says of its roll-outs.
 std::vector<rollout_mark> rollout_marks(const relay_state& node);
 
+/// Takes over what processes saw of a roll-out.
+void note_trial_marks(relay_state& node, const std::vector<trial_mark>& marks);
+
+/// What this node knows of processes that reported within `lifetime`.
+std::vector<trial_mark> trial_marks(const relay_state& node, core::milliseconds lifetime);
+
 /// Judges the roll-outs by the counts of all nodes and sets their shares. Runs on every node, so that a bad
 /// version is left at once whoever drives.
 void step_rollouts(relay_state& node);
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -41,7 +41,8 @@
     message.echo_held = std::chrono::microseconds(1500);
     message.documents[0] = {7, 8, core::milliseconds(9)};
     message.uses["u1"] = {3, 4000, {}, {}};
-    message.versions[{"s", "v1"}] = {10, 8, 1, 700};
+    policy::trial_report report{"n2", 4, 9, {10, 8, 1, 700}, {20, 19, 1, 900}, 3};
+    message.trials.push_back({"s", 12, report, core::milliseconds(15)});
     message.crashes.push_back({42, "u1", core::milliseconds(10)});
     message.rollouts.push_back({"s", 12, rollout_state::reverted, true, true, core::milliseconds(1000)});
     message.sessions.push_back({77, true, core::milliseconds(20)});
@@ -80,7 +81,10 @@
     CHECK(decoded->echoed_stamp == 99);
     CHECK(decoded->documents[0].hash == 8);
     CHECK(decoded->uses.at("u1").tokens == 4000);
-    CHECK(decoded->versions.at({"s", "v1"}).good == 8);
+    CHECK(decoded->trials.at(0).report.target.good == 8);
+    CHECK(decoded->trials.at(0).report.old.first_byte_ms == 900);
+    CHECK(decoded->trials.at(0).report.running_on_old == 3);
+    CHECK(decoded->trials.at(0).age == core::milliseconds(15));
     CHECK(decoded->crashes.at(0).fingerprint == 42);
     CHECK(decoded->rollouts.at(0).state == rollout_state::reverted);
     CHECK(decoded->sessions.at(0).on_target);
