Divide large fleets into cells that beat within and link to others

Cause: beats of all to all.

Change: state/fleet_layout places the members, sorted by failure domain and id, into cells of 8 to 16; fleets of up to 24 nodes are one cell and behave as before. Members of a cell beat to each other. Links lead to the same position in the cells at distances 1, 2, 4 and so on, and carry the other members in short form (hash, heartbeat, state, silence) in every second round. A confirmation of a document that advances by 400 ms or more is passed over the links at once, a new content to all. Members that changed are told in full for ten rounds, others in turn; a node that is new gets all of them. The time after which a member is suspected grows by the time that news take over the links; greetings of failed members are bounded to 24 a second.

Ruled out: a random choice of receivers. The load on upstreams has to be known from all of the nodes that use them, and the echo of clocks needs links that are used from both ends.

--- a/packages/relay/beat.cpp
+++ b/packages/relay/beat.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/hash.h"
+
 namespace figspoke::relay {
 namespace {
 
@@ -14,6 +16,13 @@
                         entry.incarnation, entry.heartbeat, static_cast<int>(entry.state), entry.load});
 }
 
+state::member_state member_state_of(int number) {
+    if (number < 0 || number > static_cast<int>(state::member_state::left)) {
+        throw std::invalid_argument("member state out of range");
+    }
+    return static_cast<state::member_state>(number);
+}
+
 state::member_entry member_of(const json& value) {
     state::member_entry entry;
     entry.id = value.at(0).get<std::string>();
@@ -22,11 +31,7 @@
     entry.failure_domain = value.at(3).get<std::string>();
     entry.incarnation = value.at(4).get<std::uint64_t>();
     entry.heartbeat = value.at(5).get<std::uint64_t>();
-    const int state = value.at(6).get<int>();
-    if (state < 0 || state > static_cast<int>(state::member_state::left)) {
-        throw std::invalid_argument("member state out of range");
-    }
-    entry.state = static_cast<state::member_state>(state);
+    entry.state = member_state_of(value.at(6).get<int>());
     entry.load = value.at(7).get<std::uint8_t>();
     return entry;
 }
@@ -84,11 +89,29 @@
     for (const auto& member : message.members) {
         members.push_back({member_json(member.entry), member.silence.count()});
     }
-    return {{"u", std::move(uses)},     {"c", std::move(trials)},   {"k", std::move(crashes)},
-            {"r", std::move(rollouts)}, {"p", std::move(sessions)}, {"m", std::move(members)}};
+    // One flat list: pulses are the largest part of a beat in a large fleet.
+    json pulses = json::array();
+    for (const auto& pulse : message.pulses) {
+        for (const std::int64_t number : {std::int64_t(pulse.tag), std::int64_t(pulse.heartbeat),
+                                          std::int64_t(pulse.state), pulse.silence.count()}) {
+            pulses.push_back(number);
+        }
+    }
+    return {{"h", std::move(pulses)},  {"u", std::move(uses)},     {"c", std::move(trials)},
+            {"k", std::move(crashes)}, {"r", std::move(rollouts)}, {"p", std::move(sessions)},
+            {"m", std::move(members)}};
+}
+
+void read_pulses(const json& numbers, beat& message) {
+    for (std::size_t i = 0; i < numbers.size(); i += 4) {
+        message.pulses.push_back({numbers.at(i).get<std::uint32_t>(), numbers.at(i + 1).get<std::uint64_t>(),
+                                  member_state_of(numbers.at(i + 2).get<int>()),
+                                  core::milliseconds(numbers.at(i + 3).get<std::int64_t>())});
+    }
 }
 
 void read_lists(const json& value, beat& message) {
+    read_pulses(value.at("h"), message);
     for (const auto& item : value.at("u")) {
         auto& use = message.uses[item.at(0).get<std::string>()];
         use.requests = item.at(1).get<int>();
@@ -154,6 +177,10 @@
 
 } // namespace
 
+std::uint32_t pulse_tag(const std::string& id, std::uint64_t incarnation) {
+    return std::uint32_t(core::stable_hash(id + '/' + std::to_string(incarnation)));
+}
+
 void add_use(upstream_use& total, const upstream_use& more) {
     total.requests += more.requests;
     total.tokens += more.tokens;
--- a/packages/relay/beat.h
+++ b/packages/relay/beat.h
@@ -77,6 +77,18 @@
     core::milliseconds silence{0};
 };
 
+/// The short form of a relayed member, for large fleets.
+struct relayed_pulse {
+    /// Hash of the member's id and incarnation.
+    std::uint32_t tag = 0;
+    std::uint64_t heartbeat = 0;
+    state::member_state state = state::member_state::joining;
+    core::milliseconds silence{0};
+};
+
+/// Returns the tag of a member in pulses.
+std::uint32_t pulse_tag(const std::string& id, std::uint64_t incarnation);
+
 /// What nodes send each other several times a second.
 struct beat {
     state::member_entry sender;
@@ -92,6 +104,7 @@
     std::vector<rollout_mark> rollouts;
     std::vector<session_mark> sessions;
     std::vector<relayed_member> members;
+    std::vector<relayed_pulse> pulses;
 };
 
 /// Renders a beat as CBOR.
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -23,6 +23,8 @@
 constexpr core::milliseconds first_retry{250};
 constexpr core::milliseconds last_retry{1000};
 constexpr core::milliseconds peer_fetch_timeout{400};
+// Advance of a confirmation that is worth passing on at once: half of the shorter interval of the reads.
+constexpr core::milliseconds least_advance{400};
 
 const char* name_of(document_kind kind) {
     return kind == document_kind::operator_config ? "operator_config" : "registry";
@@ -116,6 +118,16 @@
     return kind == document_kind::operator_config ? config_schedule : registry_schedule;
 }
 
+// A confirmation reaches distant cells over several links and must not wait for a beat on each.
+void pass_on(relay_state& node, document_kind kind) {
+    auto& passed = node.passed_on.at(static_cast<std::size_t>(kind));
+    const auto& document = document_of(node, kind);
+    if (document.confirmed_at - passed >= least_advance) {
+        passed = document.confirmed_at;
+        node.peers->forward_news();
+    }
+}
+
 void fetch_from_peer(relay_state& node, document_kind kind, const std::string& address,
                      const boost::asio::yield_context& yield) {
     adapters::http_call call;
@@ -134,6 +146,9 @@
     if (const auto document = decode_document(reply->body)) {
         // The peer answered after the call began, so its confirmation is at most its age older than that.
         take(node, kind, document->first, started - document->second);
+        if (node.peers->layout().cells > 1) {
+            node.peers->announce();
+        }
     }
 }
 
@@ -191,6 +206,7 @@
     const auto verdict = state::merge_claim(document, claim, echo, boot_now());
     if (verdict == state::claim_verdict::confirmed) {
         apply(node, kind, false);
+        pass_on(node, kind);
     }
     auto& fetching = node.fetching.at(static_cast<std::size_t>(kind));
     if (verdict != state::claim_verdict::newer || fetching) {
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -15,8 +15,17 @@
 using std::chrono::microseconds;
 
 constexpr core::milliseconds beat_interval{250};
-// Members that fell silent and seeds that never answered are greeted once in this many rounds.
+// Members that fell silent and seeds that never answered are greeted once in this many rounds, and as many of
+// them at once as a fleet of one cell has members.
 constexpr std::uint64_t greet_every = 4;
+constexpr std::size_t most_greetings = 24;
+// Links to other cells carry a beat once in this many rounds, beside news that are passed on at once.
+constexpr std::uint64_t link_every = 2;
+// Rounds in which a changed member is told in full, and the number of unchanged ones told beside them.
+constexpr std::size_t full_rounds = 10;
+constexpr std::size_t repeated_members = 2;
+// Members that fit into one datagram.
+constexpr std::size_t most_full_members = 400;
 // The largest datagram; peers read no more.
 constexpr std::size_t max_datagram_bytes = 60U * 1024;
 // Pause after a failed receive, so that a broken socket doesn't spin.
@@ -54,7 +63,7 @@
 fleet::fleet(asio::io_context& context, fleet_settings settings, fleet_hooks hooks)
     : context_(context), settings_(std::move(settings)), hooks_(std::move(hooks)), socket_(context),
       members_(state::make_membership(own_entry(settings_), boot_now())),
-      seeds_(settings_.seed_addresses.begin(), settings_.seed_addresses.end()) {}
+      seeds_(settings_.seed_addresses.begin(), settings_.seed_addresses.end()), stamps_{0} {}
 
 void fleet::start() {
     const auto own = datagram_endpoint(settings_.peers_address);
@@ -75,45 +84,120 @@
     while (socket_.is_open()) {
         const auto now = boot_now();
         state::beat(members_, now);
-        state::prune(members_, fleet_timeouts, now);
+        prune(now);
         ++rounds_;
-        for (const auto& [address, id] : targets(rounds_ % greet_every == 1)) {
-            send_to(address, id);
+        stamps_.push_back(members_.last_stamp);
+        if (stamps_.size() > full_rounds) {
+            stamps_.pop_front();
+        }
+        plan(now);
+        for (const auto& to : cell_targets()) {
+            send_to(to);
+        }
+        if (rounds_ % link_every == 0) {
+            forward_news();
+        }
+        if (rounds_ % greet_every == 1) {
+            for (const auto& to : greet_targets()) {
+                send_to(to);
+            }
         }
         adapters::sleep_for(beat_interval, yield);
     }
 }
 
+void fleet::prune(core::steady_time now) {
+    state::prune(members_, timeouts(), now);
+    for (auto it = tags_.begin(); it != tags_.end();) {
+        const auto found = members_.members.find(it->second.id);
+        const bool current =
+            found != members_.members.end() && found->second.entry.incarnation == it->second.incarnation;
+        it = current ? std::next(it) : tags_.erase(it);
+    }
+}
+
 void fleet::announce() {
     state::beat(members_, boot_now());
-    for (const auto& [address, id] : targets(false)) {
-        send_to(address, id);
+    plan(boot_now());
+    for (const auto& to : cell_targets()) {
+        send_to(to);
+    }
+    forward_news();
+}
+
+void fleet::forward_news() {
+    for (const auto& to : link_targets()) {
+        send_to(to);
+    }
+}
+
+void fleet::plan(core::steady_time now) {
+    const auto cells = layout_.cells;
+    layout_ = state::plan_layout(members_, timeouts(), now, {});
+    if (layout_.cells != cells) {
+        hooks_.on_cells(layout_.cells);
+    }
+}
+
+core::milliseconds fleet::spread_time() const {
+    if (layout_.cells == 1) {
+        return core::milliseconds(0);
+    }
+    return beat_interval + link_every * beat_interval * int(state::longest_path(layout_.cells));
+}
+
+state::health_timeouts fleet::timeouts() const {
+    auto times = fleet_timeouts;
+    times.suspect += spread_time();
+    return times;
+}
+
+std::vector<fleet::target> fleet::cell_targets() const {
+    std::vector<target> found;
+    for (const auto& id : layout_.mates) {
+        found.push_back({members_.members.at(id).entry.mesh_address, id, beat_scope::cell});
+    }
+    if (layout_.cells > 1 && !found.empty()) {
+        found.at(rounds_ % found.size()).scope = beat_scope::cell_and_pulses;
+    }
+    return found;
+}
+
+std::vector<fleet::target> fleet::link_targets() const {
+    std::vector<target> found;
+    for (const auto& id : layout_.links) {
+        found.push_back({members_.members.at(id).entry.mesh_address, id, beat_scope::link});
     }
+    return found;
 }
 
-std::vector<std::pair<std::string, std::string>> fleet::targets(bool all) const {
-    std::vector<std::pair<std::string, std::string>> found;
+// Members that failed may be back, or behind a cut that has healed; seeds may not have been up yet.
+std::vector<fleet::target> fleet::greet_targets() const {
+    std::vector<target> found;
     std::set<std::string> known = {settings_.peers_address};
     const auto now = boot_now();
     for (const auto& [id, member] : members_.members) {
-        if (id == members_.self) {
-            continue;
-        }
         known.insert(member.entry.mesh_address);
-        const auto health = state::health_of(members_, member, fleet_timeouts, now);
-        if (all || health != state::member_health::failed) {
-            found.emplace_back(member.entry.mesh_address, id);
+        const auto health = state::health_of(members_, member, timeouts(), now);
+        if (id != members_.self &&
+            (health == state::member_health::failed || member.entry.state == state::member_state::left)) {
+            found.push_back({member.entry.mesh_address, id, beat_scope::link});
         }
     }
     for (const auto& seed : seeds_) {
-        if (all && known.count(seed) == 0) {
-            found.emplace_back(seed, std::string());
+        if (known.count(seed) == 0) {
+            found.push_back({seed, std::string(), beat_scope::link});
         }
     }
+    if (found.size() > most_greetings) {
+        const auto turn = std::ptrdiff_t(rounds_ / greet_every * most_greetings % found.size());
+        std::rotate(found.begin(), found.begin() + turn, found.end());
+        found.resize(most_greetings);
+    }
     return found;
 }
 
-beat fleet::make_beat(const std::string& peer_id) const {
+beat fleet::make_beat(const std::string& peer_id, beat_scope scope) const {
     const auto now = boot_now();
     beat message;
     message.sender = state::self_entry(members_);
@@ -125,22 +209,65 @@
     // Described for each peer after its echo was taken: an age that was read before a pause of the VM, beside
     // an echo that was read after it, would make a confirmation look younger than it is.
     hooks_.describe(message);
+    if (layout_.cells == 1 || scope == beat_scope::introduction) {
+        add_members(message, peer_id, true, now);
+        return message;
+    }
+    if (scope == beat_scope::link) {
+        message.uses.clear();
+    }
+    if (scope != beat_scope::cell) {
+        add_members(message, peer_id, false, now);
+        add_pulses(message, peer_id, now);
+    }
+    return message;
+}
+
+// Members that changed lately are told in full, and a few others in turn in case such news were lost.
+void fleet::add_members(beat& message, const std::string& peer_id, bool all, core::steady_time now) const {
+    std::size_t position = 0;
+    const auto turn = rounds_ * repeated_members % members_.members.size();
     for (const auto& [id, member] : members_.members) {
-        const auto health = state::health_of(members_, member, fleet_timeouts, now);
-        if (id != members_.self && id != peer_id && health != state::member_health::failed) {
+        const bool changed = member.content_stamp > stamps_.front();
+        const bool in_turn = position >= turn && position < turn + repeated_members;
+        ++position;
+        const auto health = state::health_of(members_, member, timeouts(), now);
+        if ((all || changed || in_turn) && id != members_.self && id != peer_id &&
+            health != state::member_health::failed && message.members.size() < most_full_members) {
             message.members.push_back({member.entry, core::to_ms(now - member.last_advanced)});
         }
     }
-    return message;
 }
 
-void fleet::send_to(const std::string& address, const std::string& peer_id) {
-    const auto bytes = encode_beat(make_beat(peer_id));
+void fleet::add_pulses(beat& message, const std::string& peer_id, core::steady_time now) const {
+    for (const auto& [tag, one] : tags_) {
+        const auto found = members_.members.find(one.id);
+        if (found == members_.members.end() || found->second.entry.incarnation != one.incarnation ||
+            one.id == peer_id) {
+            continue;
+        }
+        const auto& member = found->second;
+        if (state::health_of(members_, member, timeouts(), now) != state::member_health::failed) {
+            message.pulses.push_back(
+                {tag, member.entry.heartbeat, member.entry.state, core::to_ms(now - member.last_advanced)});
+        }
+    }
+}
+
+void fleet::send_to(const target& to) {
+    const auto bytes = encode_beat(make_beat(to.id, to.scope));
     boost::system::error_code code;
-    socket_.send_to(asio::buffer(bytes), datagram_endpoint(address), 0, code);
+    socket_.send_to(asio::buffer(bytes), datagram_endpoint(to.address), 0, code);
     // A datagram that can't be sent is like a lost one.
 }
 
+void fleet::merge_member(const state::member_entry& entry, core::milliseconds silence,
+                         core::steady_time now) {
+    if (state::merge_entry(members_, entry, silence, now) && entry.id != members_.self) {
+        tags_[pulse_tag(entry.id, entry.incarnation)] = {entry.id, entry.incarnation};
+    }
+}
+
 void fleet::receive_loop(const asio::yield_context& yield) {
     std::string bytes(max_datagram_bytes, '\0');
     while (socket_.is_open()) {
@@ -166,9 +293,16 @@
         state::merge_entry(members_, message.sender, core::milliseconds(0), now);
         return;
     }
-    state::merge_entry(members_, message.sender, core::milliseconds(0), now);
+    merge_member(message.sender, core::milliseconds(0), now);
     for (const auto& member : message.members) {
-        state::merge_entry(members_, member.entry, member.silence, now);
+        merge_member(member.entry, member.silence, now);
+    }
+    for (const auto& pulse : message.pulses) {
+        if (const auto found = tags_.find(pulse.tag); found != tags_.end()) {
+            const auto& one = found->second;
+            state::merge_heartbeat(members_, one.id,
+                                   {one.incarnation, pulse.heartbeat, pulse.state, pulse.silence}, now);
+        }
     }
     note_peer(message, now);
     if (message.echoed_stamp && from_stamp(*message.echoed_stamp) <= now) {
@@ -196,7 +330,7 @@
     one.heard_at = now;
     one.uses = message.uses;
     if (!known) {
-        send_to(message.sender.mesh_address, message.sender.id);
+        send_to({message.sender.mesh_address, message.sender.id, beat_scope::introduction});
     }
 }
 
@@ -220,7 +354,7 @@
 
 std::vector<std::string> fleet::caller_addresses(const std::string& caller, std::size_t count,
                                                  bool include_self) const {
-    auto serving = state::serving_members(members_, fleet_timeouts, boot_now());
+    auto serving = state::serving_members(members_, timeouts(), boot_now());
     if (!include_self && serving.size() > 1) {
         serving.erase(std::remove_if(serving.begin(), serving.end(),
                                      [this](const auto* entry) { return entry->id == members_.self; }),
@@ -237,7 +371,7 @@
             break;
         }
         const bool live =
-            state::health_of(members_, member, fleet_timeouts, now) == state::member_health::alive &&
+            state::health_of(members_, member, timeouts(), now) == state::member_health::alive &&
             member.entry.state != state::member_state::left;
         before += live ? 1 : 0;
     }
@@ -247,7 +381,7 @@
 std::size_t fleet::size() const {
     const auto now = boot_now();
     return std::size_t(std::count_if(members_.members.begin(), members_.members.end(), [&](const auto& one) {
-        return state::health_of(members_, one.second, fleet_timeouts, now) == state::member_health::alive &&
+        return state::health_of(members_, one.second, timeouts(), now) == state::member_health::alive &&
                one.second.entry.state != state::member_state::left;
     }));
 }
--- a/packages/relay/fleet.h
+++ b/packages/relay/fleet.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +15,7 @@
 #include <boost/asio/spawn.hpp>
 
 #include "relay/beat.h"
+#include "state/fleet_layout.h"
 #include "state/membership.h"
 
 namespace figspoke::relay {
@@ -42,12 +45,15 @@
     std::function<void(const std::vector<trial_mark>&)> on_trials;
     /// Conversations that ran at a peer.
     std::function<void(const std::vector<session_mark>&)> on_sessions;
+    /// The fleet was divided anew, into this many cells.
+    std::function<void(std::size_t)> on_cells;
     /// After each beat of a peer: its load may have made room.
     std::function<void()> on_beat;
 };
 
-/// Members and what their beats say. Beats are datagrams: a lost one is made up for by the next, and a silent
-/// connection can't occur.
+/// Members and what their beats say. All nodes of a small fleet beat to each other; in a large one each beats
+/// to the members of its cell and over a few links to other cells. Beats are datagrams: a lost one is made up
+/// for by the next, and a silent connection can't occur.
 class fleet {
   public:
     fleet(boost::asio::io_context& context, fleet_settings settings, fleet_hooks hooks);
@@ -81,9 +87,36 @@
     /// Requests of the peers on an upstream, by their latest beats.
     upstream_use peer_use(const std::string& upstream) const;
 
+    /// Passes news on to the linked members of other cells now. Nothing in a fleet of one cell, where
+    /// everybody hears the source.
+    void forward_news();
+
+    /// Time in which news from any member reach all others; zero in a fleet of one cell.
+    core::milliseconds spread_time() const;
+
+    /// The cell of this node and the number of cells.
+    const state::fleet_layout& layout() const { return layout_; }
+
     void stop();
 
   private:
+    /// What a beat tells beside what this node knows of itself.
+    enum class beat_scope {
+        /// Load, to a member of the own cell. Also all other members in a fleet of one cell.
+        cell,
+        /// Load, and the other members in short.
+        cell_and_pulses,
+        /// The other members in short, to another cell.
+        link,
+        /// All other members in full, to a node that is new here.
+        introduction
+    };
+    struct target {
+        std::string address;
+        std::string id;
+        beat_scope scope = beat_scope::cell;
+    };
+
     struct peer {
         std::int64_t last_stamp = 0;
         core::steady_time stamp_at{};
@@ -91,14 +124,26 @@
         std::uint64_t incarnation = 0;
         std::map<std::string, upstream_use> uses;
     };
+    struct tagged_member {
+        std::string id;
+        std::uint64_t incarnation = 0;
+    };
 
     void send_loop(const boost::asio::yield_context& yield);
     void receive_loop(const boost::asio::yield_context& yield);
     void receive(const beat& message);
     void note_peer(const beat& message, core::steady_time now);
-    void send_to(const std::string& address, const std::string& peer_id);
-    std::vector<std::pair<std::string, std::string>> targets(bool all) const;
-    beat make_beat(const std::string& peer_id) const;
+    void send_to(const target& to);
+    void merge_member(const state::member_entry& entry, core::milliseconds silence, core::steady_time now);
+    void plan(core::steady_time now);
+    void prune(core::steady_time now);
+    state::health_timeouts timeouts() const;
+    std::vector<target> cell_targets() const;
+    std::vector<target> link_targets() const;
+    std::vector<target> greet_targets() const;
+    beat make_beat(const std::string& peer_id, beat_scope scope) const;
+    void add_members(beat& message, const std::string& peer_id, bool all, core::steady_time now) const;
+    void add_pulses(beat& message, const std::string& peer_id, core::steady_time now) const;
 
     boost::asio::io_context& context_;
     fleet_settings settings_;
@@ -107,11 +152,15 @@
     state::membership members_;
     std::map<std::string, peer> peers_;
     std::set<std::string> seeds_;
+    state::fleet_layout layout_;
+    std::unordered_map<std::uint32_t, tagged_member> tags_;
+    /// The membership's stamp at each of the latest rounds, so that recent changes are told in full.
+    std::deque<std::uint64_t> stamps_;
     std::uint64_t rounds_ = 0;
 };
 
-/// Times since the last beat after which a member is suspected, failed and forgotten. Four beats are sent
-/// within the first.
+/// Times since the last beat after which a member is suspected, failed and forgotten in a fleet of one cell.
+/// Four beats are sent within the first.
 extern const state::health_timeouts fleet_timeouts;
 
 } // namespace figspoke::relay
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -115,6 +115,9 @@
             }
         };
         hooks.on_trials = [this](const std::vector<trial_mark>& marks) { note_trial_marks(state_, marks); };
+        hooks.on_cells = [this](std::size_t cells) {
+            state_.log.state("fleet_divided", {{"cells", cells}, {"members", state_.peers->size()}});
+        };
         hooks.on_sessions = [this](const std::vector<session_mark>& marks) {
             for (const auto& mark : marks) {
                 policy::note_session(state_.sessions, mark.session, mark.on_target, boot_now() - mark.age);
@@ -129,6 +132,7 @@
     }
 
     void describe(beat& message) {
+        const auto spread = state_.peers->spread_time();
         for (std::size_t i = 0; i < document_count; ++i) {
             message.documents.at(i) = own_claim(state_, static_cast<document_kind>(i));
         }
@@ -138,17 +142,17 @@
                 use.silence = core::to_ms(boot_now() - heard->second);
             }
         }
-        message.trials = trial_marks(state_, recent_trial);
+        message.trials = trial_marks(state_, recent_trial + spread);
         message.rollouts = rollout_marks(state_);
         for (const auto& [session, pin] : state_.sessions.pins) {
             const auto age = boot_now() - pin.seen;
-            if (age < recent_session && message.sessions.size() < max_session_marks) {
+            if (age < recent_session + spread && message.sessions.size() < max_session_marks) {
                 message.sessions.push_back({session, pin.on_target, core::to_ms(age)});
             }
         }
         for (const auto& [fingerprint, crashes] : state_.crashes.crashes) {
             // A single crash blames nobody yet, and most fingerprints never come again.
-            const bool recent = boot_now() - crashes.back().at < recent_crash;
+            const bool recent = boot_now() - crashes.back().at < recent_crash + spread;
             if (recent || crashes.size() > 1) {
                 for (const auto& one : crashes) {
                     message.crashes.push_back({fingerprint, one.upstream, core::to_ms(boot_now() - one.at)});
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -94,6 +94,8 @@
     adapters::http_client peer_client;
     /// Whether a document is being fetched from a peer.
     std::array<bool, document_count> fetching{};
+    /// The latest confirmation that was passed on to other cells at once.
+    std::array<core::steady_time, document_count> passed_on{};
     upstream_pool pool;
     /// This node's own requests by upstream.
     std::map<std::string, upstream_use> uses;
--- a/packages/relay/rollouts.cpp
+++ b/packages/relay/rollouts.cpp
@@ -25,6 +25,11 @@
             less(now.first_byte_ms, then.first_byte_ms)};
 }
 
+// A process whose reports stop for this long has ended.
+core::milliseconds report_lifetime(const relay_state& node) {
+    return fleet_timeouts.suspect + node.peers->spread_time();
+}
+
 int own_requests_on_old(const relay_state& node, const rollout_progress& progress) {
     int requests = 0;
     for (const auto& [id, use] : node.uses) {
@@ -56,7 +61,7 @@
 
 policy::rollout_judgement judge(const relay_state& node, rollout_progress& progress) {
     refresh_own_report(node, progress);
-    const auto totals = policy::total_of(progress.evidence, fleet_timeouts.suspect, boot_now());
+    const auto totals = policy::total_of(progress.evidence, report_lifetime(node), boot_now());
     return policy::judge_version(totals.target, totals.old, {});
 }
 
@@ -113,13 +118,13 @@
     return found != node.rollouts.end() && found->second.order.revision == order ? &found->second : nullptr;
 }
 
-std::optional<rollout_state> wanted_state(const rollout_progress& progress) {
+std::optional<rollout_state> wanted_state(const relay_state& node, const rollout_progress& progress) {
     if (progress.stopped) {
         return rollout_state::reverted;
     }
     const auto at_full = progress.full_since ? boot_now() - *progress.full_since : core::nanoseconds(0);
     const auto running =
-        policy::total_of(progress.evidence, fleet_timeouts.suspect, boot_now()).running_on_old;
+        policy::total_of(progress.evidence, report_lifetime(node), boot_now()).running_on_old;
     if (policy::may_complete(clock_of(progress), progress.verdict, at_full, running, {})) {
         return rollout_state::completed;
     }
@@ -296,7 +301,7 @@
         if (progress == nullptr) {
             continue;
         }
-        const auto wanted = wanted_state(*progress);
+        const auto wanted = wanted_state(node, *progress);
         if (is_my_turn(node, *progress, wanted.has_value())) {
             write_state(node, *progress, *wanted, yield);
         }
--- a/packages/state/membership.cpp
+++ b/packages/state/membership.cpp
@@ -114,6 +114,23 @@
     return true;
 }
 
+bool merge_heartbeat(membership& known, const std::string& id, const member_pulse& pulse,
+                     core::steady_time now) {
+    const auto found = known.members.find(id);
+    if (id == known.self || found == known.members.end()) {
+        return false;
+    }
+    auto& record = found->second;
+    if (record.entry.incarnation != pulse.incarnation || record.entry.heartbeat >= pulse.heartbeat) {
+        return false;
+    }
+    record.entry.heartbeat = pulse.heartbeat;
+    record.entry.state = std::max(record.entry.state, pulse.state);
+    const auto advanced_at = now - std::max(pulse.silence, core::milliseconds(0));
+    record.last_advanced = std::max(record.last_advanced, advanced_at);
+    return true;
+}
+
 void beat(membership& known, core::steady_time now) {
     auto& own = self_record(known);
     ++own.entry.heartbeat;
--- a/packages/state/membership.h
+++ b/packages/state/membership.h
@@ -50,6 +50,15 @@
     std::uint64_t content_stamp = 0;
 };
 
+/// The part of a member's entry that changes often.
+struct member_pulse {
+    std::uint64_t incarnation = 0;
+    std::uint64_t heartbeat = 0;
+    member_state state = member_state::joining;
+    /// Time since the heartbeat was last seen to advance.
+    core::milliseconds silence{0};
+};
+
 /// The last that was known of a forgotten member. Older news of it are ignored.
 struct tombstone {
     std::uint64_t incarnation = 0;
@@ -86,6 +95,11 @@
 bool merge_entry(membership& known, const member_entry& entry, core::milliseconds silence,
                  core::steady_time now);
 
+/// Merges news of a member's heartbeat and state that leave out what rarely changes. Ignored where the member
+/// is unknown or of another incarnation. Returns whether it was news.
+bool merge_heartbeat(membership& known, const std::string& id, const member_pulse& pulse,
+                     core::steady_time now);
+
 /// Raises the node's own heartbeat.
 void beat(membership& known, core::steady_time now);
 
--- a/test/correctness/relay_scale_test.cpp
+++ b/test/correctness/relay_scale_test.cpp
@@ -1,7 +1,14 @@
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
 #include "policy/trial_evidence.h"
+#include "state/fleet_layout.h"
 
 using namespace figspoke;
 using namespace std::chrono_literals;
@@ -49,3 +56,88 @@
     CHECK(totals.target.bad == 6U);
     CHECK(totals.running_on_old == 1);
 }
+
+namespace {
+
+std::vector<std::pair<std::string, std::string>> members_of(std::size_t count) {
+    std::vector<std::pair<std::string, std::string>> members;
+    for (std::size_t i = 0; i < count; ++i) {
+        members.emplace_back("d" + std::to_string(i % 3), "n" + std::to_string(i));
+    }
+    return members;
+}
+
+// Steps of news from one cell to all others, over the links of one position.
+std::size_t measured_path(std::size_t count) {
+    const auto members = members_of(count);
+    std::map<std::string, std::pair<std::size_t, std::size_t>> place;
+    std::map<std::size_t, std::set<std::size_t>> next;
+    std::map<std::string, state::fleet_layout> layouts;
+    for (const auto& [domain, id] : members) {
+        layouts[id] = state::plan_layout(members, id, {});
+    }
+    for (const auto& [id, layout] : layouts) {
+        for (const auto& link : layout.links) {
+            next[layout.cell].insert(layouts[link].cell);
+        }
+    }
+    std::map<std::size_t, std::size_t> steps{{0, 0}};
+    std::vector<std::size_t> queue{0};
+    std::size_t longest = 0;
+    for (std::size_t i = 0; i < queue.size(); ++i) {
+        for (const auto cell : next[queue[i]]) {
+            if (steps.emplace(cell, steps[queue[i]] + 1).second) {
+                queue.push_back(cell);
+                longest = std::max(longest, steps[cell]);
+            }
+        }
+    }
+    CHECK(queue.size() == layouts.begin()->second.cells);
+    return longest;
+}
+
+} // namespace
+
+TEST_CASE("a node of a large fleet beats to few others, and news reach every cell within the bound") {
+    // Beats of all to all ended at about 30 nodes.
+    for (const std::size_t count : {7U, 24U, 25U, 69U, 89U, 300U, 380U, 1000U}) {
+        const auto members = members_of(count);
+        for (const auto& [domain, id] : members) {
+            const auto layout = state::plan_layout(members, id, {});
+            CHECK(layout.mates.size() + 1 <= (layout.cells == 1 ? 24U : 16U));
+            CHECK(layout.mates.size() + 1 >= (layout.cells == 1 ? count : 8U));
+            CHECK(layout.links.size() <= 2 * 6U);
+        }
+        CHECK(measured_path(count) <= state::longest_path(state::plan_layout(members, "n0", {}).cells));
+    }
+}
+
+TEST_CASE("members of one cell agree on it") {
+    const auto members = members_of(89);
+    for (const auto& [domain, id] : members) {
+        const auto layout = state::plan_layout(members, id, {});
+        for (const auto& mate : layout.mates) {
+            const auto other = state::plan_layout(members, mate, {});
+            CHECK(other.cell == layout.cell);
+            CHECK(std::count(other.mates.begin(), other.mates.end(), id) == 1);
+        }
+    }
+}
+
+TEST_CASE("the loss of a member moves few others to another cell") {
+    // Each node that moves loses sight of what its new upstreams run for a moment.
+    auto members = members_of(89);
+    std::map<std::string, std::size_t> before;
+    for (const auto& [domain, id] : members) {
+        before[id] = state::plan_layout(members, id, {}).cell;
+    }
+    for (const std::size_t lost : {0U, 40U, 88U}) {
+        auto fewer = members;
+        fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(lost));
+        std::size_t moved = 0;
+        for (const auto& [domain, id] : fewer) {
+            moved += state::plan_layout(fewer, id, {}).cell != before[id] ? 1 : 0;
+        }
+        CHECK(moved <= 7U);
+    }
+}
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -47,6 +47,7 @@
     message.rollouts.push_back({"s", 12, rollout_state::reverted, true, true, core::milliseconds(1000)});
     message.sessions.push_back({77, true, core::milliseconds(20)});
     message.members.push_back({message.sender, core::milliseconds(30)});
+    message.pulses.push_back({0xfffffff0U, 70000, state::member_state::leaving, core::milliseconds(250)});
     return message;
 }
 
@@ -89,6 +90,10 @@
     CHECK(decoded->rollouts.at(0).state == rollout_state::reverted);
     CHECK(decoded->sessions.at(0).on_target);
     CHECK(decoded->members.at(0).silence == core::milliseconds(30));
+    CHECK(decoded->pulses.at(0).tag == 0xfffffff0U);
+    CHECK(decoded->pulses.at(0).heartbeat == 70000U);
+    CHECK(decoded->pulses.at(0).state == state::member_state::leaving);
+    CHECK(decoded->pulses.at(0).silence == core::milliseconds(250));
 }
 
 TEST_CASE("a damaged beat or document is refused without an exception") {
