Keep repeats on a version that was found good

Late in a good roll-out an upstream of the new version left while requests waited in its queue; a failed send marked the new version as failed for the request, and four conversations went back to the old version.

Change: policy::repeat_leaves_target. A repeat goes to the old version during the trial or while the version isn't found good, as before; after that it stays, and the failure blames the upstream only.

Ruled out: never leaving the target version. During the trial of a bad version the repeat on the old one is what serves the caller.

The new test fails on the code before by construction: the function is new, and the request left the version whatever the verdict was.

--- a/packages/policy/rollout_plan.cpp
+++ b/packages/policy/rollout_plan.cpp
@@ -40,6 +40,11 @@
     return part_elapsed(clock) < settings.full_from ? std::max(trial, settings.middle_share) : 1.0;
 }
 
+bool repeat_leaves_target(const rollout_clock& clock, rollout_verdict verdict,
+                          const rollout_plan_settings& settings) {
+    return in_trial(clock, settings) || verdict != rollout_verdict::good;
+}
+
 bool may_write_state(core::nanoseconds waited, std::size_t rank) {
     return waited >= turn_step * std::int64_t(std::min(rank, max_turns));
 }
--- a/packages/policy/rollout_plan.h
+++ b/packages/policy/rollout_plan.h
@@ -39,6 +39,12 @@
 /// Whether the trial is still on, in which conversations keep their version.
 bool in_trial(const rollout_clock& clock, const rollout_plan_settings& settings);
 
+/// Whether a request whose send to the target version failed is repeated on the old one. Not once the version
+/// was found good and the trial is over: conversations stay on it then, and single failures blame the
+/// upstream.
+bool repeat_leaves_target(const rollout_clock& clock, rollout_verdict verdict,
+                          const rollout_plan_settings& settings);
+
 /// Tells whether the roll-out may be declared complete, which stops the old upstreams at once: the whole
 /// traffic has moved, and nothing runs on the old version or the time is nearly over.
 bool may_complete(const rollout_clock& clock, rollout_verdict verdict, core::nanoseconds at_full_share,
--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -64,10 +64,13 @@
 
 bool forward_run::wants_target_version() const {
     const auto found = node_.rollouts.find(service_);
-    if (found == node_.rollouts.end() || found->second.stopped || target_failed_) {
+    if (found == node_.rollouts.end() || found->second.stopped) {
         return false;
     }
     const policy::rollout_clock clock{boot_now() - found->second.began, found->second.order.duration};
+    if (target_failed_ && policy::repeat_leaves_target(clock, found->second.verdict, {})) {
+        return false;
+    }
     const policy::rollout_side side{session_place_, found->second.share, policy::in_trial(clock, {}),
                                     node_.settings.bounds.session};
     return policy::takes_target(node_.sessions, session_, side, boot_now());
--- a/test/correctness/relay_routing_test.cpp
+++ b/test/correctness/relay_routing_test.cpp
@@ -193,6 +193,18 @@
     CHECK(share(9000, rollout_verdict::bad) == 0.0);
 }
 
+TEST_CASE("a repeat stays on a version that was found good once the trial is over") {
+    // Found on a day of 89 nodes: an upstream of the new version left, and the conversations that it served
+    // went back to the old version.
+    const auto leaves = [](int ms, rollout_verdict verdict) {
+        return repeat_leaves_target({milliseconds(ms), milliseconds(10000)}, verdict, {});
+    };
+    CHECK_FALSE(leaves(7600, rollout_verdict::good));
+    CHECK(leaves(7600, rollout_verdict::unknown));
+    CHECK(leaves(7600, rollout_verdict::bad));
+    CHECK(leaves(2000, rollout_verdict::good));
+}
+
 TEST_CASE("another node writes a roll-out's state where the first one fails to") {
     // Found on a heavy day: the store turned the first node away until the deadline of the roll-out had
     // passed.
