Divide the upstreams among the cells of a large fleet

Upstreams are laid out by failure domain like the members, so most work stays in its failure domain. The bound on connections to an upstream follows the number of nodes that share it.

Ruled out: scaling the load of the own cell up to the fleet. On upstreams with six slots one request would count as eight.

The small sites are one cell and use all upstreams as before.

Not done: requests that find their slice busy while others have room.

--- a/packages/relay/candidates.cpp
+++ b/packages/relay/candidates.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "relay/boot_clock.h"
+#include "relay/slices.h"
 
 namespace figspoke::relay {
 namespace {
@@ -33,12 +34,12 @@
 
 // An upstream resets connections beyond those that it accepts from all nodes together, so each node uses its
 // part of them only.
-int connection_share(const relay_state& node, const std::string& service) {
+int connection_share(const relay_state& node, const std::string& service, const std::string& upstream) {
     const auto found = node.routes->services.find(service);
     if (found == node.routes->services.end()) {
         return state::relay_service{}.max_connections;
     }
-    return std::max(found->second.max_connections / int(std::max<std::size_t>(node.peers->size(), 1)), 1);
+    return std::max(found->second.max_connections / int(sharers_of(node, upstream)), 1);
 }
 
 policy::relay_candidate describe(const relay_state& node, const state::upstream_entry& entry,
@@ -63,7 +64,8 @@
     candidate.warm_reading_ms = reading(shared);
     candidate.suspect = !policy::is_usable(node.health, entry.id, now, need.may_probe);
     const auto full = node.full_until.find(entry.id);
-    const bool connections_used = own_requests(node, entry.id) >= connection_share(node, need.service);
+    const bool connections_used =
+        own_requests(node, entry.id) >= connection_share(node, need.service, entry.id);
     candidate.backing_off = (full != node.full_until.end() && full->second > now) || connections_used ||
                             !fits_memory(node, need.service, use.tokens, need.tokens);
     return candidate;
@@ -85,7 +87,8 @@
     for (const auto* entry : state::serving_upstreams(node.registry, need.service)) {
         const bool right_version = (need.only_version.empty() || entry->version == need.only_version) &&
                                    (need.avoided_version.empty() || entry->version != need.avoided_version);
-        if (right_version && has_model(*entry, need.model)) {
+        const bool right_cell = need.everywhere || in_own_slice(node, entry->id);
+        if (right_version && right_cell && has_model(*entry, need.model)) {
             candidates.push_back(describe(node, *entry, need, now));
         }
     }
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -14,6 +14,7 @@
 #include "relay/forward.h"
 #include "relay/relay_state.h"
 #include "relay/rollouts.h"
+#include "relay/slices.h"
 
 namespace figspoke::relay {
 namespace {
@@ -116,6 +117,7 @@
         };
         hooks.on_trials = [this](const std::vector<trial_mark>& marks) { note_trial_marks(state_, marks); };
         hooks.on_cells = [this](std::size_t cells) {
+            plan_slices(state_);
             state_.log.state("fleet_divided", {{"cells", cells}, {"members", state_.peers->size()}});
         };
         hooks.on_sessions = [this](const std::vector<session_mark>& marks) {
@@ -260,6 +262,7 @@
         while (!state_.stopped) {
             adapters::sleep_for(tick, yield);
             const auto passed = boot_now() - std::exchange(last, boot_now());
+            plan_slices(state_);
             end_silent_streams(state_, passed > long_pause ? passed : core::nanoseconds(0));
             step_rollouts(state_);
             drive_rollouts(state_, yield);
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -88,6 +88,9 @@
     std::array<state::shared_document, document_count> documents;
     state::route_table_ptr routes;
     state::upstream_registry registry;
+    /// The upstreams that this node's cell uses, with the number of nodes that share each; empty where it
+    /// uses all.
+    std::map<std::string, std::size_t> own_slice;
     std::map<std::string, rollout_progress> rollouts;
 
     std::unique_ptr<fleet> peers;
