--- a/test/platform/relay_process_test.cpp
+++ b/test/platform/relay_process_test.cpp
@@ -404,6 +404,34 @@
                      milliseconds(3000)));
 }
 
+TEST_CASE("a fleet of two cells shares one reader, one configuration and one list of nodes") {
+    // Beats of all to all ended at about 30 nodes; in cells, news have to cross the links to reach everybody.
+    small_world small(answer_ok);
+    std::vector<relay_process*> nodes = {small.node};
+    for (int i = 0; i < 27; ++i) {
+        nodes.push_back(&small.world.launch_node());
+    }
+    for (const auto* node : nodes) {
+        REQUIRE(wait_until([&] { return small.world.look_up(*node).size() == nodes.size(); }));
+    }
+    CHECK(wait_until(
+        [&] { return nodes.front()->process->output().find(R"("cells":2)") != std::string::npos; }));
+    std::this_thread::sleep_for(milliseconds(2000));
+    const int before = small.world.store().calls();
+    std::this_thread::sleep_for(milliseconds(4000));
+    // The bound of the test with three nodes: the calls must not grow with the fleet.
+    CHECK(small.world.store().calls() - before <= 20);
+    small.world.configure(2, {"k9"});
+    for (const auto* node : nodes) {
+        CHECK(wait_until([&] { return small.world.send(*node, "/order/1", "r1", "b", "k9").status == 200; }));
+    }
+    nodes.back()->process->send_signal(SIGKILL);
+    nodes.pop_back();
+    for (const auto* node : nodes) {
+        CHECK(wait_until([&] { return small.world.look_up(*node).size() == nodes.size(); }));
+    }
+}
+
 TEST_CASE("a request's log line names its sends and the configuration that decided") {
     small_world small(answer_ok);
     CHECK(small.world.send(*small.node, "/order/1", "r77").status == 200);
