Introduce the fleet to a process that starts again

Cause: found by reading. A node replied with all members to a peer that it had never heard, but not to a new process of a known node. In a fleet of one cell every beat names all members; between cells beats name few in full, so a restarted node would know about 17 of 89 for some seconds, take itself for a fleet of one cell and use all upstreams.

Change: the reply depends on the incarnation. The test drives one fleet over a socket; it fails on the code before (no beat names the members) and passes after.

--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -319,17 +319,18 @@
 }
 
 void fleet::note_peer(const beat& message, core::steady_time now) {
-    const bool known = peers_.count(message.sender.id) > 0;
     auto& one = peers_[message.sender.id];
-    if (known && message.sender.incarnation < one.incarnation) {
+    if (message.sender.incarnation < one.incarnation) {
         return;
     }
+    // A process that has just started knows nobody, also where its node was known before.
+    const bool introduced = message.sender.incarnation == one.incarnation;
     one.incarnation = message.sender.incarnation;
     one.last_stamp = message.stamp;
     one.stamp_at = now;
     one.heard_at = now;
     one.uses = message.uses;
-    if (!known) {
+    if (!introduced) {
         send_to({message.sender.mesh_address, message.sender.id, beat_scope::introduction});
     }
 }
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -1,9 +1,14 @@
+#include <algorithm>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
 #include "core/relay_settings.h"
 #include "relay/beat.h"
 #include "relay/event_splitter.h"
+#include "relay/fleet.h"
 #include "relay/wire_protocol.h"
 
 using namespace figspoke;
@@ -143,3 +148,97 @@
     CHECK(message("[surprise]\n").find("surprise") != std::string::npos);
     CHECK(message("[node\n").find("line 1") != std::string::npos);
 }
+
+namespace {
+
+// A fleet whose hooks do nothing, and a socket in the place of a peer.
+struct lone_fleet {
+    lone_fleet()
+        : peer(context, udp::endpoint(boost::asio::ip::make_address("127.0.3.2"), 0)),
+          node(context, {"n0", "d0", "127.0.3.1:1", "127.0.3.1:" + std::to_string(port()), {}}, hooks()) {
+        node.start();
+    }
+
+    // Some port that is free on the node's address as well.
+    std::uint16_t port() const { return peer.local_endpoint().port(); }
+
+    static fleet_hooks hooks() {
+        fleet_hooks idle;
+        idle.describe = [](beat&) {};
+        idle.on_claim = [](document_kind, const state::document_claim&, const state::clock_echo&,
+                           const state::member_entry&) {};
+        idle.on_crashes = [](const std::vector<crash_mark>&) {};
+        idle.on_rollouts = [](const std::vector<rollout_mark>&) {};
+        idle.on_trials = [](const std::vector<trial_mark>&) {};
+        idle.on_sessions = [](const std::vector<session_mark>&) {};
+        idle.on_cells = [](std::size_t) {};
+        idle.on_beat = [] {};
+        return idle;
+    }
+
+    void send(const beat& message) {
+        const auto bytes = encode_beat(message);
+        peer.send_to(boost::asio::buffer(bytes),
+                     udp::endpoint(boost::asio::ip::make_address("127.0.3.1"), port()));
+    }
+
+    // Returns the largest number of members that one beat to the peer told within the time.
+    std::size_t most_members_told(core::milliseconds time) {
+        context.run_for(time);
+        std::size_t most = 0;
+        std::string bytes(65536, '\0');
+        while (peer.available() > 0) {
+            const auto size = peer.receive(boost::asio::buffer(bytes));
+            if (const auto message = decode_beat(std::string_view(bytes).substr(0, size))) {
+                most = std::max(most, message->members.size());
+            }
+        }
+        return most;
+    }
+
+    using udp = boost::asio::ip::udp;
+    boost::asio::io_context context;
+    udp::socket peer;
+    fleet node;
+};
+
+} // namespace
+
+TEST_CASE("a process that starts again in a large fleet is told all members") {
+    // Beats between cells name few members in full, so a restarted process would know a part of the fleet
+    // only and divide it wrongly.
+    lone_fleet world;
+    beat message;
+    message.sender.id = "n1";
+    message.sender.failure_domain = "d0";
+    message.sender.mesh_address = "127.0.3.2:" + std::to_string(world.port());
+    message.sender.incarnation = 1;
+    message.sender.heartbeat = 1;
+    for (int i = 0; i < 40; ++i) {
+        relayed_member member;
+        member.entry.id = "m" + std::to_string(i);
+        member.entry.failure_domain = "d1";
+        member.entry.mesh_address = "127.0.3.3:1";
+        member.entry.incarnation = 1;
+        message.members.push_back(member);
+    }
+    world.send(message);
+    const auto told_all = [&] { return world.most_members_told(core::milliseconds(500)) >= 40U; };
+    const auto becomes = [&](bool wanted) {
+        int rounds = 0;
+        while (told_all() != wanted && rounds < 40) {
+            ++rounds;
+        }
+        return rounds < 40;
+    };
+    CHECK(becomes(true));
+    // Changes are told in full for some rounds.
+    message.members.clear();
+    CHECK(becomes(false));
+    message.sender.heartbeat = 2;
+    world.send(message);
+    CHECK_FALSE(told_all());
+    message.sender.incarnation = 2;
+    world.send(message);
+    CHECK(becomes(true));
+}
