Share the count of slices, drop an option that nothing sets

The division of upstreams among cells had its own copy of the count of slices that the chat interface's subsets use, and upstream_need kept a field of the spill that was put back.

Change: policy/slice_count serves both; the field is gone.

--- a/packages/policy/upstream_slice.cpp
+++ b/packages/policy/upstream_slice.cpp
@@ -3,18 +3,9 @@
 #include <algorithm>
 #include <tuple>
 
-namespace figspoke::policy {
-namespace {
+#include "policy/slice_count.h"
 
-std::size_t count_slices(std::size_t upstreams, const slice_place& place, const slice_settings& settings) {
-    std::size_t slices = 1;
-    while (slices * 2 <= place.cells && slices * 2 * settings.least <= upstreams) {
-        slices *= 2;
-    }
-    return slices;
-}
-
-} // namespace
+namespace figspoke::policy {
 
 // Members are laid out by failure domain, and so are the upstreams: most of a cell's upstreams lie in the
 // failure domain of its nodes.
@@ -29,7 +20,7 @@
         while (last < upstreams.size() && upstreams[last].group == upstreams[first].group) {
             ++last;
         }
-        const auto slices = count_slices(last - first, place, settings);
+        const auto slices = slice_count(last - first, place.cells, settings.least);
         const auto slice = place.cell * slices / place.cells;
         const auto begin = first + slice * (last - first) / slices;
         const auto end = first + (slice + 1) * (last - first) / slices;
--- a/packages/policy/upstream_subset.cpp
+++ b/packages/policy/upstream_subset.cpp
@@ -3,20 +3,11 @@
 #include <algorithm>
 
 #include "core/hash.h"
+#include "policy/slice_count.h"
 
 namespace figspoke::policy {
 namespace {
 
-// A power of two, so that the number of slices rarely changes as upstreams come and go.
-std::size_t slice_count(std::size_t upstreams, std::size_t members, std::size_t least) {
-    std::size_t slices = 1;
-    // Every slice needs a member: a slice without one would leave its upstreams idle.
-    while (slices * 2 * least <= upstreams && slices * 2 <= members) {
-        slices *= 2;
-    }
-    return slices;
-}
-
 void sort_by_hash(std::vector<std::string>& names, const std::string& salt) {
     std::sort(names.begin(), names.end(), [&](const std::string& a, const std::string& b) {
         const auto hash_a = core::stable_hash(salt + a);
--- a/packages/relay/candidates.cpp
+++ b/packages/relay/candidates.cpp
@@ -87,7 +87,7 @@
     for (const auto* entry : state::serving_upstreams(node.registry, need.service)) {
         const bool right_version = (need.only_version.empty() || entry->version == need.only_version) &&
                                    (need.avoided_version.empty() || entry->version != need.avoided_version);
-        const bool right_cell = need.everywhere || in_own_slice(node, entry->id);
+        const bool right_cell = in_own_slice(node, entry->id);
         if (right_version && right_cell && has_model(*entry, need.model)) {
             candidates.push_back(describe(node, *entry, need, now));
         }
--- a/packages/relay/candidates.h
+++ b/packages/relay/candidates.h
@@ -21,8 +21,6 @@
     std::vector<policy::prompt_step> shared;
     std::int64_t prompt_tokens = 0;
     int rank = 0;
-    /// Whether upstreams of other cells may run it, whose load this node doesn't know.
-    bool everywhere = false;
     /// Whether the request may test an upstream that failed before.
     bool may_probe = true;
 };
