Order records by rendezvous in one place

The relay's choice of an upstream wrote again what the chat interface's choice of an upstream and the choice of entries have: a map of records by name beside a list of names, ordered and looked up again. core::rendezvous_order now takes records with a function that reads their name, and all three call it. Scores are computed once for each name instead of in every comparison.

--- a/packages/core/hash.cpp
+++ b/packages/core/hash.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <stdexcept>
 
 #include <openssl/crypto.h>
@@ -68,15 +69,30 @@
     return mix(hash);
 }
 
-std::vector<std::string> rendezvous_order(std::string_view key, std::vector<std::string> candidates) {
+std::vector<std::size_t> rendezvous_positions(std::string_view key,
+                                              const std::vector<std::string_view>& names) {
     const std::uint64_t key_hash = stable_hash(key);
-    const auto score = [&](const std::string& name) { return mix(key_hash ^ stable_hash(name)); };
-    std::sort(candidates.begin(), candidates.end(), [&](const std::string& a, const std::string& b) {
-        const auto score_a = score(a);
-        const auto score_b = score(b);
-        return score_a != score_b ? score_a > score_b : a < b;
+    std::vector<std::uint64_t> scores;
+    scores.reserve(names.size());
+    for (const auto name : names) {
+        scores.push_back(mix(key_hash ^ stable_hash(name)));
+    }
+    std::vector<std::size_t> positions(names.size());
+    std::iota(positions.begin(), positions.end(), std::size_t(0));
+    std::sort(positions.begin(), positions.end(), [&](std::size_t a, std::size_t b) {
+        return scores[a] != scores[b] ? scores[a] > scores[b] : names[a] < names[b];
     });
-    return candidates;
+    return positions;
+}
+
+std::vector<std::string> rendezvous_order(std::string_view key, std::vector<std::string> candidates) {
+    const std::vector<std::string_view> names(candidates.begin(), candidates.end());
+    std::vector<std::string> ordered;
+    ordered.reserve(candidates.size());
+    for (const auto position : rendezvous_positions(key, names)) {
+        ordered.push_back(std::move(candidates[position]));
+    }
+    return ordered;
 }
 
 std::string random_hex(std::size_t bytes) {
--- a/packages/policy/relay_choice.cpp
+++ b/packages/policy/relay_choice.cpp
@@ -1,7 +1,6 @@
 #include "policy/relay_choice.h"
 
 #include <algorithm>
-#include <map>
 
 #include "core/hash.h"
 
@@ -28,26 +27,12 @@
     return load_per_slot(candidate) - (near ? settings.domain_preference : 0.0);
 }
 
-// The same order on every node, so that all of them name the same owner of a prefix.
-candidates_view order_by_prefix(const candidates_view& open, std::uint64_t prefix) {
-    std::map<std::string, const relay_candidate*> by_id;
-    std::vector<std::string> ids;
-    ids.reserve(open.size());
-    for (const auto* candidate : open) {
-        by_id.emplace(candidate->id, candidate);
-        ids.push_back(candidate->id);
-    }
-    candidates_view ordered;
-    ordered.reserve(open.size());
-    for (const auto& id : core::rendezvous_order(std::to_string(prefix), std::move(ids))) {
-        ordered.push_back(by_id.at(id));
-    }
-    return ordered;
-}
-
 relay_choice choose_soonest(const candidates_view& candidates, const relay_choice_settings& settings,
                             const relay_wish& wish) {
-    const auto open = order_by_prefix(candidates, wish.prefix);
+    // The same order on every node, so that all of them name the same owner of a prefix.
+    const auto open =
+        core::rendezvous_order(std::to_string(wish.prefix), candidates,
+                               [](const relay_candidate& one) -> std::string_view { return one.id; });
     std::size_t best = 0;
     double best_cost = 0;
     double best_reading = 0;
--- a/packages/policy/upstream_choice.cpp
+++ b/packages/policy/upstream_choice.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <map>
 
 #include "core/hash.h"
 
@@ -74,23 +73,10 @@
     return static_cast<int>(std::ceil(load_bound * load * std::max(1, candidate.slots) / slots));
 }
 
-std::vector<const upstream_candidate*> prefix_order(const open_candidates& open, const std::string& prefix) {
-    std::map<std::string, const upstream_candidate*> by_name;
-    std::vector<std::string> names;
-    for (const auto* candidate : open) {
-        by_name[candidate->name] = candidate;
-        names.push_back(candidate->name);
-    }
-    open_candidates ordered;
-    for (const auto& name : core::rendezvous_order(prefix, std::move(names))) {
-        ordered.push_back(by_name.at(name));
-    }
-    return ordered;
-}
-
 const upstream_candidate* by_prefix(const open_candidates& open, const upstream_settings& settings,
                                     const upstream_request& request, upstream_reason& reason) {
-    const auto ordered = prefix_order(open, request.prefix);
+    const auto ordered = core::rendezvous_order(
+        request.prefix, open, [](const upstream_candidate& one) -> std::string_view { return one.name; });
     const auto within_bound = [&](const upstream_candidate* candidate) {
         return candidate->load + 1 <= bound_of(open, *candidate, settings.load_bound);
     };
--- a/packages/state/entry_choice.cpp
+++ b/packages/state/entry_choice.cpp
@@ -20,15 +20,9 @@
 using domain_queues = std::map<std::string, std::deque<const member_entry*>>;
 
 domain_queues rank_in_domains(const std::vector<const member_entry*>& serving, std::string_view caller) {
-    std::map<std::string, const member_entry*> by_id;
-    std::vector<std::string> ids;
-    for (const auto* entry : serving) {
-        by_id.emplace(entry->id, entry);
-        ids.push_back(entry->id);
-    }
     domain_queues queues;
-    for (const auto& id : core::rendezvous_order(caller, std::move(ids))) {
-        const auto* entry = by_id.at(id);
+    const auto id_of = [](const member_entry& entry) -> std::string_view { return entry.id; };
+    for (const auto* entry : core::rendezvous_order(caller, serving, id_of)) {
         queues[entry->failure_domain].push_back(entry);
     }
     for (auto& [domain, queue] : queues) {
