Erase map entries by condition in one place

journal_expiry had erase_where; the relay wrote its loop six more times, and membership, the digests and the roster had it as well. The function moves to core/erase_where.h and serves all of them.

--- a/packages/policy/crash_ledger.cpp
+++ b/packages/policy/crash_ledger.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/erase_where.h"
+
 namespace figspoke::policy {
 namespace {
 
@@ -86,12 +88,11 @@
 }
 
 void expire_crashes(crash_ledger& ledger, const crash_ledger_settings& settings, core::steady_time now) {
-    for (auto it = ledger.crashes.begin(); it != ledger.crashes.end();) {
-        it = now - latest(it->second) > settings.expiry ? ledger.crashes.erase(it) : std::next(it);
-    }
-    for (auto it = ledger.cleared.begin(); it != ledger.cleared.end();) {
-        it = now - it->second > settings.expiry ? ledger.cleared.erase(it) : std::next(it);
-    }
+    core::erase_where(ledger.crashes, [&](const auto& crashes, std::uint64_t) {
+        return now - latest(crashes) > settings.expiry;
+    });
+    core::erase_where(ledger.cleared,
+                      [&](core::steady_time at, std::uint64_t) { return now - at > settings.expiry; });
 }
 
 } // namespace figspoke::policy
--- a/packages/policy/prefill.cpp
+++ b/packages/policy/prefill.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/erase_where.h"
+
 namespace figspoke::policy {
 namespace {
 
@@ -52,9 +54,7 @@
     if (kept.size() <= max_prefixes_per_upstream) {
         return;
     }
-    for (auto it = kept.begin(); it != kept.end();) {
-        it = now - it->second > prefix_lifetime ? kept.erase(it) : std::next(it);
-    }
+    core::erase_where(kept, [&](core::steady_time at, std::uint64_t) { return now - at > prefix_lifetime; });
 }
 
 std::int64_t cached_tokens(const prefix_memory& memory, const std::string& upstream,
--- a/packages/policy/session_pins.cpp
+++ b/packages/policy/session_pins.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 
+#include "core/erase_where.h"
 #include "core/hash.h"
 
 namespace figspoke::policy {
@@ -20,9 +21,8 @@
 }
 
 void expire_sessions(session_pins& pins, core::milliseconds session_gap, core::steady_time now) {
-    for (auto it = pins.pins.begin(); it != pins.pins.end();) {
-        it = now - it->second.seen > session_gap ? pins.pins.erase(it) : std::next(it);
-    }
+    core::erase_where(pins.pins,
+                      [&](const session_pin& pin, std::uint64_t) { return now - pin.seen > session_gap; });
 }
 
 double session_place(std::uint64_t session) {
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -4,6 +4,7 @@
 
 #include "adapters/await.h"
 #include "adapters/endpoint.h"
+#include "core/erase_where.h"
 #include "relay/boot_clock.h"
 #include "state/entry_choice.h"
 
@@ -108,12 +109,10 @@
 
 void fleet::prune(core::steady_time now) {
     state::prune(members_, timeouts(), now);
-    for (auto it = tags_.begin(); it != tags_.end();) {
-        const auto found = members_.members.find(it->second.id);
-        const bool current =
-            found != members_.members.end() && found->second.entry.incarnation == it->second.incarnation;
-        it = current ? std::next(it) : tags_.erase(it);
-    }
+    core::erase_where(tags_, [this](const tagged_member& one, std::uint32_t) {
+        const auto found = members_.members.find(one.id);
+        return found == members_.members.end() || found->second.entry.incarnation != one.incarnation;
+    });
 }
 
 void fleet::announce() {
--- a/packages/relay/rollouts.cpp
+++ b/packages/relay/rollouts.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/erase_where.h"
 #include "policy/rollout_plan.h"
 #include "relay/boot_clock.h"
 
@@ -194,9 +195,9 @@
     for (const auto& order : orders) {
         by_service[order.service] = &order;
     }
-    for (auto it = node.rollouts.begin(); it != node.rollouts.end();) {
-        it = by_service.count(it->first) == 0 ? node.rollouts.erase(it) : std::next(it);
-    }
+    core::erase_where(node.rollouts, [&](const rollout_progress&, const std::string& service) {
+        return by_service.count(service) == 0;
+    });
     for (const auto& [service, order] : by_service) {
         const auto found = node.rollouts.find(service);
         if (found == node.rollouts.end() || found->second.order.revision < order->revision) {
--- a/packages/state/journal_expiry.cpp
+++ b/packages/state/journal_expiry.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/erase_where.h"
 #include "state/shard_size.h"
 
 namespace figspoke::state {
@@ -11,13 +12,6 @@
 
 using std::chrono::milliseconds;
 
-template <class Map, class Condition>
-void erase_where(Map& entries, Condition condition) {
-    for (auto it = entries.begin(); it != entries.end();) {
-        it = condition(it->second, it->first) ? entries.erase(it) : std::next(it);
-    }
-}
-
 bool is_gone(const expiry_rules& rules, const std::string& incarnation) {
     return rules.is_gone && rules.is_gone(incarnation);
 }
@@ -33,13 +27,13 @@
 
 void remove_expired(journal_shard& shard, const expiry_rules& rules) {
     const milliseconds before = shard.clock - rules.window;
-    erase_where(shard.orders, [&](const order_record& record, const std::string&) {
+    core::erase_where(shard.orders, [&](const order_record& record, const std::string&) {
         return record.state != order_state::claimed && record.changed_at <= before;
     });
-    erase_where(shard.charged_keys, [&](milliseconds at, const std::string&) { return at <= before; });
+    core::erase_where(shard.charged_keys, [&](milliseconds at, const std::string&) { return at <= before; });
     // A writer that may still be alive keeps its progress however long it was idle: without it a late repeat
     // of a charge would be recorded again.
-    erase_where(shard.writers, [&](const writer_progress& progress, const std::string& writer) {
+    core::erase_where(shard.writers, [&](const writer_progress& progress, const std::string& writer) {
         return progress.changed_at <= before && is_gone(rules, writer);
     });
 }
@@ -56,7 +50,7 @@
     std::size_t excess = ages.size() - limit;
     std::nth_element(ages.begin(), ages.begin() + static_cast<std::ptrdiff_t>(excess - 1), ages.end());
     const milliseconds last = ages[excess - 1];
-    erase_where(shard.charged_keys, [&](milliseconds at, const std::string&) {
+    core::erase_where(shard.charged_keys, [&](milliseconds at, const std::string&) {
         return at <= last && excess > 0 && excess-- > 0;
     });
 }
--- a/packages/state/member_digest.cpp
+++ b/packages/state/member_digest.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "core/erase_where.h"
 #include "state/beat_pack.h"
 
 // A link carries each member in full once and afterwards short entries that refer to it by a number. They are
@@ -69,9 +70,8 @@
     if (link.sent.size() <= 2 * known.members.size() + 16) {
         return;
     }
-    for (auto it = link.sent.begin(); it != link.sent.end();) {
-        it = known.members.count(it->first) == 0 ? link.sent.erase(it) : std::next(it);
-    }
+    core::erase_where(
+        link.sent, [&](const sent_member&, const std::string& id) { return known.members.count(id) == 0; });
 }
 
 digest_member make_complete(digest_link& link, sent_member& sent, const membership& known,
--- a/packages/state/membership.cpp
+++ b/packages/state/membership.cpp
@@ -4,6 +4,8 @@
 #include <cstdlib>
 #include <tuple>
 
+#include "core/erase_where.h"
+
 namespace figspoke::state {
 namespace {
 
@@ -65,9 +67,8 @@
 
 void drop_old_tombstones(membership& known, core::milliseconds lifetime, core::steady_time now) {
     auto& stones = known.tombstones;
-    for (auto it = stones.begin(); it != stones.end();) {
-        it = now - it->second.since > lifetime ? stones.erase(it) : std::next(it);
-    }
+    core::erase_where(
+        stones, [&](const tombstone& stone, const std::string&) { return now - stone.since > lifetime; });
     while (stones.size() > max_tombstones) {
         stones.erase(std::min_element(stones.begin(), stones.end(), [](const auto& a, const auto& b) {
             return a.second.since < b.second.since;
--- a/packages/state/roster.cpp
+++ b/packages/state/roster.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/erase_where.h"
+
 // How a majority stays unique while members come and go.
 //
 // Counting the members that a node currently believes in is unsafe: after the suspicion timeout each side of
@@ -73,9 +75,8 @@
 }
 
 voter_map without_departed(const majority_view& view, voter_map voters, core::steady_time now) {
-    for (auto it = voters.begin(); it != voters.end();) {
-        it = has_departed(view, it->first, it->second, now) ? voters.erase(it) : std::next(it);
-    }
+    core::erase_where(
+        voters, [&](const auto& voter, const std::string& id) { return has_departed(view, id, voter, now); });
     return voters;
 }
 
--- a/packages/state/upstream_registry.cpp
+++ b/packages/state/upstream_registry.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <tuple>
 
+#include "core/erase_where.h"
+
 namespace figspoke::state {
 namespace {
 
@@ -26,14 +28,12 @@
     if (now < registry.grace_until) {
         return;
     }
-    for (auto it = registry.upstreams.begin(); it != registry.upstreams.end();) {
-        if (it->second.missing) {
-            changes.removed.push_back(it->first);
-            it = registry.upstreams.erase(it);
-        } else {
-            ++it;
+    core::erase_where(registry.upstreams, [&](const upstream_record& record, const std::string& id) {
+        if (record.missing) {
+            changes.removed.push_back(id);
         }
-    }
+        return record.missing;
+    });
 }
 
 void apply_entry(upstream_registry& registry, const upstream_entry& entry, registry_changes& changes) {
