--- a/packages/adapters/mesh_codec.cpp
+++ b/packages/adapters/mesh_codec.cpp
@@ -97,12 +97,13 @@
     entry.heartbeat = value.at(6).get<std::uint64_t>();
     entry.table_revision = value.at(7).get<std::uint64_t>();
     entry.roster_version = value.at(8).get<std::uint64_t>();
-    const auto state = value.at(9).get<unsigned>();
-    if (state > unsigned(state::member_state::left)) {
+    const auto number = value.at(9).get<unsigned>();
+    const auto state = state::member_state_of(number);
+    if (!state) {
         throw std::runtime_error("member \"" + entry.id + "\" has the unknown state " +
-                                 std::to_string(state));
+                                 std::to_string(number));
     }
-    entry.state = static_cast<state::member_state>(state);
+    entry.state = *state;
     entry.load = value.at(10).get<std::uint8_t>();
     member.silence = duration_of(value.at(11));
     entry.payload = value.at(12).get<std::map<std::string, std::string>>();
--- a/packages/adapters/platform_call.cpp
+++ b/packages/adapters/platform_call.cpp
@@ -23,9 +23,8 @@
                                                                          std::to_string(reply.status)});
 }
 
-std::string escape_segment(const std::string& text) {
+std::string percent_escape(std::string_view text, std::string_view kept) {
     constexpr std::string_view digits = "0123456789ABCDEF";
-    constexpr std::string_view kept = "-._~@";
     std::string escaped;
     for (const char c : text) {
         const auto byte = static_cast<unsigned char>(c);
@@ -40,4 +39,8 @@
     return escaped;
 }
 
+std::string escape_segment(const std::string& text) {
+    return percent_escape(text, "-._~@");
+}
+
 } // namespace figspoke::adapters
--- a/packages/adapters/platform_call.h
+++ b/packages/adapters/platform_call.h
@@ -3,6 +3,7 @@
 #include <limits>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <type_traits>
 #include <utility>
 
@@ -59,6 +60,9 @@
     return read_reply(call, *reply, read);
 }
 
+/// Writes bytes other than letters, digits and those in `kept` as `%XX`.
+std::string percent_escape(std::string_view text, std::string_view kept);
+
 /// Escapes a text for use as one segment of a path or as a query value.
 std::string escape_segment(const std::string& text);
 
--- a/packages/core/relay_settings.cpp
+++ b/packages/core/relay_settings.cpp
@@ -5,6 +5,7 @@
 
 #include <toml++/toml.h>
 
+#include "core/schema.h"
 #include "core/section_reader.h"
 
 namespace figspoke::core {
@@ -12,19 +13,6 @@
 
 const std::set<std::string> known_sections = {"node", "listen", "peers", "store", "bounds", "log"};
 
-std::vector<std::string> split_list(const std::string& text) {
-    std::vector<std::string> items;
-    std::size_t begin = 0;
-    while (begin < text.size()) {
-        const auto end = std::min(text.find(',', begin), text.size());
-        if (end > begin) {
-            items.push_back(text.substr(begin, end - begin));
-        }
-        begin = end + 1;
-    }
-    return items;
-}
-
 void read_places(const toml::table& root, relay_settings& into, std::optional<error>& first) {
     section_reader node(root, "node", first);
     node.required_text("id", into.node_id);
@@ -40,7 +28,7 @@
     section_reader peers(root, "peers", first);
     std::string seeds;
     peers.text("seeds", seeds);
-    into.seeds = split_list(seeds);
+    into.seeds = split_list(seeds, ',');
     section_reader store(root, "store", first);
     store.required_text("address", into.store_address);
 }
--- a/packages/core/schema.cpp
+++ b/packages/core/schema.cpp
@@ -189,10 +189,10 @@
     return spec == nullptr ? "" : std::string(spec->fallback);
 }
 
-std::vector<std::string> split_list(std::string_view text) {
+std::vector<std::string> split_list(std::string_view text, char separator) {
     std::vector<std::string> items;
     while (!text.empty()) {
-        const auto end = text.find(';');
+        const auto end = text.find(separator);
         const auto item = text.substr(0, end);
         if (!item.empty()) {
             items.emplace_back(item);
--- a/packages/core/schema.h
+++ b/packages/core/schema.h
@@ -42,6 +42,6 @@
 std::string column_or_default(const row& value, std::string_view column);
 
 /// Splits a `list` column at semicolons, without empty items.
-std::vector<std::string> split_list(std::string_view text);
+std::vector<std::string> split_list(std::string_view text, char separator = ';');
 
 } // namespace figspoke::core
--- a/packages/relay/beat.cpp
+++ b/packages/relay/beat.cpp
@@ -16,11 +16,12 @@
                         entry.incarnation, entry.heartbeat, static_cast<int>(entry.state), entry.load});
 }
 
-state::member_state member_state_of(int number) {
-    if (number < 0 || number > static_cast<int>(state::member_state::left)) {
+state::member_state read_member_state(const json& value) {
+    const auto state = state::member_state_of(value.get<std::uint64_t>());
+    if (!state) {
         throw std::invalid_argument("member state out of range");
     }
-    return static_cast<state::member_state>(number);
+    return *state;
 }
 
 state::member_entry member_of(const json& value) {
@@ -31,7 +32,7 @@
     entry.failure_domain = value.at(3).get<std::string>();
     entry.incarnation = value.at(4).get<std::uint64_t>();
     entry.heartbeat = value.at(5).get<std::uint64_t>();
-    entry.state = member_state_of(value.at(6).get<int>());
+    entry.state = read_member_state(value.at(6));
     entry.load = value.at(7).get<std::uint8_t>();
     return entry;
 }
@@ -105,7 +106,7 @@
 void read_pulses(const json& numbers, beat& message) {
     for (std::size_t i = 0; i < numbers.size(); i += 4) {
         message.pulses.push_back({numbers.at(i).get<std::uint32_t>(), numbers.at(i + 1).get<std::uint64_t>(),
-                                  member_state_of(numbers.at(i + 2).get<int>()),
+                                  read_member_state(numbers.at(i + 2)),
                                   core::milliseconds(numbers.at(i + 3).get<std::int64_t>())});
     }
 }
--- a/packages/relay/caller_connection.cpp
+++ b/packages/relay/caller_connection.cpp
@@ -4,8 +4,6 @@
 #include <set>
 #include <stdexcept>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -16,6 +14,7 @@
 #include "adapters/await.h"
 #include "adapters/endpoint.h"
 #include "core/error_json.h"
+#include "relay/connection_parts.h"
 #include "relay/watchdog.h"
 
 namespace figspoke::relay {
@@ -31,7 +30,7 @@
 // Time for a body once its head is read.
 constexpr core::milliseconds body_timeout{20000};
 // The kernel gives a connection up after this long without an acknowledgement.
-constexpr int user_timeout_ms = 10000;
+constexpr core::milliseconds user_timeout{10000};
 // Pause after a failed accept, for example for want of descriptors.
 constexpr core::milliseconds accept_pause{20};
 
@@ -46,15 +45,6 @@
     std::set<class connection*> connections;
 };
 
-template <class Fields>
-header_list copy_fields(const Fields& fields) {
-    header_list headers;
-    for (const auto& field : fields) {
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
-    return headers;
-}
-
 int status_of(const beast::error_code& code, bool timed_out) {
     if (timed_out) {
         return 408;
@@ -166,12 +156,7 @@
     }
 
   private:
-    void set_options() {
-        beast::error_code ignored;
-        socket_.set_option(tcp::no_delay(true), ignored);
-        const int timeout = user_timeout_ms;
-        ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
-    }
+    void set_options() { set_connection_options(socket_, user_timeout); }
 
     // Waits for a first byte, so that the time for the head runs from there.
     bool wait_for_request(const state::input_limits& limits) {
--- a/packages/relay/upstream_link.cpp
+++ b/packages/relay/upstream_link.cpp
@@ -4,8 +4,6 @@
 #include <array>
 #include <cerrno>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -14,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include "adapters/endpoint.h"
+#include "relay/connection_parts.h"
 #include "relay/watchdog.h"
 
 namespace figspoke::relay {
@@ -27,7 +26,7 @@
 constexpr std::uint32_t max_answer_header_bytes = 64U * 1024;
 constexpr std::size_t piece_bytes = 16U * 1024;
 // Unacknowledged bytes end a connection after this time; the engine's own silence is judged by the reader.
-constexpr int user_timeout_ms = 3000;
+constexpr core::milliseconds user_timeout{3000};
 // Connections are kept for this much less than the upstream says, as its timer started before ours.
 constexpr core::milliseconds keep_alive_margin{700};
 // Where the upstream doesn't say how long it keeps an idle connection.
@@ -84,10 +83,7 @@
         const std::string cause = impl_->dog.expired() ? "connect timed out" : code.message();
         return tl::make_unexpected(link_error{link_failure::not_connected, cause});
     }
-    impl_->socket.set_option(tcp::no_delay(true), code);
-    const int user_timeout = user_timeout_ms;
-    ::setsockopt(impl_->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
-                 sizeof(user_timeout));
+    set_connection_options(impl_->socket, user_timeout);
     return {};
 }
 
@@ -135,9 +131,7 @@
     }
     answer_head head;
     head.status = static_cast<int>(parser.get().result_int());
-    for (const auto& field : parser.get()) {
-        head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
+    head.headers = copy_fields(parser.get());
     head.keep_alive = parser.get().keep_alive() && !parser.need_eof();
     return head;
 }
--- a/packages/relay/wire_protocol.cpp
+++ b/packages/relay/wire_protocol.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
+
+#include <boost/beast/core/string.hpp>
 
 namespace figspoke::relay {
 namespace {
@@ -11,10 +12,6 @@
     "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
     "trailer",    "transfer-encoding", "upgrade",          "content-length"};
 
-char lower(char c) {
-    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-}
-
 std::string_view trim(std::string_view text) {
     while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
         text.remove_prefix(1);
@@ -45,8 +42,7 @@
 } // namespace
 
 bool same_header(std::string_view a, std::string_view b) {
-    return a.size() == b.size() &&
-           std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
+    return boost::beast::iequals(a, b);
 }
 
 const std::string* find_header(const header_list& headers, std::string_view name) {
--- a/packages/state/membership.cpp
+++ b/packages/state/membership.cpp
@@ -78,6 +78,11 @@
 
 } // namespace
 
+std::optional<member_state> member_state_of(std::uint64_t number) {
+    return number > std::uint64_t(member_state::left) ? std::nullopt
+                                                      : std::make_optional(static_cast<member_state>(number));
+}
+
 bool operator==(const member_entry& a, const member_entry& b) {
     return a.id == b.id && order_key(a) == order_key(b);
 }
--- a/packages/state/membership.h
+++ b/packages/state/membership.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,9 @@
 /// What a member says of itself. `left` is the last state of an incarnation.
 enum class member_state : std::uint8_t { joining, serving, leaving, left };
 
+/// Returns the state of a number from another node; empty where none has it.
+std::optional<member_state> member_state_of(std::uint64_t number);
+
 /// What a member says of itself, as relayed by the mesh. Only the member itself writes its entry, and it
 /// raises `heartbeat` with each change.
 struct member_entry {
