--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -148,6 +148,7 @@
     if (const auto document = decode_document(reply->body)) {
         // The peer answered after the call began, so its confirmation is at most its age older than that.
         take(node, kind, document->first, started - document->second);
+        // In a fleet of one cell the reader has told everybody already.
         if (node.peers->layout().cells > 1) {
             node.peers->announce();
         }
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -92,16 +92,12 @@
             stamps_.pop_front();
         }
         plan(now);
-        for (const auto& to : cell_targets()) {
-            send_to(to);
-        }
+        send_to(cell_targets());
         if (rounds_ % link_every == 0) {
             forward_news();
         }
         if (rounds_ % greet_every == 1) {
-            for (const auto& to : greet_targets()) {
-                send_to(to);
-            }
+            send_to(greet_targets());
         }
         adapters::sleep_for(beat_interval, yield);
     }
@@ -118,16 +114,12 @@
 void fleet::announce() {
     state::beat(members_, boot_now());
     plan(boot_now());
-    for (const auto& to : cell_targets()) {
-        send_to(to);
-    }
+    send_to(cell_targets());
     forward_news();
 }
 
 void fleet::forward_news() {
-    for (const auto& to : link_targets()) {
-        send_to(to);
-    }
+    send_to(link_targets());
 }
 
 void fleet::plan(core::steady_time now) {
@@ -260,6 +252,12 @@
     // A datagram that can't be sent is like a lost one.
 }
 
+void fleet::send_to(const std::vector<target>& all) {
+    for (const auto& to : all) {
+        send_to(to);
+    }
+}
+
 void fleet::merge_member(const state::member_entry& entry, core::milliseconds silence,
                          core::steady_time now) {
     if (state::merge_entry(members_, entry, silence, now) && entry.id != members_.self) {
--- a/packages/relay/fleet.h
+++ b/packages/relay/fleet.h
@@ -134,6 +134,7 @@
     void receive(const beat& message);
     void note_peer(const beat& message, core::steady_time now);
     void send_to(const target& to);
+    void send_to(const std::vector<target>& all);
     void merge_member(const state::member_entry& entry, core::milliseconds silence, core::steady_time now);
     void plan(core::steady_time now);
     void prune(core::steady_time now);
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -67,10 +67,7 @@
     if (last_unsent) {
         return std::nullopt;
     }
-    const policy::repeat_budget_settings budget{node_.settings.bounds.repeat_ratio,
-                                                node_.settings.bounds.repeat_slack,
-                                                node_.settings.bounds.repeat_window};
-    if (!policy::take_repeat(node_.budgets[service_], budget, node_.peers->size(), boot_now())) {
+    if (!policy::take_repeat(node_.budgets[service_], budget_settings(), node_.peers->size(), boot_now())) {
         return policy::end_cause::out_of_budget;
     }
     return std::nullopt;
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -70,6 +70,7 @@
     bool can_repeat_failure() const;
     next_step pass_stream(const state::upstream_entry& entry, begun_answer& answer,
                           core::steady_time sent_at);
+    next_step abandon_stream(const state::upstream_entry& entry, begun_answer& answer);
     std::string whole_events(event_splitter& splitter, std::string_view piece);
     bool write_piece(const begun_answer& answer, const std::string& bytes);
     bool begin_answer(const begun_answer& answer);
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -35,10 +35,7 @@
 
 // Longest silence before the request goes elsewhere; until the deadline where it can't.
 core::milliseconds forward_run::silence_limit() const {
-    if (!attempts_remain()) {
-        return time_left();
-    }
-    if (route_.streaming) {
+    if (!attempts_remain() || route_.streaming) {
         return time_left();
     }
     return std::min(time_left(),
@@ -117,8 +114,7 @@
     ++counts_of(entry).sent;
     note_session(entry);
     if (drop_for_larger_model(answer.head)) {
-        history_.sends.push_back({entry.id, policy::send_result::unknown});
-        history_.sends.back().result = policy::send_result::failed;
+        history_.sends.push_back({entry.id, policy::send_result::failed});
         answer.link->close();
         return next_step::again;
     }
@@ -200,10 +196,7 @@
     while (true) {
         auto piece = answer.link->read_piece(silence_limit(), exchange_.yield());
         if (exchange_.gone()) {
-            answer.link->close();
-            history_.sends.push_back({entry.id, policy::send_result::unknown});
-            end_ = "caller left";
-            return next_step::finished;
+            return abandon_stream(entry, answer);
         }
         if (!piece) {
             return fail_send(entry, {policy::send_result::unknown, piece.error().why, piece.error().message});
@@ -218,10 +211,7 @@
         }
         const auto bytes = resumable ? whole_events(splitter, *piece) : *piece;
         if (!bytes.empty() && !write_piece(answer, bytes)) {
-            answer.link->close();
-            history_.sends.push_back({entry.id, policy::send_result::unknown});
-            end_ = "caller left";
-            return next_step::finished;
+            return abandon_stream(entry, answer);
         }
         if (splitter.rest().size() > max_event_bytes) {
             return fail_send(entry,
@@ -230,6 +220,13 @@
     }
 }
 
+forward_run::next_step forward_run::abandon_stream(const state::upstream_entry& entry, begun_answer& answer) {
+    answer.link->close();
+    history_.sends.push_back({entry.id, policy::send_result::unknown});
+    end_ = "caller left";
+    return next_step::finished;
+}
+
 // Returns the bytes of the events that the caller doesn't have yet.
 std::string forward_run::whole_events(event_splitter& splitter, std::string_view piece) {
     std::string bytes;
--- a/packages/relay/rollouts.cpp
+++ b/packages/relay/rollouts.cpp
@@ -60,9 +60,13 @@
     policy::merge_report(progress.evidence, report, core::milliseconds(0), now);
 }
 
+policy::trial_totals totals_of(const relay_state& node, const rollout_progress& progress) {
+    return policy::total_of(progress.evidence, report_lifetime(node), boot_now());
+}
+
 policy::rollout_judgement judge(const relay_state& node, rollout_progress& progress) {
     refresh_own_report(node, progress);
-    const auto totals = policy::total_of(progress.evidence, report_lifetime(node), boot_now());
+    const auto totals = totals_of(node, progress);
     return policy::judge_version(totals.target, totals.old, {});
 }
 
@@ -124,8 +128,7 @@
         return rollout_state::reverted;
     }
     const auto at_full = progress.full_since ? boot_now() - *progress.full_since : core::nanoseconds(0);
-    const auto running =
-        policy::total_of(progress.evidence, report_lifetime(node), boot_now()).running_on_old;
+    const auto running = totals_of(node, progress).running_on_old;
     if (policy::may_complete(clock_of(progress), progress.verdict, at_full, running, {})) {
         return rollout_state::completed;
     }
--- a/test/correctness/policy_routing_upstream_test.cpp
+++ b/test/correctness/policy_routing_upstream_test.cpp
@@ -10,16 +10,14 @@
 #include "policy/upstream_health.h"
 #include "policy/upstream_load.h"
 #include "policy/upstream_subset.h"
+#include "support/test_time.h"
 
 using namespace figspoke;
 using namespace figspoke::policy;
+using test::at;
 
 namespace {
 
-core::steady_time at(int ms) {
-    return core::steady_time(std::chrono::hours(1) + std::chrono::milliseconds(ms));
-}
-
 core::config_snapshot engines(int count) {
     core::config_snapshot config;
     for (int i = 0; i < count; ++i) {
--- a/test/correctness/relay_documents_test.cpp
+++ b/test/correctness/relay_documents_test.cpp
@@ -3,17 +3,15 @@
 
 #include "state/shared_document.h"
 #include "state/upstream_registry.h"
+#include "support/test_time.h"
 
 using namespace figspoke;
 using namespace figspoke::state;
 using core::milliseconds;
+using test::at;
 
 namespace {
 
-core::steady_time at(int ms) {
-    return core::steady_time(std::chrono::hours(1) + milliseconds(ms));
-}
-
 document_content content(std::uint64_t revision, std::uint64_t hash) {
     document_content made;
     made.at = revision;
--- a/test/correctness/relay_outcome_test.cpp
+++ b/test/correctness/relay_outcome_test.cpp
@@ -3,9 +3,11 @@
 
 #include "policy/relay_budget.h"
 #include "policy/relay_outcome.h"
+#include "support/test_time.h"
 
 using namespace figspoke;
 using namespace figspoke::policy;
+using test::at;
 
 namespace {
 
@@ -21,10 +23,6 @@
     return history;
 }
 
-core::steady_time at(int ms) {
-    return core::steady_time(std::chrono::hours(1) + core::milliseconds(ms));
-}
-
 } // namespace
 
 TEST_CASE("a final error promises that a request did not run only where no send can have run") {
--- a/test/correctness/relay_placing_test.cpp
+++ b/test/correctness/relay_placing_test.cpp
@@ -7,17 +7,15 @@
 #include "policy/model_choice.h"
 #include "policy/prefill.h"
 #include "policy/relay_choice.h"
+#include "support/test_time.h"
 
 using namespace figspoke;
 using namespace figspoke::policy;
 using core::milliseconds;
+using test::at;
 
 namespace {
 
-core::steady_time at(int ms) {
-    return core::steady_time(std::chrono::hours(1) + milliseconds(ms));
-}
-
 relay_candidate engine(int index) {
     relay_candidate made;
     made.id = "e" + std::to_string(index);
--- a/test/correctness/relay_routing_test.cpp
+++ b/test/correctness/relay_routing_test.cpp
@@ -9,17 +9,15 @@
 #include "policy/rollout_verdict.h"
 #include "policy/session_pins.h"
 #include "state/route_table.h"
+#include "support/test_time.h"
 
 using namespace figspoke;
 using namespace figspoke::policy;
 using core::milliseconds;
+using test::at;
 
 namespace {
 
-core::steady_time at(int ms) {
-    return core::steady_time(std::chrono::hours(1) + milliseconds(ms));
-}
-
 state::route_table two_routes() {
     state::route_table table;
     state::relay_route broad;
