Add a fault soak of router processes

`soak` starts router processes before a store and engines on loopback, sends requests over connections that stay open, and injects a seeded series of overlapping faults: processes that are killed, paused, stopped and told to reload; links to the store and to engines that are delayed, reset, silent or cut in one direction; a store that is away or loses answers; engines that crash, drain, refuse, truncate, answer twice or drop idle connections; keys that are added and taken away. A ledger of what callers and engines saw decides which promise is broken. After the last fault every request has to be served again.

Ruled out: the engine stand-in of the process tests, which keeps a thread for each connection until its end; clocks, which the processes read from the kernel and which can't be changed from outside without privileges.

--- a/test/platform/support/relay_world.cpp
+++ b/test/platform/support/relay_world.cpp
@@ -32,7 +32,12 @@
 
 void relay_world::add_engine(const std::string& id, const std::string& service, const engine_stand_in& engine,
                              const std::string& state) {
-    const json entry = {{"service", service}, {"address", engine.address()},
+    add_engine(id, service, engine.address(), state);
+}
+
+void relay_world::add_engine(const std::string& id, const std::string& service, const std::string& address,
+                             const std::string& state) {
+    const json entry = {{"service", service}, {"address", address},
                         {"zone", "z"},        {"version", "v1"},
                         {"slots", 8},         {"state", state},
                         {"sequence", 1},      {"born", 1000}};
@@ -63,7 +68,7 @@
     return "[node]\nid = \"n-" + node.ip + "\"\nfailure_domain = \"z\"\n[listen]\ncallers = \"" +
            node.callers + "\"\nreadiness = \"" + node.readiness + "\"\ndirectory = \"" + node.directory +
            "\"\npeers = \"" + node.ip + ":" + std::to_string(ports_[3]) + "\"\nmetrics = \"" + node.metrics +
-           "\"\n[peers]\nseeds = \"127.0.1.1:1\"\n[store]\naddress = \"" + store_.address() +
+           "\"\n[peers]\nseeds = \"127.0.1.1:1\"\n[store]\naddress = \"" + node.store +
            "\"\n[bounds]\nrevocation_ms = 3000\ngrace_s = 6\nrepeat_ratio = 0.9\nrepeat_slack = 50\n";
 }
 
@@ -75,23 +80,30 @@
     write_file(settings_file(node), text);
 }
 
-relay_process& relay_world::launch_node() {
+relay_process& relay_world::launch_node(const std::string& store) {
     auto node = std::make_unique<relay_process>();
+    node->store = store.empty() ? store_.address() : store;
     node->ip = "127.0.1." + std::to_string(nodes_.size() + 1);
     const auto at = [&](int port) { return node->ip + ":" + std::to_string(ports_[std::size_t(port)]); };
     node->callers = at(0);
     node->readiness = at(1);
     node->directory = at(2);
     node->metrics = at(4);
-    const auto file = settings_file(*node);
-    write_file(file, settings_of(*node));
-    node->process = std::make_unique<child_process>(std::string(FIGSPOKE_PLATFORM_PROGRAM),
-                                                    std::vector<std::string>{"--settings", file},
-                                                    directory_.path(), node->ip);
+    write_file(settings_file(*node), settings_of(*node));
+    relaunch(*node);
     nodes_.push_back(std::move(node));
     return *nodes_.back();
 }
 
+void relay_world::relaunch(relay_process& node) {
+    const std::vector<std::string> arguments{"--settings", settings_file(node)};
+    // Each launch has output of its own, so that a test reads what the present process wrote.
+    const auto name = node.ip + (node.launches == 0 ? "" : "-" + std::to_string(node.launches + 1));
+    node.process = std::make_unique<child_process>(std::string(FIGSPOKE_PLATFORM_PROGRAM), arguments,
+                                                   directory_.path(), name);
+    ++node.launches;
+}
+
 relay_process& relay_world::start_node() {
     auto& node = launch_node();
     const auto settled = [&] { return is_ready(node) || node.process->exit_code().has_value(); };
--- a/test/platform/support/relay_world.h
+++ b/test/platform/support/relay_world.h
@@ -18,6 +18,9 @@
     std::string readiness;
     std::string directory;
     std::string metrics;
+    /// Address of the store in its settings.
+    std::string store;
+    int launches = 0;
     std::unique_ptr<child_process> process;
 };
 
@@ -31,6 +34,8 @@
     /// Registers an engine under an id.
     void add_engine(const std::string& id, const std::string& service, const engine_stand_in& engine,
                     const std::string& state = "ready");
+    void add_engine(const std::string& id, const std::string& service, const std::string& address,
+                    const std::string& state);
 
     /// Writes the configuration. Routes: /order/ (once), /look/ (repeatable), /open/ (repeatable, without a
     /// key), /chat/ (stream that can be resumed), /once/ (stream that can't).
@@ -38,7 +43,13 @@
 
     /// Starts a node and waits until it is ready.
     relay_process& start_node();
-    relay_process& launch_node();
+    /// Starts a node that reaches the store at an address of its own, where one is given.
+    relay_process& launch_node(const std::string& store = {});
+    /// Starts a node again whose process has ended.
+    void relaunch(relay_process& node);
+
+    /// Where the output of the nodes is.
+    const std::string& output_directory() const { return directory_.path(); }
 
     /// Sends a request of the key "k1" to a node.
     http_answer send(const relay_process& node, const std::string& path, const std::string& id,
--- /dev/null
+++ b/test/soak/fault_plan.cpp
@@ -0,0 +1,83 @@
+#include "soak/fault_plan.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace figspoke::soak {
+namespace {
+
+struct kind_row {
+    fault_kind kind;
+    std::string_view name;
+    /// Relative frequency.
+    double weight;
+    bool planned;
+};
+
+constexpr std::array kinds{
+    kind_row{fault_kind::kill_node, "kill_node", 2, false},
+    kind_row{fault_kind::pause_node, "pause_node", 2, false},
+    kind_row{fault_kind::stop_node, "stop_node", 2, true},
+    kind_row{fault_kind::reload_node, "reload_node", 1, true},
+    kind_row{fault_kind::delay_store_link, "delay_store_link", 1, false},
+    kind_row{fault_kind::silence_store_link, "silence_store_link", 1, false},
+    kind_row{fault_kind::cut_store_answers, "cut_store_answers", 1, false},
+    kind_row{fault_kind::reset_store_link, "reset_store_link", 1, false},
+    kind_row{fault_kind::store_away, "store_away", 1, false},
+    kind_row{fault_kind::lose_store_answers, "lose_store_answers", 1, false},
+    kind_row{fault_kind::delay_engine_link, "delay_engine_link", 1, false},
+    kind_row{fault_kind::silence_engine_link, "silence_engine_link", 1, false},
+    kind_row{fault_kind::cut_engine_answers, "cut_engine_answers", 1, false},
+    kind_row{fault_kind::reset_engine_link, "reset_engine_link", 1, false},
+    kind_row{fault_kind::crash_engine, "crash_engine", 2, false},
+    kind_row{fault_kind::drain_engine, "drain_engine", 1, true},
+    kind_row{fault_kind::add_key, "add_key", 1, true},
+    kind_row{fault_kind::revoke_key, "revoke_key", 2, true},
+};
+
+constexpr std::size_t longest_series = 4;
+constexpr int least_duration_ms = 200;
+constexpr int most_duration_ms = 4500;
+constexpr int most_series_gap_ms = 900;
+constexpr std::size_t any_target = 1000;
+
+const kind_row& row_of(fault_kind kind) {
+    return *std::find_if(kinds.begin(), kinds.end(), [&](const kind_row& row) { return row.kind == kind; });
+}
+
+} // namespace
+
+std::vector<planned_fault> make_plan(const plan_settings& settings) {
+    std::mt19937 random(settings.seed);
+    const auto between = [&](int low, int high) { return low + int(random() % unsigned(high - low + 1)); };
+    std::vector<double> weights;
+    for (const auto& row : kinds) {
+        weights.push_back(settings.planned_only && !row.planned ? 0 : row.weight);
+    }
+    std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+    std::vector<planned_fault> plan;
+    core::milliseconds at{0};
+    while ((at += core::milliseconds(between(0, int(2 * settings.gap.count())))) < settings.length) {
+        const auto kind = kinds.at(pick(random)).kind;
+        auto next = at;
+        const auto series = 1 + random() % longest_series;
+        for (std::size_t i = 0; i < series && next < settings.length; ++i) {
+            plan.push_back({next, kind, random() % any_target,
+                            core::milliseconds(between(least_duration_ms, most_duration_ms))});
+            next += core::milliseconds(between(0, most_series_gap_ms));
+        }
+    }
+    std::stable_sort(plan.begin(), plan.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
+    return plan;
+}
+
+bool is_planned_work(fault_kind kind) {
+    return row_of(kind).planned;
+}
+
+std::string_view to_string(fault_kind kind) {
+    return row_of(kind).name;
+}
+
+} // namespace figspoke::soak
--- /dev/null
+++ b/test/soak/promise_ledger.cpp
@@ -0,0 +1,110 @@
+#include "soak/promise_ledger.h"
+
+#include <algorithm>
+#include <array>
+
+namespace figspoke::soak {
+namespace {
+
+constexpr std::array<int, 4> refusals{408, 421, 429, 503};
+constexpr std::string_view last_data = "end";
+
+std::string describe_runs(const std::vector<engine_run>& runs) {
+    std::string text;
+    for (const auto& run : runs) {
+        text += ' ' + run.engine;
+    }
+    return text;
+}
+
+// Faults last until they have been over for a while: nodes learn of changes again meanwhile.
+bool is_calm(const promise_ledger& ledger, const promise_bounds& bounds, const time_span& span) {
+    return std::none_of(ledger.faults.begin(), ledger.faults.end(), [&](const time_span& fault) {
+        return fault.from < span.until && fault.until + bounds.calm > span.from;
+    });
+}
+
+bool was_cut_off(const promise_ledger& ledger, const promise_bounds& bounds, const std::string& id,
+                 const std::vector<engine_run>& runs) {
+    const auto cut = ledger.cut_off.find(id);
+    return cut != ledger.cut_off.end() && is_calm(ledger, bounds, cut->second) &&
+           std::any_of(runs.begin(), runs.end(), [](const engine_run& run) { return run.completed; });
+}
+
+bool reached_drained(const promise_ledger& ledger, const promise_bounds& bounds, const engine_run& run) {
+    const auto drained = ledger.drained_engines.find(run.engine);
+    return drained != ledger.drained_engines.end() && run.at > drained->second + bounds.drain &&
+           is_calm(ledger, bounds, {drained->second, run.at});
+}
+
+std::vector<std::string> faults_of(const promise_ledger& ledger, const promise_bounds& bounds,
+                                   const std::string& id, const sent_request& sent,
+                                   const std::vector<engine_run>& runs) {
+    std::vector<std::string> faults;
+    const auto add = [&](const std::string& what) {
+        faults.push_back("request " + id + ' ' + what + ':' + describe_runs(runs));
+    };
+    if (sent.kind == request_kind::at_most_once && runs.size() > 1) {
+        add("ran more than once");
+    }
+    if (const auto refused = ledger.promised_not_run.find(id); refused != ledger.promised_not_run.end()) {
+        add("ran and was refused with " + std::to_string(refused->second));
+    }
+    const auto revoked = ledger.revoked_keys.find(sent.key);
+    if (revoked != ledger.revoked_keys.end() && sent.at > revoked->second + bounds.revocation) {
+        add("ran with a key that was taken away");
+    }
+    if (was_cut_off(ledger, bounds, id, runs)) {
+        add("lost its answer in calm");
+    }
+    for (const auto& run : runs) {
+        if (reached_drained(ledger, bounds, run)) {
+            add("reached an engine that drains");
+        }
+    }
+    return faults;
+}
+
+} // namespace
+
+bool promises_not_run(int status) {
+    return std::find(refusals.begin(), refusals.end(), status) != refusals.end();
+}
+
+std::vector<std::string> broken_promises(const promise_ledger& ledger, const promise_bounds& bounds) {
+    auto broken = ledger.violations;
+    for (const auto& [id, runs] : ledger.runs) {
+        const auto sent = ledger.sent.find(id);
+        if (sent == ledger.sent.end()) {
+            broken.push_back("request " + id + " ran though no caller sent it");
+            continue;
+        }
+        const auto faults = faults_of(ledger, bounds, id, sent->second, runs);
+        broken.insert(broken.end(), faults.begin(), faults.end());
+    }
+    return broken;
+}
+
+stream_check check_stream(const std::string& body, const std::string& content) {
+    stream_check check;
+    std::size_t begin = 0;
+    while (begin < body.size()) {
+        const auto end = body.find("\n\n", begin);
+        if (end == std::string::npos) {
+            break;
+        }
+        const auto event = body.substr(begin, end - begin);
+        begin = end + 2;
+        const auto number = std::to_string(check.events + 1);
+        if (event == "id: " + number + "\ndata: " + std::string(last_data)) {
+            check.ended = true;
+        } else if (check.ended || event != "id: " + number + "\ndata: " + number + " of " + content) {
+            check.fault = "event " + number + " is missing, repeated or of another request: " + event;
+            return check;
+        }
+        ++check.events;
+    }
+    return check;
+}
+
+} // namespace figspoke::soak
--- /dev/null
+++ b/test/soak/soak_engine.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <memory>
+#include <random>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "soak/promise_ledger.h"
+
+namespace figspoke::soak {
+
+/// Parts of the requests that an engine handles badly.
+struct engine_manners {
+    double refuses = 0.03;
+    double fails = 0.03;
+    /// The connection is reset before the request ran, and after it.
+    double resets_before = 0.01;
+    double resets_after = 0.01;
+    /// The answer, or an event of the stream, ends half-way.
+    double truncates = 0.02;
+    /// Bytes of no request follow a complete answer.
+    double sends_more = 0.01;
+    /// The connection is closed without notice after the answer, while it seems to be kept.
+    double drops_idle = 0.05;
+};
+
+/// Number of events of the stream that an engine makes for a body.
+std::uint64_t stream_length(const std::string& body);
+
+/// An engine on loopback that notes each request it runs. Lives on the thread of its context.
+class soak_engine {
+  public:
+    soak_engine(boost::asio::io_context& context, std::string id, promise_ledger& ledger, unsigned seed);
+    ~soak_engine();
+    soak_engine(const soak_engine&) = delete;
+    soak_engine& operator=(const soak_engine&) = delete;
+
+    std::string address() const;
+    void set_manners(const engine_manners& manners);
+
+    /// Ends all connections with a reset and accepts no more.
+    void crash();
+
+    struct impl;
+
+  private:
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace figspoke::soak
