Ask keepers for the load of upstreams in large fleets

Change: each upstream has a keeper, chosen by rendezvous among the serving members. Nodes tell it of their requests on the upstream as these begin, bring the first byte and end, of refusals and failures, and ask it before they send (policy/load_board, relay/load_keepers). A request asks for the first three owners of its prefix in the whole fleet and three others (shortlist). An upstream that fails requests of different nodes is avoided by all. Messages follow the requests and not the number of nodes.

--- a/packages/relay/beat.cpp
+++ b/packages/relay/beat.cpp
@@ -3,13 +3,14 @@
 #include <nlohmann/json.hpp>
 
 #include "core/hash.h"
+#include "relay/use_codec.h"
 
 namespace figspoke::relay {
 namespace {
 
 using nlohmann::json;
 
-constexpr int beat_format = 1;
+constexpr int beat_format = 2;
 
 json member_json(const state::member_entry& entry) {
     return json::array({entry.id, entry.http_address, entry.mesh_address, entry.failure_domain,
@@ -64,7 +65,7 @@
 json lists_json(const beat& message) {
     json uses = json::array();
     for (const auto& [id, use] : message.uses) {
-        uses.push_back({id, use.requests, use.tokens, use.pending, use.silence ? use.silence->count() : -1});
+        uses.push_back({id, use_json(use)});
     }
     json trials = json::array();
     for (const auto& mark : message.trials) {
@@ -114,13 +115,7 @@
 void read_lists(const json& value, beat& message) {
     read_pulses(value.at("h"), message);
     for (const auto& item : value.at("u")) {
-        auto& use = message.uses[item.at(0).get<std::string>()];
-        use.requests = item.at(1).get<int>();
-        use.tokens = item.at(2).get<std::int64_t>();
-        use.pending = item.at(3).get<policy::pending_by_rank>();
-        if (const auto silence = item.at(4).get<std::int64_t>(); silence >= 0) {
-            use.silence = core::milliseconds(silence);
-        }
+        message.uses[item.at(0).get<std::string>()] = use_of(item.at(1));
     }
     for (const auto& one : value.at("c")) {
         policy::trial_report report{one.at(2).get<std::string>(),   one.at(3).get<std::uint64_t>(),
@@ -182,17 +177,6 @@
     return std::uint32_t(core::stable_hash(id + '/' + std::to_string(incarnation)));
 }
 
-void add_use(upstream_use& total, const upstream_use& more) {
-    total.requests += more.requests;
-    total.tokens += more.tokens;
-    for (std::size_t i = 0; i < total.pending.size(); ++i) {
-        total.pending.at(i) += more.pending.at(i);
-    }
-    if (more.silence && (!total.silence || *more.silence < *total.silence)) {
-        total.silence = more.silence;
-    }
-}
-
 std::string encode_beat(const beat& message) {
     json value = lists_json(message);
     value["v"] = beat_format;
--- a/packages/relay/beat.h
+++ b/packages/relay/beat.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "core/time.h"
-#include "policy/prefill.h"
 #include "policy/trial_evidence.h"
+#include "policy/upstream_use.h"
 #include "relay/rollout_state.h"
 #include "state/membership.h"
 #include "state/shared_document.h"
@@ -22,19 +22,8 @@
 enum class document_kind : std::uint8_t { operator_config, registry };
 inline constexpr std::size_t document_count = 2;
 
-/// One node's own requests on an upstream.
-struct upstream_use {
-    int requests = 0;
-    /// Prompt and output tokens of these requests.
-    std::int64_t tokens = 0;
-    /// Expected time to read the prompts of those that brought no byte yet, by rank.
-    policy::pending_by_rank pending{};
-    /// Time since the upstream last sent a byte to this node; empty where it never did.
-    std::optional<core::milliseconds> silence;
-};
-
-/// Adds the requests of one node to those of others.
-void add_use(upstream_use& total, const upstream_use& more);
+using policy::add_use;
+using policy::upstream_use;
 
 /// A request of this fingerprint was running on an upstream that crashed.
 struct crash_mark {
--- a/packages/relay/candidates.h
+++ b/packages/relay/candidates.h
@@ -3,6 +3,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/spawn.hpp>
+
 #include "policy/relay_choice.h"
 #include "relay/relay_state.h"
 
@@ -25,10 +27,13 @@
     bool may_probe = true;
 };
 
-/// Returns the upstreams of the service with their load from all nodes.
-std::vector<policy::relay_candidate> relay_candidates(const relay_state& node, const upstream_need& need);
+/// Returns the upstreams that can take the request, with their load from all nodes. In a large fleet these
+/// are a few that haven't been tried, whose keepers are asked first.
+std::vector<policy::relay_candidate> relay_candidates(relay_state& node, const upstream_need& need,
+                                                      const policy::relay_wish& wish,
+                                                      const boost::asio::yield_context& yield);
 
-/// Requests on an upstream from all nodes.
+/// Requests on an upstream from all nodes, by its keeper where it answered lately.
 upstream_use total_use(const relay_state& node, const std::string& upstream);
 
 /// The choice's settings for a service.
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -5,7 +5,6 @@
 #include "adapters/await.h"
 #include "relay/boot_clock.h"
 #include "relay/rollouts.h"
-#include "relay/slices.h"
 
 namespace figspoke::relay {
 namespace {
@@ -90,7 +89,6 @@
         changed ? state::apply_list(node.registry, node.platform.decode_upstreams(*document.content),
                                     document.confirmed_at, now, {})
                 : state::confirm_list(node.registry, document.confirmed_at, now, {});
-    plan_slices(node);
     log_registry(node, changes);
     forget_upstreams(node, changes);
 }
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -122,7 +122,41 @@
     send_to(link_targets());
 }
 
+// A member that is stopping keeps no accounts: its successor hears of all requests before it is gone.
+void fleet::note_live_members(core::steady_time now) {
+    std::vector<std::string> live;
+    for (const auto& [id, member] : members_.members) {
+        const bool alive = state::health_of(members_, member, timeouts(), now) == state::member_health::alive;
+        if (alive && member.entry.state == state::member_state::serving) {
+            live.push_back(id);
+        }
+    }
+    if (live != live_) {
+        live_ = std::move(live);
+        keepers_.clear();
+    }
+}
+
+keeper_place fleet::keeper_of(const std::string& upstream) {
+    auto found = keepers_.find(upstream);
+    if (found == keepers_.end()) {
+        found = keepers_.emplace(upstream, policy::keeper_of(upstream, live_)).first;
+    }
+    const auto member = members_.members.find(found->second);
+    if (found->second == members_.self || member == members_.members.end()) {
+        return {members_.self, std::string()};
+    }
+    return {found->second, member->second.entry.mesh_address};
+}
+
+void fleet::send_bytes(const std::string& address, const std::string& bytes) {
+    boost::system::error_code code;
+    socket_.send_to(asio::buffer(bytes), datagram_endpoint(address), 0, code);
+    // A datagram that can't be sent is like a lost one.
+}
+
 void fleet::plan(core::steady_time now) {
+    note_live_members(now);
     const auto cells = layout_.cells;
     layout_ = state::plan_layout(members_, timeouts(), now, {});
     if (layout_.cells != cells) {
@@ -246,10 +280,7 @@
 }
 
 void fleet::send_to(const target& to) {
-    const auto bytes = encode_beat(make_beat(to.id, to.scope));
-    boost::system::error_code code;
-    socket_.send_to(asio::buffer(bytes), datagram_endpoint(to.address), 0, code);
-    // A datagram that can't be sent is like a lost one.
+    send_bytes(to.address, encode_beat(make_beat(to.id, to.scope)));
 }
 
 void fleet::send_to(const std::vector<target>& all) {
@@ -278,7 +309,10 @@
             adapters::sleep_for(receive_pause, yield);
             continue;
         }
-        if (const auto message = decode_beat(std::string_view(bytes).substr(0, size))) {
+        const auto received = std::string_view(bytes).substr(0, size);
+        if (is_load_message(received)) {
+            hooks_.on_load(received, from.address().to_string() + ':' + std::to_string(from.port()));
+        } else if (const auto message = decode_beat(received)) {
             receive(*message);
         }
     }
--- a/packages/relay/fleet.h
+++ b/packages/relay/fleet.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include <boost/asio/spawn.hpp>
 
 #include "relay/beat.h"
+#include "relay/load_keepers.h"
 #include "state/fleet_layout.h"
 #include "state/membership.h"
 
@@ -49,6 +51,8 @@
     std::function<void(std::size_t)> on_cells;
     /// After each beat of a peer: its load may have made room.
     std::function<void()> on_beat;
+    /// A message about the load of upstreams, with the address of its sender.
+    std::function<void(std::string_view bytes, const std::string& from)> on_load;
 };
 
 /// Members and what their beats say. All nodes of a small fleet beat to each other; in a large one each beats
@@ -87,6 +91,12 @@
     /// Requests of the peers on an upstream, by their latest beats.
     upstream_use peer_use(const std::string& upstream) const;
 
+    /// Where the keeper of an upstream is. Nodes that know the same members agree.
+    keeper_place keeper_of(const std::string& upstream);
+
+    /// Sends bytes to a peer as one datagram.
+    void send_bytes(const std::string& address, const std::string& bytes);
+
     /// Passes news on to the linked members of other cells now. Nothing in a fleet of one cell, where
     /// everybody hears the source.
     void forward_news();
@@ -138,6 +148,7 @@
     void merge_member(const state::member_entry& entry, core::milliseconds silence, core::steady_time now);
     void plan(core::steady_time now);
     void prune(core::steady_time now);
+    void note_live_members(core::steady_time now);
     state::health_timeouts timeouts() const;
     std::vector<target> cell_targets() const;
     std::vector<target> link_targets() const;
@@ -155,6 +166,9 @@
     std::set<std::string> seeds_;
     state::fleet_layout layout_;
     std::unordered_map<std::uint32_t, tagged_member> tags_;
+    /// Live members by id, and the keepers chosen among them so far.
+    std::vector<std::string> live_;
+    std::unordered_map<std::string, std::string> keepers_;
     /// The membership's stamp at each of the latest rounds, so that recent changes are told in full.
     std::deque<std::uint64_t> stamps_;
     std::uint64_t rounds_ = 0;
--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -106,17 +106,21 @@
     }
     const bool target = wants_target_version();
     const auto settings = choice_settings(node_, service_);
-    auto choice = policy::choose_relay_upstream(relay_candidates(node_, need_of(target)), settings, wish);
+    const auto choose_for = [&](const upstream_need& need) {
+        return policy::choose_relay_upstream(relay_candidates(node_, need, wish, exchange_.yield()), settings,
+                                             wish);
+    };
+    auto choice = choose_for(need_of(target));
     if (choice.reason == policy::relay_reason::none && target) {
-        choice = policy::choose_relay_upstream(relay_candidates(node_, need_of(false)), settings, wish);
+        choice = choose_for(need_of(false));
     }
     if (choice.reason == policy::relay_reason::none && wish.tried.empty()) {
-        choice = policy::choose_relay_upstream(relay_candidates(node_, any_version_need()), settings, wish);
+        choice = choose_for(any_version_need());
     }
     if (choice.reason == policy::relay_reason::none && !wish.tried.empty()) {
         // Every upstream was tried; one that refused or was not reached may be asked again.
         wish.tried.clear();
-        choice = policy::choose_relay_upstream(relay_candidates(node_, need_of(target)), settings, wish);
+        choice = choose_for(need_of(target));
     }
     return choice;
 }
--- a/packages/relay/forward_evidence.cpp
+++ b/packages/relay/forward_evidence.cpp
@@ -18,7 +18,8 @@
 }
 
 void forward_run::record(const state::upstream_entry& entry, bool good, core::steady_time sent_at) {
-    policy::record_outcome(node_.health, entry.id, good, boot_now());
+    note_upstream_event(node_, entry.id,
+                        good ? policy::upstream_event::succeeded : policy::upstream_event::failed);
     if (!good) {
         note_bad(entry);
         return;
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -13,8 +13,6 @@
 // A connection in one region is made within milliseconds. A first packet that is lost or dropped is repeated
 // by the kernel after a second, which is too late to wait for.
 constexpr core::milliseconds connect_timeout{300};
-// An upstream that said that it is full gets nothing for this long.
-constexpr core::milliseconds full_pause{120};
 // Idle connections used for requests that can't be repeated: young ones, since an older one may have been
 // closed by the upstream while the request is on its way.
 constexpr core::milliseconds safe_idle{900};
@@ -69,7 +67,7 @@
     use_guard use(node_, entry.id, service_, {own_tokens(), prefill, rank_});
     use_ = &use;
     policy::note_prefixes(node_.prefixes, entry.id, shared_steps(), boot_now());
-    policy::record_dispatch(node_.health, entry.id, boot_now());
+    note_upstream_event(node_, entry.id, policy::upstream_event::dispatched);
     const auto plan = plan_for(entry);
     const auto sent_at = boot_now();
     const double expected = prefill + pending_ms_;
@@ -127,7 +125,7 @@
 
 forward_run::next_step forward_run::take_refusal(const state::upstream_entry& entry, begun_answer& answer) {
     history_.sends.push_back({entry.id, policy::send_result::refused});
-    node_.full_until[entry.id] = boot_now() + full_pause;
+    note_upstream_event(node_, entry.id, policy::upstream_event::full);
     const auto rest = read_whole(answer, silence_limit(), exchange_.yield());
     if (rest) {
         release_link(node_, entry.id, answer);
@@ -292,9 +290,9 @@
     if (failure.result == policy::send_result::not_sent) {
         ++unsent_tries_;
         confirm_crash(entry);
-        policy::record_outcome(node_.health, entry.id, false, boot_now());
+        note_upstream_event(node_, entry.id, policy::upstream_event::failed);
     } else if (!out_of_time || attempts_remain()) {
-        policy::record_outcome(node_.health, entry.id, false, boot_now());
+        note_upstream_event(node_, entry.id, policy::upstream_event::failed);
         note_bad(entry);
     }
     if (failure.why == link_failure::broken) {
--- /dev/null
+++ b/packages/relay/load_keepers.cpp
@@ -0,0 +1,159 @@
+#include "relay/load_keepers.h"
+
+#include "core/erase_where.h"
+#include "relay/boot_clock.h"
+
+namespace figspoke::relay {
+namespace {
+
+// Several round trips between failure domains of a region. A request waits no longer for a keeper that has
+// just failed, and then goes by what this node knows itself.
+constexpr core::milliseconds answer_timeout{15};
+// Answers older than this say little: requests begin and end many times a second on a busy upstream.
+constexpr core::milliseconds answer_lifetime{1000};
+// Upstreams and answers in one datagram at most; more come in the next refresh.
+constexpr std::size_t max_entries = 400;
+
+} // namespace
+
+load_keepers::load_keepers(std::string node, std::uint64_t incarnation, policy::load_board_settings settings,
+                           keeper_hooks hooks)
+    : node_(std::move(node)), incarnation_(incarnation), settings_(settings), hooks_(std::move(hooks)) {}
+
+load_message load_keepers::new_message() {
+    load_message message;
+    message.node = node_;
+    message.incarnation = incarnation_;
+    message.sequence = ++sequence_;
+    return message;
+}
+
+void load_keepers::report(const std::string& upstream, const policy::upstream_use& use) {
+    const auto place = hooks_.place_of(upstream);
+    auto message = new_message();
+    if (place.address.empty()) {
+        policy::note_load(board_, upstream, {node_, incarnation_, message.sequence, use}, boot_now());
+        return;
+    }
+    message.uses[upstream] = use;
+    hooks_.send(place.address, encode_load_message(message));
+}
+
+void load_keepers::report(const std::string& upstream, policy::upstream_event event) {
+    const auto place = hooks_.place_of(upstream);
+    if (place.address.empty()) {
+        policy::note_event(board_, settings_, upstream, event, boot_now());
+        return;
+    }
+    auto message = new_message();
+    message.events.emplace_back(upstream, event);
+    hooks_.send(place.address, encode_load_message(message));
+}
+
+void load_keepers::refresh(const std::map<std::string, policy::upstream_use>& uses) {
+    const auto now = boot_now();
+    policy::expire_loads(board_, settings_, now);
+    core::erase_where(answers_,
+                      [&](const answer& one, const std::string&) { return now - one.at > answer_lifetime; });
+    std::map<std::string, load_message> by_address;
+    for (const auto& [upstream, use] : uses) {
+        const auto place = hooks_.place_of(upstream);
+        if (place.address.empty()) {
+            policy::note_load(board_, upstream, {node_, incarnation_, ++sequence_, use}, now);
+            continue;
+        }
+        auto& message = by_address.emplace(place.address, new_message()).first->second;
+        if (message.uses.size() < max_entries) {
+            message.uses[upstream] = use;
+            message.asked.push_back(upstream);
+            message.question = last_question_ + 1;
+        }
+    }
+    ++last_question_;
+    for (const auto& [address, message] : by_address) {
+        hooks_.send(address, encode_load_message(message));
+    }
+}
+
+std::size_t load_keepers::send_questions(const std::vector<std::string>& upstreams, std::uint64_t number) {
+    std::map<std::string, load_message> by_address;
+    for (const auto& upstream : upstreams) {
+        const auto place = hooks_.place_of(upstream);
+        if (!place.address.empty()) {
+            auto& message = by_address.emplace(place.address, new_message()).first->second;
+            message.question = number;
+            message.asked.push_back(upstream);
+        }
+    }
+    for (const auto& [address, message] : by_address) {
+        hooks_.send(address, encode_load_message(message));
+    }
+    return by_address.size();
+}
+
+void load_keepers::ask(const std::vector<std::string>& upstreams, const boost::asio::yield_context& yield) {
+    const auto number = ++last_question_;
+    const auto missing = send_questions(upstreams, number);
+    if (missing == 0) {
+        return;
+    }
+    const auto signal = std::make_shared<adapters::wakeup>(yield.get_executor());
+    open_[number] = {missing, signal};
+    signal->wait_until(std::chrono::steady_clock::now() + answer_timeout, yield);
+    open_.erase(number);
+}
+
+std::optional<policy::kept_load> load_keepers::known_load(const std::string& upstream) const {
+    if (hooks_.place_of(upstream).address.empty()) {
+        return policy::read_load(board_, settings_, upstream, boot_now());
+    }
+    const auto found = answers_.find(upstream);
+    if (found == answers_.end() || boot_now() - found->second.at > answer_lifetime) {
+        return std::nullopt;
+    }
+    return found->second.load;
+}
+
+void load_keepers::receive(std::string_view bytes, const std::string& from) {
+    const auto message = decode_load_message(bytes);
+    if (!message || message->node == node_) {
+        return;
+    }
+    const auto now = boot_now();
+    for (const auto& [upstream, use] : message->uses) {
+        policy::note_load(board_, upstream, {message->node, message->incarnation, message->sequence, use},
+                          now);
+    }
+    for (const auto& [upstream, event] : message->events) {
+        policy::note_event(board_, settings_, upstream, event, now);
+    }
+    if (message->question != 0) {
+        answer_question(*message, from);
+    }
+    if (message->answered != 0) {
+        take_answer(*message);
+    }
+}
+
+void load_keepers::answer_question(const load_message& message, const std::string& from) {
+    auto reply = new_message();
+    reply.answered = message.question;
+    for (const auto& upstream : message.asked) {
+        if (reply.loads.size() < max_entries) {
+            reply.loads.emplace_back(upstream, policy::read_load(board_, settings_, upstream, boot_now()));
+        }
+    }
+    hooks_.send(from, encode_load_message(reply));
+}
+
+void load_keepers::take_answer(const load_message& message) {
+    for (const auto& [upstream, load] : message.loads) {
+        answers_[upstream] = {load, boot_now()};
+    }
+    const auto found = open_.find(message.answered);
+    if (found != open_.end() && --found->second.missing == 0) {
+        found->second.signal->signal();
+    }
+}
+
+} // namespace figspoke::relay
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -14,7 +14,6 @@
 #include "relay/forward.h"
 #include "relay/relay_state.h"
 #include "relay/rollouts.h"
-#include "relay/slices.h"
 
 namespace figspoke::relay {
 namespace {
@@ -59,6 +58,8 @@
         : state_(context_, settings, protocol, platform(context_)), directory_(std::move(directory)),
           reload_(std::move(reload)), signals_(context_, SIGTERM, SIGINT, SIGHUP) {
         state_.peers = std::make_unique<fleet>(context_, make_fleet_settings(), make_fleet_hooks());
+        state_.keepers = std::make_unique<load_keepers>(state_.settings.node_id, state_.peers->incarnation(),
+                                                        keeper_settings(), make_keeper_hooks());
     }
 
     // Never returns. Coroutines that are suspended at the end belong to the context and refer to the node, so
@@ -117,7 +118,6 @@
         };
         hooks.on_trials = [this](const std::vector<trial_mark>& marks) { note_trial_marks(state_, marks); };
         hooks.on_cells = [this](std::size_t cells) {
-            plan_slices(state_);
             state_.log.state("fleet_divided", {{"cells", cells}, {"members", state_.peers->size()}});
         };
         hooks.on_sessions = [this](const std::vector<session_mark>& marks) {
@@ -125,6 +125,9 @@
                 policy::note_session(state_.sessions, mark.session, mark.on_target, boot_now() - mark.age);
             }
         };
+        hooks.on_load = [this](std::string_view bytes, const std::string& from) {
+            state_.keepers->receive(bytes, from);
+        };
         hooks.on_beat = [this] {
             for (const auto& [service, waiting] : state_.queue.services) {
                 wake_next(state_, service);
@@ -133,16 +136,28 @@
         return hooks;
     }
 
+    keeper_hooks make_keeper_hooks() {
+        keeper_hooks hooks;
+        hooks.place_of = [this](const std::string& upstream) { return state_.peers->keeper_of(upstream); };
+        hooks.send = [this](const std::string& address, const std::string& bytes) {
+            state_.peers->send_bytes(address, bytes);
+        };
+        return hooks;
+    }
+
+    static policy::load_board_settings keeper_settings() {
+        policy::load_board_settings settings;
+        settings.health = upstream_health_settings();
+        return settings;
+    }
+
     void describe(beat& message) {
         const auto spread = state_.peers->spread_time();
         for (std::size_t i = 0; i < document_count; ++i) {
             message.documents.at(i) = own_claim(state_, static_cast<document_kind>(i));
         }
-        message.uses = state_.uses;
-        for (auto& [id, use] : message.uses) {
-            if (const auto heard = state_.heard.find(id); heard != state_.heard.end()) {
-                use.silence = core::to_ms(boot_now() - heard->second);
-            }
+        if (!asks_keepers(state_)) {
+            message.uses = described_uses();
         }
         message.trials = trial_marks(state_, recent_trial + spread);
         message.rollouts = rollout_marks(state_);
@@ -166,6 +181,16 @@
         }
     }
 
+    std::map<std::string, upstream_use> described_uses() const {
+        auto uses = state_.uses;
+        for (auto& [id, use] : uses) {
+            if (const auto heard = state_.heard.find(id); heard != state_.heard.end()) {
+                use.silence = core::to_ms(boot_now() - heard->second);
+            }
+        }
+        return uses;
+    }
+
     // ---- servers
 
     void open_servers() {
@@ -262,7 +287,9 @@
         while (!state_.stopped) {
             adapters::sleep_for(tick, yield);
             const auto passed = boot_now() - std::exchange(last, boot_now());
-            plan_slices(state_);
+            if (asks_keepers(state_)) {
+                state_.keepers->refresh(described_uses());
+            }
             end_silent_streams(state_, passed > long_pause ? passed : core::nanoseconds(0));
             step_rollouts(state_);
             drive_rollouts(state_, yield);
--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -14,7 +14,16 @@
 // An upstream that works sends a token to somebody within this time.
 constexpr core::milliseconds upstream_silence{900};
 
-policy::health_settings relay_health_settings() {
+} // namespace
+
+relay_state::relay_state(boost::asio::io_context& io, core::relay_settings from, wire_protocol wire,
+                         platform_port store)
+    : context(io), settings(std::move(from)), protocol(std::move(wire)), platform(std::move(store)),
+      random(std::random_device{}()), peer_client(io), pool(max_idle_per_upstream) {
+    health.settings = upstream_health_settings();
+}
+
+policy::health_settings upstream_health_settings() {
     policy::health_settings settings;
     settings.consecutive_failures = 3;
     // An upstream back from a restart must not wait; two failures more cost less than missing capacity.
@@ -27,13 +36,27 @@
     return settings;
 }
 
-} // namespace
+bool asks_keepers(const relay_state& node) {
+    return node.peers->layout().cells > 1;
+}
 
-relay_state::relay_state(boost::asio::io_context& io, core::relay_settings from, wire_protocol wire,
-                         platform_port store)
-    : context(io), settings(std::move(from)), protocol(std::move(wire)), platform(std::move(store)),
-      random(std::random_device{}()), peer_client(io), pool(max_idle_per_upstream) {
-    health.settings = relay_health_settings();
+void note_upstream_event(relay_state& node, const std::string& upstream, policy::upstream_event event) {
+    const auto now = boot_now();
+    switch (event) {
+    case policy::upstream_event::dispatched:
+        policy::record_dispatch(node.health, upstream, now);
+        break;
+    case policy::upstream_event::succeeded:
+    case policy::upstream_event::failed:
+        policy::record_outcome(node.health, upstream, event == policy::upstream_event::succeeded, now);
+        break;
+    case policy::upstream_event::full:
+        node.full_until[upstream] = now + policy::load_board_settings{}.full_pause;
+        break;
+    }
+    if (asks_keepers(node)) {
+        node.keepers->report(upstream, event);
+    }
 }
 
 double draw(relay_state& node) {
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -26,6 +26,7 @@
 #include "relay/document_source.h"
 #include "relay/event_log.h"
 #include "relay/fleet.h"
+#include "relay/load_keepers.h"
 #include "relay/upstream_link.h"
 #include "relay/wire_protocol.h"
 #include "state/route_table.h"
@@ -88,12 +89,11 @@
     std::array<state::shared_document, document_count> documents;
     state::route_table_ptr routes;
     state::upstream_registry registry;
-    /// The upstreams that this node's cell uses, with the number of nodes that share each; empty where it
-    /// uses all.
-    std::map<std::string, std::size_t> own_slice;
     std::map<std::string, rollout_progress> rollouts;
 
     std::unique_ptr<fleet> peers;
+    /// Accounts of the load of upstreams in a large fleet.
+    std::unique_ptr<load_keepers> keepers;
     adapters::http_client peer_client;
     /// Whether a document is being fetched from a peer.
     std::array<bool, document_count> fetching{};
@@ -125,12 +125,21 @@
     bool stopped = false;
 };
 
+/// How upstreams are judged by the outcomes of requests.
+policy::health_settings upstream_health_settings();
+
 /// Draws a number in [0, 1).
 double draw(relay_state& node);
 
 /// The age of the last confirmation of a document.
 core::nanoseconds document_age(const relay_state& node, document_kind kind, core::steady_time now);
 
+/// Whether the fleet is so large that the load of upstreams is asked of their keepers.
+bool asks_keepers(const relay_state& node);
+
+/// Notes what a request showed of an upstream, here and at its keeper.
+void note_upstream_event(relay_state& node, const std::string& upstream, policy::upstream_event event);
+
 /// Whether the node has read what it needs to serve.
 bool is_configured(const relay_state& node);
 
--- a/packages/relay/use_guard.cpp
+++ b/packages/relay/use_guard.cpp
@@ -10,13 +10,15 @@
     ++use.requests;
     use.tokens += work_.tokens;
     use.pending.at(policy::rank_slot(work_.rank)) += work_.prefill_ms;
+    tell_keeper();
 }
 
 use_guard::~use_guard() {
-    prompt_is_read();
+    end_prompt();
     auto& use = node_.uses[upstream_];
     --use.requests;
     use.tokens -= work_.tokens;
+    tell_keeper();
     if (use.requests <= 0) {
         node_.uses.erase(upstream_);
     }
@@ -24,8 +26,21 @@
 }
 
 void use_guard::prompt_is_read() {
+    if (work_.prefill_ms > 0) {
+        end_prompt();
+        tell_keeper();
+    }
+}
+
+void use_guard::end_prompt() {
     node_.uses[upstream_].pending.at(policy::rank_slot(work_.rank)) -= work_.prefill_ms;
     work_.prefill_ms = 0;
 }
 
+void use_guard::tell_keeper() const {
+    if (asks_keepers(node_)) {
+        node_.keepers->report(upstream_, node_.uses[upstream_]);
+    }
+}
+
 } // namespace figspoke::relay
--- a/packages/relay/use_guard.h
+++ b/packages/relay/use_guard.h
@@ -26,6 +26,9 @@
     void prompt_is_read();
 
   private:
+    void end_prompt();
+    void tell_keeper() const;
+
     relay_state& node_;
     std::string upstream_;
     std::string service_;
--- a/test/correctness/relay_scale_test.cpp
+++ b/test/correctness/relay_scale_test.cpp
@@ -8,7 +8,6 @@
 #include <rapidcheck.h>
 
 #include "policy/trial_evidence.h"
-#include "policy/upstream_slice.h"
 #include "state/fleet_layout.h"
 
 using namespace figspoke;
@@ -126,7 +125,7 @@
 }
 
 TEST_CASE("the loss of a member moves few others to another cell") {
-    // Each node that moves loses sight of what its new upstreams run for a moment.
+    // Each node that moves has to be heard by its new mates before its silence means anything.
     auto members = members_of(89);
     std::map<std::string, std::size_t> before;
     for (const auto& [domain, id] : members) {
@@ -142,59 +141,3 @@
         CHECK(moved <= 7U);
     }
 }
-
-namespace {
-
-std::vector<policy::sliced_upstream> upstreams_of(std::size_t count, const std::string& group) {
-    std::vector<policy::sliced_upstream> upstreams;
-    for (std::size_t i = 0; i < count; ++i) {
-        upstreams.push_back({group + std::to_string(i), "d" + std::to_string(i % 3), group});
-    }
-    return upstreams;
-}
-
-} // namespace
-
-TEST_CASE("the cells of a fleet share its upstreams evenly and leave none idle") {
-    // Upstreams that no cell uses would be capacity lost; upstreams that several cells use without knowing of
-    // each other's load are overrun.
-    for (const std::size_t count : {3U, 7U, 31U, 70U, 140U, 750U}) {
-        for (const std::size_t cells : {1U, 2U, 8U, 32U}) {
-            std::map<std::string, std::size_t> users;
-            std::set<std::size_t> sizes;
-            for (std::size_t cell = 0; cell < cells; ++cell) {
-                const auto used =
-                    policy::plan_slices(upstreams_of(count, "g"), {cells, cell, cells * 11}, {});
-                CHECK(used.size() >= std::min<std::size_t>(count, 4));
-                sizes.insert(used.size());
-                for (const auto& [id, sharers] : used) {
-                    users[id] += 11;
-                    CHECK(sharers <= cells * 11);
-                }
-            }
-            CHECK(users.size() == count);
-            CHECK(*sizes.rbegin() - *sizes.begin() <= 1U);
-        }
-    }
-}
-
-TEST_CASE("every cell has upstreams of each group, and few of them change with one that is lost") {
-    auto upstreams = upstreams_of(60, "a");
-    for (const auto& other : upstreams_of(3, "b")) {
-        upstreams.push_back(other);
-    }
-    auto fewer = upstreams;
-    fewer.erase(fewer.begin() + 20);
-    for (std::size_t cell = 0; cell < 8; ++cell) {
-        const auto before = policy::plan_slices(upstreams, {8, cell, 89}, {});
-        const auto after = policy::plan_slices(fewer, {8, cell, 89}, {});
-        const auto of_b =
-            std::count_if(before.begin(), before.end(), [](const auto& one) { return one.first[0] == 'b'; });
-        CHECK(of_b == 3);
-        std::size_t kept = 0;
-        for (const auto& [id, sharers] : after) {
-            kept += before.count(id);
-        }
-        CHECK(kept + 2 >= after.size());
-    }
-}
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
 
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/spawn.hpp>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -9,6 +11,8 @@
 #include "relay/beat.h"
 #include "relay/event_splitter.h"
 #include "relay/fleet.h"
+#include "relay/load_keepers.h"
+#include "relay/load_message.h"
 #include "relay/wire_protocol.h"
 
 using namespace figspoke;
@@ -245,3 +249,97 @@
     message.sender.incarnation = 2;
     CHECK(all(tell(1)) == 1);
 }
+
+namespace {
+
+load_message sample_load_message() {
+    load_message message;
+    message.node = "n1";
+    message.incarnation = 5;
+    message.sequence = 6;
+    message.uses["u1"] = {3, 4000, {1, 2, 3, 4}, core::milliseconds(7)};
+    message.events.emplace_back("u1", policy::upstream_event::full);
+    message.question = 8;
+    message.asked = {"u2", "u3"};
+    message.answered = 9;
+    message.loads.emplace_back("u4", policy::kept_load{{1, 2, {}, {}}, true, false});
+    return message;
+}
+
+// Two nodes whose datagrams arrive at once, or not at all. "u-here" is kept by the asker itself.
+struct two_keepers {
+    explicit two_keepers(bool lossy)
+        : asker("a", 1, {}, hooks_to("keeper", [this, lossy] { return lossy ? nullptr : &keeper; })),
+          keeper("k", 1, {}, hooks_to("asker", [this] { return &asker; })) {}
+
+    template <class Find>
+    static keeper_hooks hooks_to(const std::string& address, Find find) {
+        return {[address](const std::string& upstream) {
+                    return keeper_place{"k", upstream == "u-here" || address == "asker" ? "" : address};
+                },
+                [find, address](const std::string& to, const std::string& bytes) {
+                    if (auto* other = find(); other != nullptr) {
+                        other->receive(bytes, to == "keeper" ? "asker" : "keeper");
+                    }
+                }};
+    }
+
+    load_keepers asker;
+    load_keepers keeper;
+};
+
+} // namespace
+
+TEST_CASE("messages about load travel unchanged, and damaged ones are passed over") {
+    // A datagram of an unknown sender must neither end the process nor change what it believes.
+    const auto bytes = encode_load_message(sample_load_message());
+    CHECK(is_load_message(bytes));
+    CHECK_FALSE(is_load_message(encode_beat(sample_beat())));
+    const auto read = decode_load_message(bytes);
+    REQUIRE(read);
+    CHECK(encode_load_message(*read) == bytes);
+    CHECK(rc::check([&] {
+        auto damaged = bytes.substr(0, *rc::gen::inRange<std::size_t>(1, bytes.size()));
+        damaged.back() = *rc::gen::arbitrary<char>();
+        decode_load_message(damaged);
+    }));
+    auto wrong = sample_load_message();
+    wrong.events.front().second = static_cast<policy::upstream_event>(77);
+    CHECK_FALSE(decode_load_message(encode_load_message(wrong)));
+}
+
+TEST_CASE("a node learns from the keeper of an upstream what all nodes run there") {
+    boost::asio::io_context context;
+    two_keepers pair(false);
+    boost::asio::spawn(
+        context,
+        [&](const boost::asio::yield_context& yield) {
+            pair.keeper.report("u1", policy::upstream_use{2, 100, {}, {}});
+            pair.asker.report("u1", policy::upstream_use{3, 50, {}, {}});
+            CHECK_FALSE(pair.asker.known_load("u1"));
+            pair.asker.ask({"u1"}, yield);
+            REQUIRE(pair.asker.known_load("u1"));
+            CHECK(pair.asker.known_load("u1")->use.requests == 5);
+            pair.asker.report("u-here", policy::upstream_use{4, 0, {}, {}});
+            CHECK(pair.asker.known_load("u-here")->use.requests == 4);
+        },
+        boost::asio::detached);
+    context.run();
+}
+
+TEST_CASE("a question whose answer is lost ends, and the load stays unknown") {
+    // A keeper that has just failed must not hold up requests until its failure is noticed.
+    boost::asio::io_context context;
+    two_keepers pair(true);
+    bool ended = false;
+    boost::asio::spawn(
+        context,
+        [&](const boost::asio::yield_context& yield) {
+            pair.asker.ask({"u1", "u2"}, yield);
+            CHECK_FALSE(pair.asker.known_load("u1"));
+            ended = true;
+        },
+        boost::asio::detached);
+    context.run();
+    CHECK(ended);
+}
