Tell busy engines from dead ones, and keep links free for requests

Engines that refused connections cost each node three tries. Plain requests waited 7 to 10 ms for keepers, and 100 ms and more where the registry of 280 upstreams (70 KB) had changed: on links of 10 Mbit/s it holds up the node that hands it on.

Ruled out: a longer silence alone, which delays the recovery from engines that went dark; a health request, which waits for a slot like any other.

Change: an upstream that is silent to everybody is probed with a connection; one that accepts it is taken for busy until the longer limit. A refused connection ejects at once, for all nodes by its keeper. Documents travel deflated, made once for each content. Plain requests wait 4 ms for keepers, those with a prompt 15 ms as before.

--- a/packages/policy/load_board.cpp
+++ b/packages/policy/load_board.cpp
@@ -32,6 +32,9 @@
     case upstream_event::failed:
         record_outcome(board.health, upstream, event == upstream_event::succeeded, now);
         break;
+    case upstream_event::connection_refused:
+        record_refused_connection(board.health, upstream, now);
+        break;
     case upstream_event::full:
         board.full_until[upstream] = now + settings.full_pause;
         break;
--- a/packages/policy/load_board.h
+++ b/packages/policy/load_board.h
@@ -14,8 +14,8 @@
 namespace figspoke::policy {
 
 /// What a request on an upstream showed.
-enum class upstream_event { dispatched, succeeded, failed, full };
-inline constexpr int upstream_event_count = 4;
+enum class upstream_event { dispatched, succeeded, failed, full, connection_refused };
+inline constexpr int upstream_event_count = 5;
 
 /// What a node reports to the keeper of an upstream.
 struct load_report {
--- a/packages/policy/upstream_health.cpp
+++ b/packages/policy/upstream_health.cpp
@@ -77,6 +77,13 @@
     }
 }
 
+void record_refused_connection(health_table& table, const std::string& name, core::steady_time now) {
+    auto& health = table.upstreams[name];
+    // The next failure is the one too many.
+    health.consecutive = std::max(health.consecutive, table.settings.consecutive_failures - 1);
+    record_outcome(table, name, false, now);
+}
+
 void record_outcome(health_table& table, const std::string& name, bool succeeded, core::steady_time now) {
     auto& health = table.upstreams[name];
     if (health.state == health_state::half_open) {
--- a/packages/policy/upstream_health.h
+++ b/packages/policy/upstream_health.h
@@ -59,6 +59,9 @@
 /// Records that a request was sent; it is a probe where the upstream's ejection has ended.
 void record_dispatch(health_table& table, const std::string& name, core::steady_time now);
 
+/// Records that the upstream refuses connections: its process is gone, so that one such failure ejects it.
+void record_refused_connection(health_table& table, const std::string& name, core::steady_time now);
+
 /// Records how a request ended. Only failures of the upstream count: not refusals or callers' errors.
 void record_outcome(health_table& table, const std::string& name, bool succeeded, core::steady_time now);
 
--- a/packages/relay/beat.cpp
+++ b/packages/relay/beat.cpp
@@ -165,12 +165,6 @@
     return message;
 }
 
-std::string to_bytes(const json& value) {
-    std::string bytes;
-    json::to_cbor(value, bytes);
-    return bytes;
-}
-
 } // namespace
 
 std::uint32_t pulse_tag(const std::string& id, std::uint64_t incarnation) {
@@ -186,7 +180,9 @@
     if (message.echoed_stamp) {
         value["e"] = json::array({*message.echoed_stamp, message.echo_held.count()});
     }
-    return to_bytes(value);
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
 }
 
 std::optional<beat> decode_beat(std::string_view bytes) {
@@ -197,31 +193,4 @@
     }
 }
 
-std::string encode_document(const state::document_content& content, core::milliseconds age) {
-    json items = json::array();
-    for (const auto& item : content.items) {
-        items.push_back({item.key, json::binary({item.value.begin(), item.value.end()}), item.revision});
-    }
-    return to_bytes(
-        {{"at", content.at}, {"hash", content.hash}, {"age", age.count()}, {"items", std::move(items)}});
-}
-
-std::optional<std::pair<state::document_content, core::milliseconds>>
-decode_document(std::string_view bytes) {
-    try {
-        const json value = json::from_cbor(bytes.begin(), bytes.end());
-        state::document_content content;
-        content.at = value.at("at").get<std::uint64_t>();
-        content.hash = value.at("hash").get<std::uint64_t>();
-        for (const auto& item : value.at("items")) {
-            const auto& binary = item.at(1).get_binary();
-            content.items.push_back({item.at(0).get<std::string>(), std::string(binary.begin(), binary.end()),
-                                     item.at(2).get<std::uint64_t>()});
-        }
-        return std::make_pair(std::move(content), core::milliseconds(value.at("age").get<std::int64_t>()));
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
-}
-
 } // namespace figspoke::relay
--- a/packages/relay/beat.h
+++ b/packages/relay/beat.h
@@ -102,10 +102,4 @@
 /// Parses a beat; empty where the bytes aren't one.
 std::optional<beat> decode_beat(std::string_view bytes);
 
-/// Renders a document with the age of its confirmation.
-std::string encode_document(const state::document_content& content, core::milliseconds age);
-
-/// Parses a document; empty where the bytes aren't one.
-std::optional<std::pair<state::document_content, core::milliseconds>> decode_document(std::string_view bytes);
-
 } // namespace figspoke::relay
--- a/packages/relay/candidates.cpp
+++ b/packages/relay/candidates.cpp
@@ -11,6 +11,12 @@
 // their prompts read again.
 constexpr double memory_fill_limit = 0.9;
 
+// How long a request waits for the keepers' answers; then it goes by what the node knows itself. A prompt
+// takes hundreds of milliseconds to read, so that the right engine is worth waiting for behind a busy link; a
+// plain request waits for two round trips between failure domains of a region.
+constexpr core::milliseconds prompt_patience{15};
+constexpr core::milliseconds plain_patience{4};
+
 bool has_model(const state::upstream_entry& entry, const std::string& model) {
     return model.empty() || entry.models.empty() ||
            std::find(entry.models.begin(), entry.models.end(), model) != entry.models.end();
@@ -133,7 +139,7 @@
         draws.push_back(draw(node));
     }
     const auto asked = policy::shortlist(wish.prefix, open, draws, settings);
-    node.keepers->ask(asked, yield);
+    node.keepers->ask(asked, wish.prefix == 0 ? plain_patience : prompt_patience, yield);
     // The registry may have changed meanwhile.
     std::vector<const state::upstream_entry*> named;
     for (const auto* entry : fitting_upstreams(node, need)) {
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -4,6 +4,7 @@
 
 #include "adapters/await.h"
 #include "relay/boot_clock.h"
+#include "relay/document_codec.h"
 #include "relay/rollouts.h"
 
 namespace figspoke::relay {
--- a/packages/relay/load_keepers.cpp
+++ b/packages/relay/load_keepers.cpp
@@ -6,9 +6,6 @@
 namespace figspoke::relay {
 namespace {
 
-// Several round trips between failure domains of a region. A request waits no longer for a keeper that has
-// just failed, and then goes by what this node knows itself.
-constexpr core::milliseconds answer_timeout{15};
 // Answers older than this say little: requests begin and end many times a second on a busy upstream.
 constexpr core::milliseconds answer_lifetime{1000};
 // Upstreams and answers in one datagram at most; more come in the next refresh.
@@ -91,7 +88,8 @@
     return by_address.size();
 }
 
-void load_keepers::ask(const std::vector<std::string>& upstreams, const boost::asio::yield_context& yield) {
+void load_keepers::ask(const std::vector<std::string>& upstreams, core::milliseconds patience,
+                       const boost::asio::yield_context& yield) {
     const auto number = ++last_question_;
     const auto missing = send_questions(upstreams, number);
     if (missing == 0) {
@@ -99,7 +97,7 @@
     }
     const auto signal = std::make_shared<adapters::wakeup>(yield.get_executor());
     open_[number] = {missing, signal};
-    signal->wait_until(std::chrono::steady_clock::now() + answer_timeout, yield);
+    signal->wait_until(std::chrono::steady_clock::now() + patience, yield);
     open_.erase(number);
 }
 
--- a/packages/relay/load_keepers.h
+++ b/packages/relay/load_keepers.h
@@ -43,8 +43,9 @@
     /// these upstreams.
     void refresh(const std::map<std::string, policy::upstream_use>& uses);
 
-    /// Asks the keepers of some upstreams and waits for the answers, or for as long as an answer takes.
-    void ask(const std::vector<std::string>& upstreams, const boost::asio::yield_context& yield);
+    /// Asks the keepers of some upstreams and waits for the answers, `patience` at most.
+    void ask(const std::vector<std::string>& upstreams, core::milliseconds patience,
+             const boost::asio::yield_context& yield);
 
     /// The latest answer about an upstream; empty where there is none that is young enough.
     std::optional<policy::kept_load> known_load(const std::string& upstream) const;
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -261,7 +261,11 @@
             const auto& known = state_.documents.at(i);
             if (request.path == document_path(kind) && known.content) {
                 const auto age = std::chrono::ceil<core::milliseconds>(boot_now() - known.confirmed_at);
-                return adapters::http_reply{200, {}, encode_document(*known.content, age)};
+                auto& packed = state_.packed.at(i);
+                if (packed.hash != known.content->hash) {
+                    packed = pack_document(*known.content);
+                }
+                return adapters::http_reply{200, {}, encode_document(*known.content, packed, age)};
             }
         }
         return std::nullopt;
--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -1,7 +1,10 @@
 #include "relay/relay_state.h"
 
+#include <boost/asio/detached.hpp>
+#include <boost/asio/spawn.hpp>
 #include <nlohmann/json.hpp>
 
+#include "core/erase_where.h"
 #include "relay/boot_clock.h"
 #include "relay/candidates.h"
 
@@ -11,8 +14,42 @@
 // Idle connections to one upstream; the steady load of one node needs a few.
 constexpr std::size_t max_idle_per_upstream = 8;
 constexpr core::milliseconds key_margin{350};
-// An upstream that works sends a token to somebody within this time.
+// An upstream that works sends a token to somebody within this time, unless it reads long prompts.
 constexpr core::milliseconds upstream_silence{900};
+// A probe's connection is made within milliseconds by a process that runs. Its result holds for as long as
+// the silence that led to it.
+constexpr core::milliseconds probe_timeout{300};
+constexpr core::milliseconds probe_lifetime{900};
+
+void probe(relay_state& node, const std::string& id, const std::string& address) {
+    node.probes[id] = {boot_now(), true, false};
+    boost::asio::spawn(
+        node.context,
+        [&node, id, address](const boost::asio::yield_context& yield) {
+            const auto link = std::make_shared<upstream_link>(node.context);
+            const bool alive = link->connect(address, probe_timeout, yield).has_value();
+            link->close();
+            node.probes[id] = {boot_now(), false, alive};
+            node.log.state("silent_upstream_probed", {{"upstream", id}, {"accepts_connections", alive}});
+        },
+        boost::asio::detached);
+}
+
+// Whether an upstream that is silent to everybody doesn't accept connections either. False until that is
+// known.
+bool is_found_dead(relay_state& node, const std::string& id) {
+    const auto entry = node.registry.upstreams.find(id);
+    if (entry == node.registry.upstreams.end()) {
+        return true;
+    }
+    const auto known = node.probes.find(id);
+    if (known != node.probes.end() &&
+        (known->second.running || boot_now() - known->second.at < probe_lifetime)) {
+        return !known->second.running && !known->second.alive;
+    }
+    probe(node, id, entry->second.entry.address);
+    return false;
+}
 
 } // namespace
 
@@ -50,6 +87,9 @@
     case policy::upstream_event::failed:
         policy::record_outcome(node.health, upstream, event == policy::upstream_event::succeeded, now);
         break;
+    case policy::upstream_event::connection_refused:
+        policy::record_refused_connection(node.health, upstream, now);
+        break;
     case policy::upstream_event::full:
         node.full_until[upstream] = now + policy::load_board_settings{}.full_pause;
         break;
@@ -90,12 +130,17 @@
 
 void end_silent_streams(relay_state& node, core::nanoseconds paused) {
     const auto now = boot_now();
+    core::erase_where(node.probes, [&](const upstream_probe& one, const std::string&) {
+        return !one.running && now - one.at > probe_lifetime;
+    });
     for (auto& [id, stream] : node.streams) {
         stream.since += std::chrono::duration_cast<core::steady_time::duration>(paused);
         const auto silence = now - stream.since;
         const auto use = total_use(node, stream.upstream);
         const bool silent_to_all = !use.silence || *use.silence > upstream_silence;
-        if (silence > stream.limit || (silence > stream.patience && silent_to_all)) {
+        const bool given_up = silence > stream.limit || (silence > stream.patience && silent_to_all &&
+                                                         is_found_dead(node, stream.upstream));
+        if (given_up) {
             node.log.state("stream_given_up", {{"upstream", stream.upstream},
                                                {"silence_ms", core::to_ms(silence).count()},
                                                {"silent_to_all", silent_to_all}});
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -23,6 +23,7 @@
 #include "policy/trial_evidence.h"
 #include "policy/upstream_health.h"
 #include "policy/version_counts.h"
+#include "relay/document_codec.h"
 #include "relay/document_source.h"
 #include "relay/event_log.h"
 #include "relay/fleet.h"
@@ -72,6 +73,13 @@
     core::milliseconds limit{0};
 };
 
+/// Whether an upstream accepts connections, as a probe found.
+struct upstream_probe {
+    core::steady_time at{};
+    bool running = true;
+    bool alive = false;
+};
+
 /// Everything that the coroutines of one relay node share. The node runs on one thread, so nothing here is
 /// locked; no reference into a container may be held across a suspension.
 struct relay_state {
@@ -87,6 +95,8 @@
     std::mt19937_64 random;
 
     std::array<state::shared_document, document_count> documents;
+    /// The documents as peers fetch them.
+    std::array<packed_document, document_count> packed;
     state::route_table_ptr routes;
     state::upstream_registry registry;
     std::map<std::string, rollout_progress> rollouts;
@@ -106,6 +116,8 @@
     std::map<std::string, core::steady_time> heard;
     /// Streams that wait for a byte and could go on elsewhere, by request number.
     std::map<std::uint64_t, waiting_stream> streams;
+    /// Probes of upstreams that were silent to everybody.
+    std::map<std::string, upstream_probe> probes;
     policy::prefill_rates prefill;
     policy::prefix_memory prefixes;
     policy::health_table health;
@@ -149,7 +161,8 @@
 /// Wakes the next request that waits for the service.
 void wake_next(relay_state& node, const std::string& service);
 
-/// Closes the connections of streams whose upstream has fallen silent, so that they go on elsewhere.
+/// Closes the connections of streams whose upstream has fallen silent, so that they go on elsewhere. An
+/// upstream that accepts connections is taken for busy and given more time.
 /// `paused` is how long this node itself stood still since the last call: silence meanwhile proves nothing.
 void end_silent_streams(relay_state& node, core::nanoseconds paused);
 
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t max_discarded_bytes = 256U * 1024;
 
 attempt_failure failure_of(const link_error& error) {
-    const bool sent = error.why != link_failure::not_connected;
+    const bool sent = error.why != link_failure::not_connected && error.why != link_failure::refused;
     return {sent ? policy::send_result::unknown : policy::send_result::not_sent, error.why, error.message};
 }
 
--- a/packages/relay/upstream_link.cpp
+++ b/packages/relay/upstream_link.cpp
@@ -81,7 +81,9 @@
     impl_->dog.disarm();
     if (code) {
         const std::string cause = impl_->dog.expired() ? "connect timed out" : code.message();
-        return tl::make_unexpected(link_error{link_failure::not_connected, cause});
+        const bool refused = code == asio::error::connection_refused;
+        return tl::make_unexpected(
+            link_error{refused ? link_failure::refused : link_failure::not_connected, cause});
     }
     set_connection_options(impl_->socket, user_timeout);
     return {};
--- a/packages/relay/upstream_link.h
+++ b/packages/relay/upstream_link.h
@@ -19,6 +19,8 @@
 enum class link_failure {
     /// No connection: no byte left this node.
     not_connected,
+    /// The same, because nobody listens at the address.
+    refused,
     /// The connection was reset or ended before a whole answer.
     broken,
     /// Bytes came that are not the answer to this request.
--- a/test/correctness/relay_keepers_test.cpp
+++ b/test/correctness/relay_keepers_test.cpp
@@ -97,6 +97,16 @@
     CHECK_FALSE(read_load(board, settings, "v", at(131)).full);
 }
 
+TEST_CASE("an upstream that refuses connections is avoided at once and tried again soon") {
+    // After the crash of half of the engines each of them cost three requests a try before it was avoided.
+    load_board board;
+    load_board_settings settings;
+    settings.health.ejection = core::milliseconds(600);
+    note_event(board, settings, "u", upstream_event::connection_refused, at(0));
+    CHECK(read_load(board, settings, "u", at(1)).suspect);
+    CHECK_FALSE(read_load(board, settings, "u", at(601)).suspect);
+}
+
 TEST_CASE("upstreams are spread over their keepers, and a member that is lost moves only its own") {
     const auto members = names("n", 89);
     auto fewer = members;
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -7,8 +7,10 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include "adapters/deflate.h"
 #include "core/relay_settings.h"
 #include "relay/beat.h"
+#include "relay/document_codec.h"
 #include "relay/event_splitter.h"
 #include "relay/fleet.h"
 #include "relay/load_keepers.h"
@@ -122,12 +124,48 @@
     content.at = 5;
     content.hash = 6;
     content.items.push_back({"k", std::string("\xff\x00z", 3), 4});
-    const auto decoded = decode_document(encode_document(content, core::milliseconds(12)));
+    const auto decoded =
+        decode_document(encode_document(content, pack_document(content), core::milliseconds(12)));
     REQUIRE(decoded.has_value());
     CHECK(decoded->first.items.at(0).value == content.items.at(0).value);
     CHECK(decoded->second == core::milliseconds(12));
 }
 
+TEST_CASE("the registry of a large fleet travels in a fifth of its size") {
+    // Twenty peers that fetch 70 KB each from one node keep its link of 10 Mbit/s busy for more than a
+    // second.
+    state::document_content content;
+    std::size_t bytes = 0;
+    for (int i = 0; i < 280; ++i) {
+        const auto number = std::to_string(1000000 + i * 7919);
+        content.items.push_back(
+            {"servers/i-" + number,
+             R"({"service":"s","address":"10.1.64.)" + std::to_string(i % 250) +
+                 R"(:8644","zone":"z","version":"v1","slots":16,"state":"ready","coldRemainingMs":0,"sequence":)" +
+                 number +
+                 R"(,"stage":"unified","models":[{"name":"m","version":1,"adapters":[]}],"born":1700)" +
+                 number + "}",
+             std::uint64_t(i)});
+        bytes += content.items.back().key.size() + content.items.back().value.size();
+    }
+    const auto packed = pack_document(content);
+    CHECK(packed.items.size() * 5 < bytes);
+    const auto decoded = decode_document(encode_document(content, packed, core::milliseconds(0)));
+    REQUIRE(decoded);
+    CHECK(decoded->first.items.back().value == content.items.back().value);
+}
+
+TEST_CASE("bytes that don't inflate, or to too much, are refused") {
+    // A peer's answer must neither end the process nor fill its memory.
+    const std::string zeros(1000000, '\0');
+    const auto packed = adapters::deflate_bytes(zeros);
+    CHECK(adapters::inflate_bytes(packed, zeros.size() + 1) == zeros);
+    CHECK_FALSE(adapters::inflate_bytes(packed, zeros.size() / 2));
+    CHECK_FALSE(adapters::inflate_bytes(packed.substr(0, packed.size() / 2), zeros.size() + 1));
+    CHECK(adapters::inflate_bytes(adapters::deflate_bytes(""), 10) == std::string());
+    CHECK(rc::check([](const std::string& bytes) { adapters::inflate_bytes(bytes, 100000); }));
+}
+
 TEST_CASE("headers of one connection are not passed on") {
     const header_list headers = {
         {"Connection", "close, X-Private"}, {"X-Private", "1"},      {"Keep-Alive", "timeout=5"},
@@ -317,7 +355,7 @@
             pair.keeper.report("u1", policy::upstream_use{2, 100, {}, {}});
             pair.asker.report("u1", policy::upstream_use{3, 50, {}, {}});
             CHECK_FALSE(pair.asker.known_load("u1"));
-            pair.asker.ask({"u1"}, yield);
+            pair.asker.ask({"u1"}, core::milliseconds(50), yield);
             REQUIRE(pair.asker.known_load("u1"));
             CHECK(pair.asker.known_load("u1")->use.requests == 5);
             pair.asker.report("u-here", policy::upstream_use{4, 0, {}, {}});
@@ -335,7 +373,7 @@
     boost::asio::spawn(
         context,
         [&](const boost::asio::yield_context& yield) {
-            pair.asker.ask({"u1", "u2"}, yield);
+            pair.asker.ask({"u1", "u2"}, core::milliseconds(20), yield);
             CHECK_FALSE(pair.asker.known_load("u1"));
             ended = true;
         },
