Drop an answer for a larger model only where it can be replaced

With every engine of the larger model full the choice named none, its expected time read as zero, and answers were dropped just then.

A failed send after an engine refused the connection is told apart (forward_send).

Ruled out: answers of the larger model outside the bound; the platform counts them as repeats.

The two new tests fail by construction on the code before, which had neither question.

--- a/packages/policy/model_choice.cpp
+++ b/packages/policy/model_choice.cpp
@@ -25,7 +25,9 @@
 }
 
 bool should_escalate(const escalation_question& question, const model_choice_settings& settings) {
-    return question.confidence < escalation_line(question, settings);
+    // An answer that is dropped and can't be replaced is lost.
+    return question.has_room && question.within_budget &&
+           question.confidence < escalation_line(question, settings);
 }
 
 } // namespace figspoke::policy
--- a/packages/policy/model_choice.h
+++ b/packages/policy/model_choice.h
@@ -29,6 +29,9 @@
     core::milliseconds spent{0};
     core::milliseconds expected{0};
     core::milliseconds latency_target{0};
+    /// Whether an upstream of the larger model has room, and the bound on repeats leaves one.
+    bool has_room = true;
+    bool within_budget = true;
 };
 
 /// Returns the model that a request is sent to first, as an index into the models of a route, smallest first.
--- a/packages/policy/relay_budget.cpp
+++ b/packages/policy/relay_budget.cpp
@@ -13,8 +13,29 @@
     }
 }
 
+// What a node may repeat within the window: the ratio of its own requests and an equal part of the slack.
+double own_bound(const repeat_budget_settings& settings, std::size_t requests, std::size_t nodes) {
+    const double slack = settings.slack / double(std::max<std::size_t>(nodes, 1));
+    return settings.used_share * (settings.ratio * double(requests) + slack);
+}
+
+// The events are in the order of their times.
+std::size_t count_recent(const std::deque<core::steady_time>& events, const repeat_budget_settings& settings,
+                         core::steady_time now) {
+    const auto first = std::partition_point(events.begin(), events.end(),
+                                            [&](core::steady_time at) { return now - at > settings.window; });
+    return std::size_t(events.end() - first);
+}
+
 } // namespace
 
+bool may_repeat_by_choice(const repeat_budget& budget, const repeat_budget_settings& settings,
+                          std::size_t nodes, core::steady_time now) {
+    const auto bound = own_bound(settings, count_recent(budget.requests, settings, now), nodes);
+    const auto used = double(count_recent(budget.repeats, settings, now));
+    return used + 1 <= settings.choice_share * bound;
+}
+
 void count_request(repeat_budget& budget, const repeat_budget_settings& settings, core::steady_time now) {
     budget.requests.push_back(now);
     expire(budget.requests, settings, now);
@@ -24,9 +45,7 @@
                  core::steady_time now) {
     expire(budget.requests, settings, now);
     expire(budget.repeats, settings, now);
-    const double own_part = settings.ratio * double(budget.requests.size()) +
-                            settings.slack / double(std::max<std::size_t>(nodes, 1));
-    if (double(budget.repeats.size()) + 1 > own_part * settings.used_share) {
+    if (double(budget.repeats.size()) + 1 > own_bound(settings, budget.requests.size(), nodes)) {
         return false;
     }
     budget.repeats.push_back(now);
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -147,8 +147,13 @@
     const auto answered = std::exchange(model_, route_.models.at(*larger));
     const auto choice = choose();
     const policy::escalation_question question{
-        *head.confidence, core::to_ms(boot_now() - arrived_),
-        core::milliseconds(std::int64_t(choice.pending_ms + choice.reading_ms)), route_.latency_target};
+        *head.confidence,
+        core::to_ms(boot_now() - arrived_),
+        core::milliseconds(std::int64_t(choice.pending_ms + choice.reading_ms)),
+        route_.latency_target,
+        !choice.id.empty(),
+        policy::may_repeat_by_choice(node_.budgets[service_], budget_settings(), node_.peers->size(),
+                                     boot_now())};
     const bool escalate = policy::should_escalate(question, {});
     if (!escalate) {
         model_ = answered;
@@ -290,7 +295,9 @@
     if (failure.result == policy::send_result::not_sent) {
         ++unsent_tries_;
         confirm_crash(entry);
-        note_upstream_event(node_, entry.id, policy::upstream_event::failed);
+        note_upstream_event(node_, entry.id,
+                            failure.why == link_failure::refused ? policy::upstream_event::connection_refused
+                                                                 : policy::upstream_event::failed);
     } else if (!out_of_time || attempts_remain()) {
         note_upstream_event(node_, entry.id, policy::upstream_event::failed);
         note_bad(entry);
--- a/test/correctness/relay_outcome_test.cpp
+++ b/test/correctness/relay_outcome_test.cpp
@@ -95,3 +95,18 @@
     CHECK_FALSE(take_repeat(budget, settings, 1, at(10)));
     CHECK(take_repeat(budget, settings, 1, at(1100)));
 }
+
+TEST_CASE("repeats by choice leave a part of the bound to requests that fail") {
+    // Dropped answers once used up the bound; the request whose answer was dropped then failed as well.
+    const repeat_budget_settings settings{0.5, 10, core::milliseconds(1000), 1.0, 20000, 0.8};
+    repeat_budget budget;
+    int taken = 0;
+    while (may_repeat_by_choice(budget, settings, 1, at(0))) {
+        // What may be repeated by choice can be taken.
+        REQUIRE(take_repeat(budget, settings, 1, at(0)));
+        ++taken;
+    }
+    CHECK(taken == 8);
+    CHECK(take_repeat(budget, settings, 1, at(0)));
+    CHECK(may_repeat_by_choice(budget, settings, 1, at(1100)));
+}
--- a/test/correctness/relay_placing_test.cpp
+++ b/test/correctness/relay_placing_test.cpp
@@ -160,6 +160,18 @@
     CHECK_FALSE(should_escalate(question, settings));
 }
 
+TEST_CASE("an answer isn't dropped where no other can take its place") {
+    // With every engine of the larger model full its expected time read as zero, so that answers were dropped
+    // just when nothing could replace them.
+    escalation_question question{20, milliseconds(0), milliseconds(0), milliseconds(2000)};
+    REQUIRE(should_escalate(question, {}));
+    question.has_room = false;
+    CHECK_FALSE(should_escalate(question, {}));
+    question.has_room = true;
+    question.within_budget = false;
+    CHECK_FALSE(should_escalate(question, {}));
+}
+
 TEST_CASE("the line never rises with the expected time") {
     CHECK(rc::check([] {
         escalation_question question{0, milliseconds(0), milliseconds(0), milliseconds(2000)};
