--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -15,6 +15,8 @@
 // Parts of the latency target for which a request may wait for room.
 constexpr double stream_wait_part = 0.6;
 constexpr double plain_wait_part = 1.0;
+// Callers leave a stream after a pause of two seconds or more.
+constexpr core::milliseconds longest_gap{2000};
 
 } // namespace
 
@@ -147,7 +149,8 @@
 }
 
 std::optional<state::upstream_entry> forward_run::wait_in_queue() {
-    const auto give_up = std::min(deadline_, arrived_ + longest_wait());
+    // A stream that broke off can't be refused any more: it waits from now on, for as long as callers do.
+    const auto give_up = std::min(deadline_, begun_ ? boot_now() + longest_gap : arrived_ + longest_wait());
     const auto service = service_;
     const policy::waiting_request waiting{id_, rank_, arrived_, route_.latency_target};
     if (boot_now() >= give_up || !policy::add_waiting(node_.queue, {}, service, waiting)) {
--- a/test/platform/relay_process_test.cpp
+++ b/test/platform/relay_process_test.cpp
@@ -469,3 +469,19 @@
     CHECK(bad.requests().size() < 50);
     CHECK(double(bad.requests().size()) < 0.25 * sent + 10);
 }
+
+TEST_CASE("a stream of a busy engine is waited for, and not sent again") {
+    // Engines that read long prompts send nothing to anybody for a while. Streams that left them then made
+    // the prompts be read once more elsewhere, in the moment of the highest load.
+    small_world small([](engine_connection& connection, const engine_request& request) {
+        std::this_thread::sleep_for(milliseconds(2600));
+        connection.begin_stream(request);
+        connection.chunk(event(1));
+        connection.end_stream();
+    });
+    const auto answer = small.world.send(*small.node, "/chat/1", "r1");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == event(1));
+    CHECK(small.engine.requests().size() == 1);
+    CHECK(small.node->process->output().find("stream_given_up") == std::string::npos);
+}
