Tell news once in a large fleet instead of in every beat

During a roll-out each beat carried the reports of all processes (about 8 KB), after the crash of many engines 200 crashes and 200 conversations beside them, to 17 peers several times a second and once more with each confirmation of a document.

Ruled out: too little patience. An answer that waits behind beats is late by any patience that a request can afford.

Change: relay/beat_news. Mates tell their own reports and repeat others every 4 s, links carry all reports in regular beats only, and crashes and conversations older than 700 ms are repeated once a second. Fingerprints with several crashes are always told.

--- /dev/null
+++ b/packages/relay/beat_news.cpp
@@ -0,0 +1,35 @@
+#include "relay/beat_news.h"
+
+#include <algorithm>
+#include <map>
+
+namespace figspoke::relay {
+namespace {
+
+template <class List, class Condition>
+void remove_if(List& list, Condition condition) {
+    list.erase(std::remove_if(list.begin(), list.end(), condition), list.end());
+}
+
+} // namespace
+
+// During a roll-out every process reports, and after the crash of many engines hundreds of requests are
+// suspects. Told in every beat to every peer these took more than half of a link of 10 Mbit/s.
+void keep_news(beat& message, const beat_repetition& repeated) {
+    if (!repeated.other_reports) {
+        remove_if(message.trials,
+                  [&](const trial_mark& mark) { return mark.report.node != message.sender.id; });
+    }
+    if (repeated.old_marks) {
+        return;
+    }
+    std::map<std::uint64_t, std::size_t> crashes;
+    for (const auto& mark : message.crashes) {
+        ++crashes[mark.fingerprint];
+    }
+    remove_if(message.crashes,
+              [&](const crash_mark& mark) { return mark.age > new_mark && crashes[mark.fingerprint] == 1; });
+    remove_if(message.sessions, [](const session_mark& mark) { return mark.age > new_mark; });
+}
+
+} // namespace figspoke::relay
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t most_greetings = 24;
 // Links to other cells carry a beat once in this many rounds, beside news that are passed on at once.
 constexpr std::uint64_t link_every = 2;
+// Rounds after which marks that are no longer new are repeated, and those after which mates repeat each
+// other's reports of roll-outs.
+constexpr std::uint64_t old_marks_every = 4;
+constexpr std::uint64_t mate_reports_every = 16;
 // Rounds in which a changed member is told in full, and the number of unchanged ones told beside them.
 constexpr std::size_t full_rounds = 10;
 constexpr std::size_t repeated_members = 2;
@@ -94,7 +98,7 @@
         plan(now);
         send_to(cell_targets());
         if (rounds_ % link_every == 0) {
-            forward_news();
+            send_to(link_targets(beat_scope::link));
         }
         if (rounds_ % greet_every == 1) {
             send_to(greet_targets());
@@ -119,7 +123,7 @@
 }
 
 void fleet::forward_news() {
-    send_to(link_targets());
+    send_to(link_targets(beat_scope::news));
 }
 
 // A member that is stopping keeps no accounts: its successor hears of all requests before it is gone.
@@ -188,10 +192,10 @@
     return found;
 }
 
-std::vector<fleet::target> fleet::link_targets() const {
+std::vector<fleet::target> fleet::link_targets(beat_scope scope) const {
     std::vector<target> found;
     for (const auto& id : layout_.links) {
-        found.push_back({members_.members.at(id).entry.mesh_address, id, beat_scope::link});
+        found.push_back({members_.members.at(id).entry.mesh_address, id, scope});
     }
     return found;
 }
@@ -238,9 +242,7 @@
         add_members(message, peer_id, true, now);
         return message;
     }
-    if (scope == beat_scope::link) {
-        message.uses.clear();
-    }
+    keep_news(message, repetition_in(scope));
     if (scope != beat_scope::cell) {
         add_members(message, peer_id, false, now);
         add_pulses(message, peer_id, now);
@@ -248,6 +250,19 @@
     return message;
 }
 
+// Reports of other cells come over links, and from mates only in case a link is missing.
+beat_repetition fleet::repetition_in(beat_scope scope) const {
+    const bool old_marks = rounds_ % old_marks_every == 0;
+    switch (scope) {
+    case beat_scope::link:
+        return {true, old_marks};
+    case beat_scope::news:
+        return {false, false};
+    default:
+        return {rounds_ % mate_reports_every == 0, old_marks};
+    }
+}
+
 // Members that changed lately are told in full, and a few others in turn in case such news were lost.
 void fleet::add_members(beat& message, const std::string& peer_id, bool all, core::steady_time now) const {
     std::size_t position = 0;
--- a/packages/relay/fleet.h
+++ b/packages/relay/fleet.h
@@ -16,6 +16,7 @@
 #include <boost/asio/spawn.hpp>
 
 #include "relay/beat.h"
+#include "relay/beat_news.h"
 #include "relay/load_keepers.h"
 #include "state/fleet_layout.h"
 #include "state/membership.h"
@@ -118,6 +119,8 @@
         cell_and_pulses,
         /// The other members in short, to another cell.
         link,
+        /// The same between two regular beats: what is new only.
+        news,
         /// All other members in full, to a node that is new here.
         introduction
     };
@@ -151,9 +154,10 @@
     void note_live_members(core::steady_time now);
     state::health_timeouts timeouts() const;
     std::vector<target> cell_targets() const;
-    std::vector<target> link_targets() const;
+    std::vector<target> link_targets(beat_scope scope) const;
     std::vector<target> greet_targets() const;
     beat make_beat(const std::string& peer_id, beat_scope scope) const;
+    beat_repetition repetition_in(beat_scope scope) const;
     void add_members(beat& message, const std::string& peer_id, bool all, core::steady_time now) const;
     void add_pulses(beat& message, const std::string& peer_id, core::steady_time now) const;
 
--- a/test/platform/support/relay_world.cpp
+++ b/test/platform/support/relay_world.cpp
@@ -37,10 +37,8 @@
 
 void relay_world::add_engine(const std::string& id, const std::string& service, const std::string& address,
                              const std::string& state) {
-    const json entry = {{"service", service}, {"address", address},
-                        {"zone", "z"},        {"version", "v1"},
-                        {"slots", 8},         {"state", state},
-                        {"sequence", 1},      {"born", 1000}};
+    const json entry = {{"service", service}, {"address", address}, {"zone", "z"},   {"version", "v1"},
+                        {"slots", 8},         {"state", state},     {"sequence", 1}, {"born", 1000}};
     store_.put("servers/" + id, entry.dump());
 }
 
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -119,6 +119,36 @@
     }));
 }
 
+TEST_CASE("beats of a large fleet repeat old marks and the reports of others only in their turn") {
+    // During a roll-out, after the crash of many engines, beats of 16 KB to 17 peers several times a second
+    // filled links of 10 Mbit/s, and the load of engines was no longer known.
+    auto message = sample_beat();
+    message.trials.clear();
+    message.crashes.clear();
+    message.sessions.clear();
+    for (std::uint64_t i = 0; i < 89; ++i) {
+        policy::trial_report report{"n" + std::to_string(i), 4, 9, {10, 8, 1, 700}, {20, 19, 1, 900}, 3};
+        message.trials.push_back({"s", 12, report, core::milliseconds(15)});
+    }
+    for (std::uint64_t i = 0; i < 200; ++i) {
+        message.crashes.push_back({i * 0x123456789ABCDEF, "u" + std::to_string(i), core::milliseconds(2000)});
+        message.sessions.push_back({i * 0x123456789ABCDEF, true, core::milliseconds(1500)});
+    }
+    // A second crash of one fingerprint, a new crash and a new conversation.
+    message.crashes.push_back({0x123456789ABCDEF, "u7", core::milliseconds(2000)});
+    message.crashes.push_back({7, "u8", core::milliseconds(100)});
+    message.sessions.push_back({8, true, core::milliseconds(100)});
+    auto in_turn = message;
+    keep_news(in_turn, {true, true});
+    CHECK(encode_beat(in_turn) == encode_beat(message));
+    keep_news(message, {false, false});
+    CHECK(message.trials.size() == 1U);
+    CHECK(message.trials.front().report.node == message.sender.id);
+    CHECK(message.crashes.size() == 3U);
+    CHECK(message.sessions.size() == 1U);
+    CHECK(encode_beat(message).size() * 20 < encode_beat(in_turn).size());
+}
+
 TEST_CASE("a document survives its encoding, whatever bytes it holds") {
     state::document_content content;
     content.at = 5;
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -35,7 +35,7 @@
 
 struct node_slot {
     test::relay_process* process = nullptr;
-    std::unique_ptr<loopback_proxy> store_link;
+    std::shared_ptr<loopback_proxy> store_link;
     /// Faults that hold the process stopped.
     int pauses = 0;
     /// A signal was sent that ends it.
@@ -46,7 +46,7 @@
 struct engine_slot {
     std::string service;
     std::unique_ptr<soak_engine> engine;
-    std::unique_ptr<loopback_proxy> link;
+    std::shared_ptr<loopback_proxy> link;
     std::string id;
     bool leaving = false;
 };
@@ -64,7 +64,7 @@
         }
         for (std::size_t i = 0; i < settings.nodes; ++i) {
             node_slot node;
-            node.store_link = std::make_unique<loopback_proxy>(context_, world_.store().address());
+            node.store_link = std::make_shared<loopback_proxy>(context_, world_.store().address());
             node.process = &world_.launch_node(node.store_link->address());
             callers_.directories.push_back(node.process->directory);
             nodes_.push_back(std::move(node));
@@ -140,13 +140,13 @@
             node.process->process->send_signal(SIGHUP);
             return;
         case fault_kind::delay_store_link:
-            return disturb(*node.store_link, link_fault::delayed, fault.duration, yield);
+            return disturb(node.store_link, link_fault::delayed, fault.duration, yield);
         case fault_kind::silence_store_link:
-            return disturb(*node.store_link, link_fault::silent, fault.duration, yield);
+            return disturb(node.store_link, link_fault::silent, fault.duration, yield);
         case fault_kind::cut_store_answers:
-            return disturb(*node.store_link, link_fault::answers_cut, fault.duration, yield);
+            return disturb(node.store_link, link_fault::answers_cut, fault.duration, yield);
         case fault_kind::reset_store_link:
-            return disturb(*node.store_link, link_fault::reset, fault.duration, yield);
+            return disturb(node.store_link, link_fault::reset, fault.duration, yield);
         case fault_kind::store_away:
             world_.store().set_away(true);
             adapters::sleep_for(fault.duration, yield);
@@ -156,11 +156,11 @@
             world_.store().lose_write_answers(lost_answers);
             return;
         case fault_kind::delay_engine_link:
-            return disturb(*engine.link, link_fault::delayed, fault.duration, yield);
+            return disturb(engine.link, link_fault::delayed, fault.duration, yield);
         case fault_kind::silence_engine_link:
-            return disturb(*engine.link, link_fault::silent, fault.duration, yield);
+            return disturb(engine.link, link_fault::silent, fault.duration, yield);
         case fault_kind::cut_engine_answers:
-            return disturb(*engine.link, link_fault::answers_cut, fault.duration, yield);
+            return disturb(engine.link, link_fault::answers_cut, fault.duration, yield);
         case fault_kind::reset_engine_link:
             return engine.link->reset_all();
         case fault_kind::crash_engine:
@@ -254,18 +254,20 @@
 
     // ---- links and engines
 
-    static void disturb(loopback_proxy& link, link_fault fault, milliseconds duration,
+    // Shares the link, since an engine that crashes meanwhile comes back behind another one.
+    static void disturb(const std::shared_ptr<loopback_proxy>& link, link_fault fault, milliseconds duration,
                         const asio::yield_context& yield) {
-        link.set_fault(fault);
+        const auto kept = link;
+        kept->set_fault(fault);
         adapters::sleep_for(duration, yield);
-        link.set_fault(link_fault::none);
+        kept->set_fault(link_fault::none);
     }
 
     void start_engine(engine_slot& slot) {
         slot.id = "e" + std::to_string(++next_engine_);
         slot.engine =
             std::make_unique<soak_engine>(context_, slot.id, ledger_, settings_.plan.seed + next_engine_);
-        slot.link = std::make_unique<loopback_proxy>(context_, slot.engine->address());
+        slot.link = std::make_shared<loopback_proxy>(context_, slot.engine->address());
         world_.add_engine(slot.id, slot.service, slot.link->address(), "ready");
         slot.leaving = false;
     }
