Tell peers that a success cleared a request of crashes

A success cleared the fingerprint at its own node only.

Ruled out: more crashes before a refusal, since the third run is the last that a harmful request may have.

Change: beats carry cleared fingerprints as marks without an upstream (relay/crash_marks); peers forget the crashes up to that time and ignore old marks that arrive later. A harmful request never succeeds, so its count isn't affected.

--- a/packages/policy/crash_ledger.cpp
+++ b/packages/policy/crash_ledger.cpp
@@ -77,6 +77,22 @@
     }
 }
 
+void note_cleared(crash_ledger& ledger, std::uint64_t fingerprint, core::steady_time at) {
+    auto& cleared = ledger.cleared[fingerprint];
+    cleared = std::max(cleared, at);
+    const auto found = ledger.crashes.find(fingerprint);
+    if (found == ledger.crashes.end()) {
+        return;
+    }
+    auto& crashes = found->second;
+    crashes.erase(
+        std::remove_if(crashes.begin(), crashes.end(), [&](const seen_crash& one) { return one.at <= at; }),
+        crashes.end());
+    if (crashes.empty()) {
+        ledger.crashes.erase(found);
+    }
+}
+
 std::size_t crash_count(const crash_ledger& ledger, std::uint64_t fingerprint) {
     const auto found = ledger.crashes.find(fingerprint);
     return found == ledger.crashes.end() ? 0 : found->second.size();
--- a/packages/policy/crash_ledger.h
+++ b/packages/policy/crash_ledger.h
@@ -58,6 +58,10 @@
 /// Clears a fingerprint, because a request of it succeeded.
 void clear_fingerprint(crash_ledger& ledger, std::uint64_t fingerprint, core::steady_time now);
 
+/// Notes that a request of the fingerprint succeeded elsewhere at this time: what crashed before wasn't its
+/// fault.
+void note_cleared(crash_ledger& ledger, std::uint64_t fingerprint, core::steady_time at);
+
 /// Returns the number of crashes that a fingerprint took part in.
 std::size_t crash_count(const crash_ledger& ledger, std::uint64_t fingerprint);
 
--- a/packages/relay/beat.h
+++ b/packages/relay/beat.h
@@ -25,7 +25,8 @@
 using policy::add_use;
 using policy::upstream_use;
 
-/// A request of this fingerprint was running on an upstream that crashed.
+/// A request of this fingerprint was running on an upstream that crashed; or, where the upstream is empty,
+/// one has succeeded since, which clears it of earlier crashes.
 struct crash_mark {
     std::uint64_t fingerprint = 0;
     std::string upstream;
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -10,6 +10,7 @@
 #include "adapters/decision_log.h"
 #include "relay/boot_clock.h"
 #include "relay/caller_connection.h"
+#include "relay/crash_marks.h"
 #include "relay/document_loops.h"
 #include "relay/forward.h"
 #include "relay/relay_state.h"
@@ -106,10 +107,7 @@
             handle_claim(state_, kind, claim, echo, peer);
         };
         hooks.on_crashes = [this](const std::vector<crash_mark>& marks) {
-            for (const auto& mark : marks) {
-                policy::record_crash(state_.crashes, {}, mark.fingerprint, mark.upstream,
-                                     boot_now() - mark.age);
-            }
+            take_crash_marks(state_.crashes, marks, boot_now());
         };
         hooks.on_rollouts = [this](const std::vector<rollout_mark>& marks) {
             for (const auto& mark : marks) {
@@ -167,18 +165,7 @@
                 message.sessions.push_back({session, pin.on_target, core::to_ms(age)});
             }
         }
-        for (const auto& [fingerprint, crashes] : state_.crashes.crashes) {
-            // A single crash blames nobody yet, and most fingerprints never come again.
-            const bool recent = boot_now() - crashes.back().at < recent_crash + spread;
-            if (recent || crashes.size() > 1) {
-                for (const auto& one : crashes) {
-                    message.crashes.push_back({fingerprint, one.upstream, core::to_ms(boot_now() - one.at)});
-                }
-            }
-            if (message.crashes.size() >= max_crash_marks) {
-                break;
-            }
-        }
+        message.crashes = crash_marks(state_.crashes, recent_crash + spread, boot_now());
     }
 
     std::map<std::string, upstream_use> described_uses() const {
@@ -390,7 +377,6 @@
 
     // Time in which a first crash is worth telling the peers, and the number of marks in one beat.
     static constexpr core::milliseconds recent_crash{4000};
-    static constexpr std::size_t max_crash_marks = 200;
     // Conversations are told for a few beats, so that a lost datagram doesn't hide one.
     static constexpr core::milliseconds recent_session{1000};
     static constexpr std::size_t max_session_marks = 200;
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -10,6 +10,7 @@
 #include "adapters/deflate.h"
 #include "core/relay_settings.h"
 #include "relay/beat.h"
+#include "relay/crash_marks.h"
 #include "relay/document_codec.h"
 #include "relay/event_splitter.h"
 #include "relay/fleet.h"
@@ -149,6 +150,29 @@
     CHECK(encode_beat(message).size() * 20 < encode_beat(in_turn).size());
 }
 
+TEST_CASE("a success at one node clears a request of earlier crashes at all of them") {
+    // Soak seed 114: a request that many callers sent was running on three engines that crashed for other
+    // reasons. It had succeeded elsewhere since, and was refused at the nodes that didn't know.
+    const auto at = [](int ms) { return core::steady_time(std::chrono::hours(1) + core::milliseconds(ms)); };
+    policy::crash_ledger served;
+    policy::crash_ledger other;
+    for (auto* ledger : {&served, &other}) {
+        policy::record_crash(*ledger, {}, 7, "e1", at(0));
+        policy::record_crash(*ledger, {}, 7, "e2", at(100));
+    }
+    policy::clear_fingerprint(served, 7, at(1000));
+    policy::record_crash(other, {}, 7, "e3", at(2000));
+    REQUIRE(policy::is_refused(other, {}, 7));
+    take_crash_marks(other, crash_marks(served, core::milliseconds(4000), at(2500)), at(2500));
+    CHECK_FALSE(policy::is_refused(other, {}, 7));
+    CHECK(policy::crash_count(other, 7) == 1U);
+    // Old marks that arrive late change nothing, and later crashes still count.
+    take_crash_marks(other, {{7, "e1", core::milliseconds(2600)}}, at(2600));
+    CHECK(policy::crash_count(other, 7) == 1U);
+    take_crash_marks(other, {{7, "e4", core::milliseconds(0)}, {7, "e5", core::milliseconds(0)}}, at(3000));
+    CHECK(policy::is_refused(other, {}, 7));
+}
+
 TEST_CASE("a document survives its encoding, whatever bytes it holds") {
     state::document_content content;
     content.at = 5;
