Follow the linter in the new files

Change: as the checks ask. The soak's events of a stream are made in one place for the engine and the check of answers, and a fault of a link lasts as long as an object. The registry of the size test has shorter entries in one string.

--- a/packages/policy/load_board.cpp
+++ b/packages/policy/load_board.cpp
@@ -71,8 +71,10 @@
 std::string keeper_of(const std::string& upstream, const std::vector<std::string>& members) {
     std::string best;
     std::uint64_t best_score = 0;
+    std::string text;
     for (const auto& member : members) {
-        const auto score = core::stable_hash(upstream + '\n' + member);
+        text.assign(upstream).append(1, '\n').append(member);
+        const auto score = core::stable_hash(text);
         if (best.empty() || score > best_score) {
             best = member;
             best_score = score;
--- a/test/correctness/relay_keepers_test.cpp
+++ b/test/correctness/relay_keepers_test.cpp
@@ -192,6 +192,7 @@
             known = shortlist(std::uint64_t(prefix) + 1, ids, draws_of(random, 6), {});
         }
         std::vector<relay_candidate> candidates;
+        candidates.reserve(known.size());
         for (const auto& id : known) {
             candidates.push_back(candidate_of(id, state[id], prefix, now));
         }
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -192,14 +192,11 @@
     std::size_t bytes = 0;
     for (int i = 0; i < 280; ++i) {
         const auto number = std::to_string(1000000 + i * 7919);
-        content.items.push_back(
-            {"servers/i-" + number,
-             R"({"service":"s","address":"10.1.64.)" + std::to_string(i % 250) +
-                 R"(:8644","zone":"z","version":"v1","slots":16,"state":"ready","coldRemainingMs":0,"sequence":)" +
-                 number +
-                 R"(,"stage":"unified","models":[{"name":"m","version":1,"adapters":[]}],"born":1700)" +
-                 number + "}",
-             std::uint64_t(i)});
+        std::string value = R"({"service":"s","address":"10.1.64.9:)";
+        value.append(number, 3, 4).append(R"(","zone":"z","version":"v1","slots":16,"state":"ready",)");
+        value.append(R"("coldRemainingMs":0,"sequence":)").append(number).append(R"(,"stage":"unified",)");
+        value.append(R"("models":[{"name":"m","version":1,"adapters":[]}],"born":1700)").append(number);
+        content.items.push_back({"servers/i-" + number, value.append("}"), std::uint64_t(i)});
         bytes += content.items.back().key.size() + content.items.back().value.size();
     }
     const auto packed = pack_document(content);
--- a/test/soak/fault_plan.cpp
+++ b/test/soak/fault_plan.cpp
@@ -52,6 +52,7 @@
     std::mt19937 random(settings.seed);
     const auto between = [&](int low, int high) { return low + int(random() % unsigned(high - low + 1)); };
     std::vector<double> weights;
+    weights.reserve(kinds.size());
     for (const auto& row : kinds) {
         weights.push_back(settings.planned_only && !row.planned ? 0 : row.weight);
     }
--- a/test/soak/promise_ledger.cpp
+++ b/test/soak/promise_ledger.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::array<int, 4> refusals{408, 421, 429, 503};
-constexpr std::string_view last_data = "end";
 
 std::string describe_runs(const std::vector<engine_run>& runs) {
     std::string text;
@@ -85,6 +84,18 @@
     return broken;
 }
 
+std::string stream_event(std::uint64_t number, bool last, const std::string& content) {
+    const auto text = std::to_string(number);
+    std::string event = "id: ";
+    event.append(text).append("\ndata: ");
+    if (last) {
+        event.append("end");
+    } else {
+        event.append(text).append(" of ").append(content);
+    }
+    return event.append("\n\n");
+}
+
 stream_check check_stream(const std::string& body, const std::string& content) {
     stream_check check;
     std::size_t begin = 0;
@@ -93,13 +104,13 @@
         if (end == std::string::npos) {
             break;
         }
-        const auto event = body.substr(begin, end - begin);
+        const auto event = body.substr(begin, end + 2 - begin);
         begin = end + 2;
-        const auto number = std::to_string(check.events + 1);
-        if (event == "id: " + number + "\ndata: " + std::string(last_data)) {
+        const auto number = check.events + 1;
+        if (event == stream_event(number, true, content)) {
             check.ended = true;
-        } else if (check.ended || event != "id: " + number + "\ndata: " + number + " of " + content) {
-            check.fault = "event " + number + " is missing, repeated or of another request: " + event;
+        } else if (check.ended || event != stream_event(number, false, content)) {
+            check.fault = "has an event that is missing, repeated or of another request: " + event;
             return check;
         }
         ++check.events;
--- a/test/soak/promise_ledger.h
+++ b/test/soak/promise_ledger.h
@@ -75,7 +75,10 @@
     std::optional<std::string> fault;
 };
 
-/// Reads the events of a stream whose n-th event has the id n and the data "N of CONTENT".
+/// Returns the n-th event of a stream: `last` ends it, others carry the content.
+std::string stream_event(std::uint64_t number, bool last, const std::string& content);
+
+/// Reads a stream of events as `stream_event` makes them.
 stream_check check_stream(const std::string& body, const std::string& content);
 
 } // namespace figspoke::soak
--- a/test/soak/soak_engine.cpp
+++ b/test/soak/soak_engine.cpp
@@ -32,11 +32,6 @@
     return found == request.end() ? std::string() : std::string(found->value());
 }
 
-std::string event_text(std::uint64_t number, std::uint64_t last, const std::string& content) {
-    const auto text = std::to_string(number);
-    return "id: " + text + "\ndata: " + (number == last ? "end" : text + " of " + content) + "\n\n";
-}
-
 std::string chunk_of(const std::string& bytes) {
     char size[20];
     std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
@@ -117,7 +112,7 @@
     }
     for (auto number = after.empty() ? 1 : std::stoull(after) + 1; number <= last; ++number) {
         adapters::sleep_for(event_gap, yield);
-        auto text = event_text(number, last, request.body());
+        auto text = stream_event(number, number == last, request.body());
         if (cuts && number > last / 2) {
             write(socket, chunk_of(text.substr(0, text.size() / 2)), yield);
             reset(socket);
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -33,9 +33,26 @@
 constexpr milliseconds watch_interval{100};
 constexpr int lost_answers = 2;
 
+using loopback_proxy_ptr = std::shared_ptr<loopback_proxy>;
+
+// A fault of a link, for as long as it lives. Shares the link, since an engine that crashes meanwhile comes
+// back behind another one.
+class link_disturbance {
+  public:
+    link_disturbance(loopback_proxy_ptr link, link_fault fault) : link_(std::move(link)) {
+        link_->set_fault(fault);
+    }
+    ~link_disturbance() { link_->set_fault(link_fault::none); }
+    link_disturbance(const link_disturbance&) = delete;
+    link_disturbance& operator=(const link_disturbance&) = delete;
+
+  private:
+    loopback_proxy_ptr link_;
+};
+
 struct node_slot {
     test::relay_process* process = nullptr;
-    std::shared_ptr<loopback_proxy> store_link;
+    loopback_proxy_ptr store_link;
     /// Faults that hold the process stopped.
     int pauses = 0;
     /// A signal was sent that ends it.
@@ -46,7 +63,7 @@
 struct engine_slot {
     std::string service;
     std::unique_ptr<soak_engine> engine;
-    std::shared_ptr<loopback_proxy> link;
+    loopback_proxy_ptr link;
     std::string id;
     bool leaving = false;
 };
@@ -254,13 +271,10 @@
 
     // ---- links and engines
 
-    // Shares the link, since an engine that crashes meanwhile comes back behind another one.
-    static void disturb(const std::shared_ptr<loopback_proxy>& link, link_fault fault, milliseconds duration,
+    static void disturb(const loopback_proxy_ptr& link, link_fault fault, milliseconds duration,
                         const asio::yield_context& yield) {
-        const auto kept = link;
-        kept->set_fault(fault);
+        const link_disturbance disturbance(link, fault);
         adapters::sleep_for(duration, yield);
-        kept->set_fault(link_fault::none);
     }
 
     void start_engine(engine_slot& slot) {
