--- a/test/correctness/soak_ledger_test.cpp
+++ b/test/correctness/soak_ledger_test.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
-#include "soak/fault_plan.h"
-#include "soak/promise_ledger.h"
+#include "platform/soak/fault_plan.h"
+#include "platform/soak/promise_ledger.h"
 #include "support/test_time.h"
 
 using namespace figspoke;
--- a/test/soak/fault_plan.cpp
+++ b/test/platform/soak/fault_plan.cpp
@@ -1,4 +1,4 @@
-#include "soak/fault_plan.h"
+#include "platform/soak/fault_plan.h"
 
 #include <algorithm>
 #include <array>
--- a/test/soak/loopback_proxy.cpp
+++ b/test/platform/soak/loopback_proxy.cpp
@@ -1,4 +1,4 @@
-#include "soak/loopback_proxy.h"
+#include "platform/soak/loopback_proxy.h"
 
 #include <algorithm>
 #include <array>
--- a/test/soak/promise_ledger.cpp
+++ b/test/platform/soak/promise_ledger.cpp
@@ -1,4 +1,4 @@
-#include "soak/promise_ledger.h"
+#include "platform/soak/promise_ledger.h"
 
 #include <algorithm>
 #include <array>
--- a/test/soak/soak_caller.cpp
+++ b/test/platform/soak/soak_caller.cpp
@@ -1,4 +1,4 @@
-#include "soak/soak_caller.h"
+#include "platform/soak/soak_caller.h"
 
 #include <algorithm>
 #include <array>
@@ -12,7 +12,7 @@
 #include "adapters/await.h"
 #include "adapters/endpoint.h"
 #include "adapters/http_client.h"
-#include "soak/soak_engine.h"
+#include "platform/soak/soak_engine.h"
 
 namespace figspoke::soak {
 namespace {
--- a/test/soak/soak_caller.h
+++ b/test/platform/soak/soak_caller.h
@@ -9,7 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 
-#include "soak/promise_ledger.h"
+#include "platform/soak/promise_ledger.h"
 
 namespace figspoke::soak {
 
--- a/test/soak/soak_engine.cpp
+++ b/test/platform/soak/soak_engine.cpp
@@ -1,4 +1,4 @@
-#include "soak/soak_engine.h"
+#include "platform/soak/soak_engine.h"
 
 #include <algorithm>
 #include <vector>
--- a/test/soak/soak_engine.h
+++ b/test/platform/soak/soak_engine.h
@@ -6,7 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "soak/promise_ledger.h"
+#include "platform/soak/promise_ledger.h"
 
 namespace figspoke::soak {
 
--- a/test/soak/soak_main.cpp
+++ b/test/platform/soak/soak_main.cpp
@@ -4,7 +4,7 @@
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
-#include "soak/soak_run.h"
+#include "platform/soak/soak_run.h"
 
 DEFINE_uint32(seed, 1, "seed of the first run");
 DEFINE_uint32(seeds, 1, "number of runs, with consecutive seeds");
--- a/test/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -1,14 +1,14 @@
-#include "soak/soak_run.h"
+#include "platform/soak/soak_run.h"
 
 #include <csignal>
 #include <filesystem>
 #include <memory>
 
 #include "adapters/await.h"
+#include "platform/soak/loopback_proxy.h"
+#include "platform/soak/soak_caller.h"
+#include "platform/soak/soak_engine.h"
 #include "platform/support/relay_world.h"
-#include "soak/loopback_proxy.h"
-#include "soak/soak_caller.h"
-#include "soak/soak_engine.h"
 
 namespace figspoke::soak {
 namespace {
--- a/test/soak/soak_run.h
+++ b/test/platform/soak/soak_run.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "soak/fault_plan.h"
+#include "platform/soak/fault_plan.h"
 
 namespace figspoke::soak {
 
