Encode heartbeats and load messages without a JSON tree

At 295 nodes each update between heartbeats also repeated the heartbeats of all members on all nine links, and each of them cost two lookups by id. Ruled out: timers, logs and the request path, each below one percent.

Change: both messages are written and read field by field in a binary format (format 3; messages of other formats are ignored, so during an upgrade old and new nodes form two meshes that each read the store). Updates carry only members that don't serve; a heartbeat follows within half a second. Tags refer to the member's record. The number of live members is counted once a round.

--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -108,11 +108,12 @@
 }
 
 void fleet::remove_expired_members(core::steady_time now) {
-    state::prune(members_, timeouts(), now);
-    core::erase_where(members_by_tag_, [this](const tagged_member& member, std::uint32_t) {
-        const auto found = members_.members.find(member.id);
-        return found == members_.members.end() || found->second.entry.incarnation != member.incarnation;
+    // Tags go before the records that they refer to.
+    core::erase_where(members_by_tag_, [&](const tagged_member& member, std::uint32_t) {
+        return member.record->entry.incarnation != member.incarnation ||
+               state::is_forgotten(members_, *member.record, timeouts(), now);
     });
+    state::prune(members_, timeouts(), now);
 }
 
 void fleet::announce() {
@@ -130,8 +131,11 @@
 // before it has left.
 void fleet::update_live_members(core::steady_time now) {
     std::vector<std::string> live;
+    live_count_ = 0;
+    const auto limits = timeouts();
     for (const auto& [id, member] : members_.members) {
-        const bool alive = state::health_of(members_, member, timeouts(), now) == state::member_health::alive;
+        const bool alive = state::health_of(members_, member, limits, now) == state::member_health::alive;
+        live_count_ += alive && member.entry.state != state::member_state::left ? 1 : 0;
         if (alive && member.entry.state == state::member_state::serving) {
             live.push_back(id);
         }
@@ -247,7 +251,7 @@
     filter_heartbeat(message, repetition_in(scope));
     if (scope != heartbeat_scope::cell) {
         add_members(message, peer_id, false, now);
-        add_compact_members(message, peer_id, now);
+        add_compact_members(message, peer_id, scope, now);
     }
     return message;
 }
@@ -283,16 +287,19 @@
     }
 }
 
-void fleet::add_compact_members(heartbeat_message& message, const std::string& peer_id,
+// Updates are sent whenever a document is confirmed. With the heartbeats of all members in each of them, they
+// were half of the bytes of a large fleet, although the next heartbeat brings the same soon after. A member
+// that stops must leave the directories at once, so updates carry it.
+void fleet::add_compact_members(heartbeat_message& message, const std::string& peer_id, heartbeat_scope scope,
                                 core::steady_time now) const {
+    const auto limits = timeouts();
+    message.compact_members.reserve(members_by_tag_.size());
     for (const auto& [tag, tagged] : members_by_tag_) {
-        const auto found = members_.members.find(tagged.id);
-        if (found == members_.members.end() || found->second.entry.incarnation != tagged.incarnation ||
-            tagged.id == peer_id) {
-            continue;
-        }
-        const auto& member = found->second;
-        if (state::health_of(members_, member, timeouts(), now) != state::member_health::failed) {
+        const auto& member = *tagged.record;
+        const bool is_wanted =
+            scope != heartbeat_scope::updates || member.entry.state != state::member_state::serving;
+        if (is_wanted && member.entry.incarnation == tagged.incarnation && member.entry.id != peer_id &&
+            state::health_of(members_, member, limits, now) != state::member_health::failed) {
             message.compact_members.push_back(
                 {tag, member.entry.heartbeat, member.entry.state, core::to_ms(now - member.last_advanced)});
         }
@@ -312,7 +319,8 @@
 void fleet::merge_member(const state::member_entry& entry, core::milliseconds silence,
                          core::steady_time now) {
     if (state::merge_entry(members_, entry, silence, now) && entry.id != members_.self) {
-        members_by_tag_[member_tag(entry.id, entry.incarnation)] = {entry.id, entry.incarnation};
+        members_by_tag_[member_tag(entry.id, entry.incarnation)] = {&members_.members.at(entry.id),
+                                                                    entry.incarnation};
     }
 }
 
@@ -350,10 +358,9 @@
     }
     for (const auto& compact : message.compact_members) {
         if (const auto found = members_by_tag_.find(compact.tag); found != members_by_tag_.end()) {
-            const auto& tagged = found->second;
-            state::merge_heartbeat(members_, tagged.id,
-                                   {tagged.incarnation, compact.heartbeat, compact.state, compact.silence},
-                                   now);
+            state::merge_heartbeat(
+                *found->second.record,
+                {found->second.incarnation, compact.heartbeat, compact.state, compact.silence}, now);
         }
     }
     record_peer(message, now);
@@ -431,14 +438,6 @@
     return before;
 }
 
-std::size_t fleet::size() const {
-    const auto now = boot_now();
-    return std::size_t(std::count_if(members_.members.begin(), members_.members.end(), [&](const auto& item) {
-        return state::health_of(members_, item.second, timeouts(), now) == state::member_health::alive &&
-               item.second.entry.state != state::member_state::left;
-    }));
-}
-
 upstream_use fleet::peer_use(const std::string& upstream) const {
     const auto oldest = boot_now() - fleet_timeouts.suspect;
     upstream_use total;
--- a/packages/relay/fleet.h
+++ b/packages/relay/fleet.h
@@ -86,8 +86,8 @@
     /// Returns the position of this node among the live members, ordered by id.
     std::size_t rank() const;
 
-    /// Returns the number of live members, including this one.
-    std::size_t size() const;
+    /// Returns the number of live members, including this one, as of the last heartbeat that was sent.
+    std::size_t size() const { return live_count_; }
 
     /// Returns the requests of all peers on an upstream, from their latest heartbeats.
     upstream_use peer_use(const std::string& upstream) const;
@@ -119,7 +119,8 @@
         cell_and_compact_members,
         /// The other members in compact form, for another cell.
         link,
-        /// Like `link`, but sent between two regular heartbeats and with new content only.
+        /// Like `link`, but sent between two regular heartbeats and with new content only. Of the other
+        /// members it holds those that don't serve.
         updates,
         /// All other members in full, for a node that this one has just learned of.
         introduction
@@ -137,8 +138,9 @@
         std::uint64_t incarnation = 0;
         std::map<std::string, upstream_use> uses;
     };
+    /// A process of a member. The record stays in place until the member is pruned, when its tags go too.
     struct tagged_member {
-        std::string id;
+        state::member_record* record = nullptr;
         std::uint64_t incarnation = 0;
     };
 
@@ -160,7 +162,7 @@
     heartbeat_repetition repetition_in(heartbeat_scope scope) const;
     void add_members(heartbeat_message& message, const std::string& peer_id, bool all,
                      core::steady_time now) const;
-    void add_compact_members(heartbeat_message& message, const std::string& peer_id,
+    void add_compact_members(heartbeat_message& message, const std::string& peer_id, heartbeat_scope scope,
                              core::steady_time now) const;
 
     boost::asio::io_context& context_;
@@ -174,6 +176,7 @@
     std::unordered_map<std::uint32_t, tagged_member> members_by_tag_;
     /// Ids of the live members, and the load aggregators chosen among them so far, by upstream.
     std::vector<std::string> live_ids_;
+    std::size_t live_count_ = 1;
     std::unordered_map<std::string, std::string> aggregators_;
     /// The membership's stamp at each of the latest rounds, so that recently changed members are sent in
     /// full.
--- a/packages/relay/heartbeat_message.cpp
+++ b/packages/relay/heartbeat_message.cpp
@@ -1,6 +1,7 @@
 #include "relay/heartbeat_message.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+#include <limits>
 
 #include "core/hash.h"
 #include "relay/use_codec.h"
@@ -8,162 +9,223 @@
 namespace figspoke::relay {
 namespace {
 
-using nlohmann::json;
+using core::byte_reader;
 
-constexpr int heartbeat_format = 2;
+// First byte of a heartbeat. It differs from that of a load message and from the CBOR maps of format 2.
+constexpr char heartbeat_format = 3;
 
-json member_json(const state::member_entry& entry) {
-    return json::array({entry.id, entry.http_address, entry.mesh_address, entry.failure_domain,
-                        entry.incarnation, entry.heartbeat, static_cast<int>(entry.state), entry.load});
+// Bits of the flags of a roll-out record.
+constexpr std::uint8_t stopped_flag = 1;
+constexpr std::uint8_t written_flag = 2;
+
+// Fewest bytes of a list's entry, which bound the number of entries that a received message can announce.
+constexpr std::size_t min_use_bytes = 8;
+constexpr std::size_t min_trial_bytes = 15;
+constexpr std::size_t min_crash_bytes = 10;
+constexpr std::size_t min_rollout_bytes = 5;
+constexpr std::size_t min_session_bytes = 10;
+constexpr std::size_t min_member_bytes = 9;
+constexpr std::size_t min_compact_member_bytes = 7;
+
+std::string read_string(byte_reader& reader) {
+    return std::string(core::read_text(reader));
 }
 
-state::member_state read_member_state(const json& value) {
-    const auto state = state::member_state_of(value.get<std::uint64_t>());
-    if (!state) {
-        throw std::invalid_argument("member state out of range");
+void append_member(std::string& out, const state::member_entry& entry) {
+    for (const auto* text : {&entry.id, &entry.http_address, &entry.mesh_address, &entry.failure_domain}) {
+        core::append_text(out, *text);
     }
-    return *state;
+    core::append_varint(out, entry.incarnation);
+    core::append_varint(out, entry.heartbeat);
+    out.push_back(static_cast<char>(entry.state));
+    out.push_back(static_cast<char>(entry.load));
 }
 
-state::member_entry member_of(const json& value) {
+state::member_state read_state(byte_reader& reader) {
+    const auto value = state::member_state_of(core::read_byte(reader));
+    reader.is_valid = reader.is_valid && value.has_value();
+    return value.value_or(state::member_state::joining);
+}
+
+state::member_entry read_member(byte_reader& reader) {
     state::member_entry entry;
-    entry.id = value.at(0).get<std::string>();
-    entry.http_address = value.at(1).get<std::string>();
-    entry.mesh_address = value.at(2).get<std::string>();
-    entry.failure_domain = value.at(3).get<std::string>();
-    entry.incarnation = value.at(4).get<std::uint64_t>();
-    entry.heartbeat = value.at(5).get<std::uint64_t>();
-    entry.state = read_member_state(value.at(6));
-    entry.load = value.at(7).get<std::uint8_t>();
+    for (auto* text : {&entry.id, &entry.http_address, &entry.mesh_address, &entry.failure_domain}) {
+        *text = read_string(reader);
+    }
+    entry.incarnation = core::read_varint(reader);
+    entry.heartbeat = core::read_varint(reader);
+    entry.state = read_state(reader);
+    entry.load = core::read_byte(reader);
     return entry;
 }
 
-rollout_state rollout_state_of(int number) {
-    if (number < 0 || number > static_cast<int>(rollout_state::reverted)) {
-        throw std::invalid_argument("roll-out state out of range");
+void append_counts(std::string& out, const policy::version_counts& counts) {
+    for (const auto number : {counts.sent, counts.good, counts.bad, counts.first_byte_ms}) {
+        core::append_varint(out, number);
     }
-    return static_cast<rollout_state>(number);
 }
 
-json counts_json(const policy::version_counts& counts) {
-    return json::array({counts.sent, counts.good, counts.bad, counts.first_byte_ms});
+policy::version_counts read_counts(byte_reader& reader) {
+    policy::version_counts counts;
+    for (auto* number : {&counts.sent, &counts.good, &counts.bad, &counts.first_byte_ms}) {
+        *number = core::read_varint(reader);
+    }
+    return counts;
 }
 
-policy::version_counts counts_of(const json& value) {
-    return {value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>(),
-            value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>()};
+void append_uses(std::string& out, const std::map<std::string, upstream_use>& uses) {
+    core::append_varint(out, uses.size());
+    for (const auto& [upstream, use] : uses) {
+        core::append_text(out, upstream);
+        append_use(out, use);
+    }
 }
 
-json documents_json(const heartbeat_message& message) {
-    json list = json::array();
-    for (const auto& claim : message.documents) {
-        list.push_back({claim.at, claim.hash, claim.age.count()});
+void read_uses(byte_reader& reader, std::map<std::string, upstream_use>& uses) {
+    for (auto left = core::read_count(reader, min_use_bytes); left > 0 && reader.is_valid; --left) {
+        auto upstream = read_string(reader);
+        uses[std::move(upstream)] = read_use(reader);
     }
-    return list;
 }
 
-json lists_json(const heartbeat_message& message) {
-    json uses = json::array();
-    for (const auto& [id, use] : message.uses) {
-        uses.push_back({id, use_json(use)});
-    }
-    json trials = json::array();
-    for (const auto& record : message.trials) {
+void append_trials(std::string& out, const std::vector<trial_record>& trials) {
+    core::append_varint(out, trials.size());
+    for (const auto& record : trials) {
         const auto& report = record.report;
-        trials.push_back({record.service, record.order, report.node, report.incarnation, report.sequence,
-                          counts_json(report.target), counts_json(report.old), report.running_on_old,
-                          record.age.count()});
+        core::append_text(out, record.service);
+        core::append_varint(out, record.order);
+        core::append_text(out, report.node);
+        core::append_varint(out, report.incarnation);
+        core::append_varint(out, report.sequence);
+        append_counts(out, report.target);
+        append_counts(out, report.old);
+        core::append_signed(out, report.running_on_old);
+        append_age(out, record.age);
     }
-    json crashes = json::array();
-    for (const auto& record : message.crashes) {
-        crashes.push_back({record.fingerprint, record.upstream, record.age.count()});
-    }
-    json rollouts = json::array();
-    for (const auto& record : message.rollouts) {
-        rollouts.push_back({record.service, record.order, static_cast<int>(record.state), record.stopped,
-                            record.written, record.elapsed.count()});
-    }
-    json sessions = json::array();
-    for (const auto& record : message.sessions) {
-        sessions.push_back({record.session, record.on_target, record.age.count()});
-    }
-    json members = json::array();
-    for (const auto& member : message.members) {
-        members.push_back({member_json(member.entry), member.silence.count()});
-    }
-    // A flat list, because compact members are the largest part of a heartbeat in a large fleet.
-    json compact_members = json::array();
-    for (const auto& member : message.compact_members) {
-        for (const std::int64_t number : {std::int64_t(member.tag), std::int64_t(member.heartbeat),
-                                          std::int64_t(member.state), member.silence.count()}) {
-            compact_members.push_back(number);
-        }
+}
+
+void read_trials(byte_reader& reader, std::vector<trial_record>& trials) {
+    for (auto left = core::read_count(reader, min_trial_bytes); left > 0 && reader.is_valid; --left) {
+        trial_record record;
+        record.service = read_string(reader);
+        record.order = core::read_varint(reader);
+        record.report.node = read_string(reader);
+        record.report.incarnation = core::read_varint(reader);
+        record.report.sequence = core::read_varint(reader);
+        record.report.target = read_counts(reader);
+        record.report.old = read_counts(reader);
+        const auto running = core::read_signed(reader);
+        reader.is_valid = reader.is_valid && running >= 0 && running <= std::numeric_limits<int>::max();
+        record.report.running_on_old = int(running);
+        record.age = read_age(reader);
+        trials.push_back(std::move(record));
     }
-    return {{"h", std::move(compact_members)}, {"u", std::move(uses)},     {"c", std::move(trials)},
-            {"k", std::move(crashes)},         {"r", std::move(rollouts)}, {"p", std::move(sessions)},
-            {"m", std::move(members)}};
 }
 
-void read_compact_members(const json& numbers, heartbeat_message& message) {
-    for (std::size_t i = 0; i < numbers.size(); i += 4) {
-        message.compact_members.push_back({numbers.at(i).get<std::uint32_t>(),
-                                           numbers.at(i + 1).get<std::uint64_t>(),
-                                           read_member_state(numbers.at(i + 2)),
-                                           core::milliseconds(numbers.at(i + 3).get<std::int64_t>())});
+void append_crashes(std::string& out, const std::vector<crash_record>& crashes) {
+    core::append_varint(out, crashes.size());
+    for (const auto& record : crashes) {
+        core::append_fixed64(out, record.fingerprint);
+        core::append_text(out, record.upstream);
+        append_age(out, record.age);
     }
 }
 
-void read_lists(const json& value, heartbeat_message& message) {
-    read_compact_members(value.at("h"), message);
-    for (const auto& item : value.at("u")) {
-        message.uses[item.at(0).get<std::string>()] = use_of(item.at(1));
+void read_crashes(byte_reader& reader, std::vector<crash_record>& crashes) {
+    for (auto left = core::read_count(reader, min_crash_bytes); left > 0 && reader.is_valid; --left) {
+        crash_record record;
+        record.fingerprint = core::read_fixed64(reader);
+        record.upstream = read_string(reader);
+        record.age = read_age(reader);
+        crashes.push_back(std::move(record));
     }
-    for (const auto& record : value.at("c")) {
-        policy::trial_report report{record.at(2).get<std::string>(),   record.at(3).get<std::uint64_t>(),
-                                    record.at(4).get<std::uint64_t>(), counts_of(record.at(5)),
-                                    counts_of(record.at(6)),           record.at(7).get<int>()};
-        message.trials.push_back({record.at(0).get<std::string>(), record.at(1).get<std::uint64_t>(),
-                                  std::move(report), core::milliseconds(record.at(8).get<std::int64_t>())});
+}
+
+void append_rollouts(std::string& out, const std::vector<rollout_record>& rollouts) {
+    core::append_varint(out, rollouts.size());
+    for (const auto& record : rollouts) {
+        core::append_text(out, record.service);
+        core::append_varint(out, record.order);
+        out.push_back(static_cast<char>(record.state));
+        out.push_back(
+            static_cast<char>((record.stopped ? stopped_flag : 0) | (record.written ? written_flag : 0)));
+        append_age(out, record.elapsed);
     }
-    for (const auto& record : value.at("k")) {
-        message.crashes.push_back({record.at(0).get<std::uint64_t>(), record.at(1).get<std::string>(),
-                                   core::milliseconds(record.at(2).get<std::int64_t>())});
+}
+
+void read_rollouts(byte_reader& reader, std::vector<rollout_record>& rollouts) {
+    for (auto left = core::read_count(reader, min_rollout_bytes); left > 0 && reader.is_valid; --left) {
+        rollout_record record;
+        record.service = read_string(reader);
+        record.order = core::read_varint(reader);
+        const auto state = core::read_byte(reader);
+        reader.is_valid = reader.is_valid && state <= static_cast<std::uint8_t>(rollout_state::reverted);
+        record.state = static_cast<rollout_state>(state);
+        const auto flags = core::read_byte(reader);
+        record.stopped = (flags & stopped_flag) != 0;
+        record.written = (flags & written_flag) != 0;
+        record.elapsed = read_age(reader);
+        rollouts.push_back(std::move(record));
     }
-    for (const auto& record : value.at("r")) {
-        message.rollouts.push_back({record.at(0).get<std::string>(), record.at(1).get<std::uint64_t>(),
-                                    rollout_state_of(record.at(2).get<int>()), record.at(3).get<bool>(),
-                                    record.at(4).get<bool>(),
-                                    core::milliseconds(record.at(5).get<std::int64_t>())});
+}
+
+void append_sessions(std::string& out, const std::vector<session_record>& sessions) {
+    core::append_varint(out, sessions.size());
+    for (const auto& record : sessions) {
+        core::append_fixed64(out, record.session);
+        out.push_back(record.on_target ? '\1' : '\0');
+        append_age(out, record.age);
     }
-    for (const auto& record : value.at("p")) {
-        message.sessions.push_back({record.at(0).get<std::uint64_t>(), record.at(1).get<bool>(),
-                                    core::milliseconds(record.at(2).get<std::int64_t>())});
+}
+
+void read_sessions(byte_reader& reader, std::vector<session_record>& sessions) {
+    for (auto left = core::read_count(reader, min_session_bytes); left > 0 && reader.is_valid; --left) {
+        session_record record;
+        record.session = core::read_fixed64(reader);
+        record.on_target = core::read_byte(reader) != 0;
+        record.age = read_age(reader);
+        sessions.push_back(record);
     }
-    for (const auto& member : value.at("m")) {
-        message.members.push_back(
-            {member_of(member.at(0)), core::milliseconds(member.at(1).get<std::int64_t>())});
+}
+
+void append_members(std::string& out, const std::vector<relayed_member>& members) {
+    core::append_varint(out, members.size());
+    for (const auto& member : members) {
+        append_member(out, member.entry);
+        append_age(out, member.silence);
     }
 }
 
-heartbeat_message read_heartbeat(const json& value) {
-    heartbeat_message message;
-    if (value.at("v").get<int>() != heartbeat_format) {
-        throw std::invalid_argument("unknown format of a beat");
+void read_members(byte_reader& reader, std::vector<relayed_member>& members) {
+    for (auto left = core::read_count(reader, min_member_bytes); left > 0 && reader.is_valid; --left) {
+        relayed_member member;
+        member.entry = read_member(reader);
+        member.silence = read_age(reader);
+        members.push_back(std::move(member));
     }
-    message.sender = member_of(value.at("s"));
-    message.stamp = value.at("t").get<std::int64_t>();
-    if (const auto echo = value.find("e"); echo != value.end()) {
-        message.echoed_stamp = echo->at(0).get<std::int64_t>();
-        message.echo_held = std::chrono::microseconds(echo->at(1).get<std::int64_t>());
+}
+
+void append_compact_members(std::string& out, const std::vector<compact_member>& members) {
+    core::append_varint(out, members.size());
+    for (const auto& member : members) {
+        core::append_fixed32(out, member.tag);
+        core::append_varint(out, member.heartbeat);
+        out.push_back(static_cast<char>(member.state));
+        append_age(out, member.silence);
     }
-    const auto& documents = value.at("d");
-    for (std::size_t i = 0; i < document_count; ++i) {
-        const auto& claim = documents.at(i);
-        message.documents.at(i) = {claim.at(0).get<std::uint64_t>(), claim.at(1).get<std::uint64_t>(),
-                                   core::milliseconds(claim.at(2).get<std::int64_t>())};
+}
+
+void read_compact_members(byte_reader& reader, std::vector<compact_member>& members) {
+    auto left = core::read_count(reader, min_compact_member_bytes);
+    members.reserve(left);
+    for (; left > 0 && reader.is_valid; --left) {
+        compact_member member;
+        member.tag = core::read_fixed32(reader);
+        member.heartbeat = core::read_varint(reader);
+        member.state = read_state(reader);
+        member.silence = read_age(reader);
+        members.push_back(member);
     }
-    read_lists(value, message);
-    return message;
 }
 
 } // namespace
@@ -173,25 +235,54 @@
 }
 
 std::string encode_heartbeat(const heartbeat_message& message) {
-    json value = lists_json(message);
-    value["v"] = heartbeat_format;
-    value["s"] = member_json(message.sender);
-    value["t"] = message.stamp;
-    value["d"] = documents_json(message);
+    std::string out(1, heartbeat_format);
+    append_member(out, message.sender);
+    core::append_signed(out, message.stamp);
+    out.push_back(message.echoed_stamp ? '\1' : '\0');
     if (message.echoed_stamp) {
-        value["e"] = json::array({*message.echoed_stamp, message.echo_held.count()});
+        core::append_signed(out, *message.echoed_stamp);
+        core::append_signed(out, message.echo_held.count());
+    }
+    for (const auto& claim : message.documents) {
+        core::append_varint(out, claim.at);
+        core::append_fixed64(out, claim.hash);
+        append_age(out, claim.age);
     }
-    std::string bytes;
-    json::to_cbor(value, bytes);
-    return bytes;
+    append_uses(out, message.uses);
+    append_trials(out, message.trials);
+    append_crashes(out, message.crashes);
+    append_rollouts(out, message.rollouts);
+    append_sessions(out, message.sessions);
+    append_members(out, message.members);
+    append_compact_members(out, message.compact_members);
+    return out;
 }
 
 std::optional<heartbeat_message> decode_heartbeat(std::string_view bytes) {
-    try {
-        return read_heartbeat(json::from_cbor(bytes.begin(), bytes.end()));
-    } catch (const std::exception&) {
+    byte_reader reader{bytes};
+    if (core::read_byte(reader) != heartbeat_format) {
         return std::nullopt;
     }
+    heartbeat_message message;
+    message.sender = read_member(reader);
+    message.stamp = core::read_signed(reader);
+    if (core::read_byte(reader) != 0) {
+        message.echoed_stamp = core::read_signed(reader);
+        message.echo_held = std::chrono::microseconds(core::read_signed(reader));
+    }
+    for (auto& claim : message.documents) {
+        claim.at = core::read_varint(reader);
+        claim.hash = core::read_fixed64(reader);
+        claim.age = read_age(reader);
+    }
+    read_uses(reader, message.uses);
+    read_trials(reader, message.trials);
+    read_crashes(reader, message.crashes);
+    read_rollouts(reader, message.rollouts);
+    read_sessions(reader, message.sessions);
+    read_members(reader, message.members);
+    read_compact_members(reader, message.compact_members);
+    return core::is_complete(reader) ? std::make_optional(std::move(message)) : std::nullopt;
 }
 
 } // namespace figspoke::relay
--- a/packages/relay/heartbeat_message.h
+++ b/packages/relay/heartbeat_message.h
@@ -97,7 +97,7 @@
     std::vector<compact_member> compact_members;
 };
 
-/// Encodes a heartbeat message as CBOR.
+/// Encodes a heartbeat message in a binary format without names.
 std::string encode_heartbeat(const heartbeat_message& message);
 
 /// Decodes a heartbeat message; empty if the bytes are not a valid one.
--- a/packages/relay/load_message.cpp
+++ b/packages/relay/load_message.cpp
@@ -1,44 +1,56 @@
 #include "relay/load_message.h"
 
-#include <nlohmann/json.hpp>
-
 #include "relay/use_codec.h"
 
 namespace figspoke::relay {
 namespace {
 
-using nlohmann::json;
+using core::byte_reader;
+
+// Differs from the first byte of a heartbeat.
+constexpr char load_marker = 'M';
+
+// Fewest bytes of a list's entry, which bound the number of entries that a received message can announce.
+constexpr std::size_t min_use_bytes = 8;
+constexpr std::size_t min_event_bytes = 2;
+constexpr std::size_t min_query_bytes = 1;
+constexpr std::size_t min_load_bytes = 9;
 
-// Distinct from a heartbeat, which is a CBOR map and starts with a byte of 0xa0 or more.
-constexpr char load_marker = 'L';
+// Bits of the flags of an upstream's load.
+constexpr std::uint8_t suspect_flag = 1;
+constexpr std::uint8_t full_flag = 2;
 
-policy::upstream_event event_of(int number) {
-    if (number < 0 || number >= policy::upstream_event_count) {
-        throw std::invalid_argument("event of an upstream out of range");
+void read_uses(byte_reader& reader, load_message& message) {
+    for (auto left = core::read_count(reader, min_use_bytes); left > 0 && reader.is_valid; --left) {
+        std::string upstream(core::read_text(reader));
+        message.uses[std::move(upstream)] = read_use(reader);
     }
-    return static_cast<policy::upstream_event>(number);
 }
 
-load_message read_message(const json& value) {
-    load_message message;
-    message.node = value.at(0).get<std::string>();
-    message.incarnation = value.at(1).get<std::uint64_t>();
-    message.sequence = value.at(2).get<std::uint64_t>();
-    for (const auto& item : value.at(3)) {
-        message.uses[item.at(0).get<std::string>()] = use_of(item.at(1));
+void read_events(byte_reader& reader, load_message& message) {
+    for (auto left = core::read_count(reader, min_event_bytes); left > 0 && reader.is_valid; --left) {
+        std::string upstream(core::read_text(reader));
+        const int number = core::read_byte(reader);
+        reader.is_valid = reader.is_valid && number < policy::upstream_event_count;
+        message.events.emplace_back(std::move(upstream), static_cast<policy::upstream_event>(number));
     }
-    for (const auto& item : value.at(4)) {
-        message.events.emplace_back(item.at(0).get<std::string>(), event_of(item.at(1).get<int>()));
+}
+
+void read_queries(byte_reader& reader, load_message& message) {
+    for (auto left = core::read_count(reader, min_query_bytes); left > 0 && reader.is_valid; --left) {
+        message.queried_upstreams.emplace_back(core::read_text(reader));
     }
-    message.query_id = value.at(5).get<std::uint64_t>();
-    message.queried_upstreams = value.at(6).get<std::vector<std::string>>();
-    message.answered_query_id = value.at(7).get<std::uint64_t>();
-    for (const auto& item : value.at(8)) {
+}
+
+void read_loads(byte_reader& reader, load_message& message) {
+    for (auto left = core::read_count(reader, min_load_bytes); left > 0 && reader.is_valid; --left) {
+        std::string upstream(core::read_text(reader));
+        const auto use = read_use(reader);
+        const auto flags = core::read_byte(reader);
         message.loads.emplace_back(
-            item.at(0).get<std::string>(),
-            policy::aggregated_load{use_of(item.at(1)), item.at(2).get<bool>(), item.at(3).get<bool>()});
+            std::move(upstream),
+            policy::aggregated_load{use, (flags & suspect_flag) != 0, (flags & full_flag) != 0});
     }
-    return message;
 }
 
 } // namespace
@@ -48,32 +60,51 @@
 }
 
 std::string encode_load_message(const load_message& message) {
-    json uses = json::array();
+    std::string out(1, load_marker);
+    core::append_text(out, message.node);
+    for (const auto number :
+         {message.incarnation, message.sequence, message.query_id, message.answered_query_id}) {
+        core::append_varint(out, number);
+    }
+    core::append_varint(out, message.uses.size());
     for (const auto& [upstream, use] : message.uses) {
-        uses.push_back({upstream, use_json(use)});
+        core::append_text(out, upstream);
+        append_use(out, use);
     }
-    json events = json::array();
+    core::append_varint(out, message.events.size());
     for (const auto& [upstream, event] : message.events) {
-        events.push_back({upstream, static_cast<int>(event)});
+        core::append_text(out, upstream);
+        out.push_back(static_cast<char>(event));
     }
-    json loads = json::array();
+    core::append_varint(out, message.queried_upstreams.size());
+    for (const auto& upstream : message.queried_upstreams) {
+        core::append_text(out, upstream);
+    }
+    core::append_varint(out, message.loads.size());
     for (const auto& [upstream, load] : message.loads) {
-        loads.push_back({upstream, use_json(load.use), load.suspect, load.full});
+        core::append_text(out, upstream);
+        append_use(out, load.use);
+        out.push_back(static_cast<char>((load.suspect ? suspect_flag : 0) | (load.full ? full_flag : 0)));
     }
-    std::string bytes(1, load_marker);
-    json::to_cbor(json::array({message.node, message.incarnation, message.sequence, std::move(uses),
-                               std::move(events), message.query_id, message.queried_upstreams,
-                               message.answered_query_id, std::move(loads)}),
-                  bytes);
-    return bytes;
+    return out;
 }
 
 std::optional<load_message> decode_load_message(std::string_view bytes) {
-    try {
-        return read_message(json::from_cbor(bytes.begin() + 1, bytes.end()));
-    } catch (const std::exception&) {
+    if (!is_load_message(bytes)) {
         return std::nullopt;
     }
+    byte_reader reader{bytes.substr(1)};
+    load_message message;
+    message.node = core::read_text(reader);
+    for (auto* number :
+         {&message.incarnation, &message.sequence, &message.query_id, &message.answered_query_id}) {
+        *number = core::read_varint(reader);
+    }
+    read_uses(reader, message);
+    read_events(reader, message);
+    read_queries(reader, message);
+    read_loads(reader, message);
+    return core::is_complete(reader) ? std::make_optional(std::move(message)) : std::nullopt;
 }
 
 } // namespace figspoke::relay
--- a/packages/relay/load_message.h
+++ b/packages/relay/load_message.h
@@ -31,7 +31,7 @@
 /// Returns whether a datagram is a load message and not a heartbeat.
 bool is_load_message(std::string_view bytes);
 
-/// Encodes a message as a marker byte followed by CBOR.
+/// Encodes a message as a marker byte and binary fields without names.
 std::string encode_load_message(const load_message& message);
 
 /// Decodes a message; empty if the bytes are not a valid one.
--- a/packages/relay/use_codec.cpp
+++ b/packages/relay/use_codec.cpp
@@ -1,18 +1,61 @@
 #include "relay/use_codec.h"
 
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
 namespace figspoke::relay {
+namespace {
+
+// Longer ages are not plausible and could overflow when they are subtracted from a time.
+constexpr core::milliseconds max_age{std::chrono::hours(24 * 366)};
+constexpr double pending_steps_per_ms = 10;
+// Upper limit of an encoded pending time; the sums of a whole fleet stay far below it.
+constexpr double max_pending_steps = 1e15;
 
-nlohmann::json use_json(const policy::upstream_use& use) {
-    return {use.requests, use.tokens, use.pending, use.silence ? use.silence->count() : -1};
+std::uint64_t pending_steps(double ms) {
+    return std::uint64_t(std::clamp(std::round(ms * pending_steps_per_ms), 0.0, max_pending_steps));
 }
 
-policy::upstream_use use_of(const nlohmann::json& value) {
+} // namespace
+
+void append_age(std::string& out, core::milliseconds age) {
+    core::append_varint(out, std::uint64_t(std::max<std::int64_t>(age.count(), 0)));
+}
+
+core::milliseconds read_age(core::byte_reader& reader) {
+    const auto count = core::read_varint(reader);
+    if (count > std::uint64_t(max_age.count())) {
+        reader.is_valid = false;
+        return core::milliseconds(0);
+    }
+    return core::milliseconds(std::int64_t(count));
+}
+
+void append_use(std::string& out, const policy::upstream_use& use) {
+    core::append_signed(out, use.requests);
+    core::append_signed(out, use.tokens);
+    for (const double ms : use.pending) {
+        core::append_varint(out, pending_steps(ms));
+    }
+    out.push_back(use.silence ? '\1' : '\0');
+    if (use.silence) {
+        append_age(out, *use.silence);
+    }
+}
+
+policy::upstream_use read_use(core::byte_reader& reader) {
     policy::upstream_use use;
-    use.requests = value.at(0).get<int>();
-    use.tokens = value.at(1).get<std::int64_t>();
-    use.pending = value.at(2).get<policy::pending_by_rank>();
-    if (const auto silence = value.at(3).get<std::int64_t>(); silence >= 0) {
-        use.silence = core::milliseconds(silence);
+    const auto requests = core::read_signed(reader);
+    reader.is_valid = reader.is_valid && requests >= std::numeric_limits<int>::min() &&
+                      requests <= std::numeric_limits<int>::max();
+    use.requests = int(requests);
+    use.tokens = core::read_signed(reader);
+    for (double& ms : use.pending) {
+        ms = std::min(double(core::read_varint(reader)), max_pending_steps) / pending_steps_per_ms;
+    }
+    if (core::read_byte(reader) != 0) {
+        use.silence = read_age(reader);
     }
     return use;
 }
--- a/packages/relay/use_codec.h
+++ b/packages/relay/use_codec.h
@@ -1,15 +1,21 @@
 #pragma once
 
-#include <nlohmann/json.hpp>
+#include <string>
 
+#include "core/byte_codec.h"
 #include "policy/upstream_use.h"
 
 namespace figspoke::relay {
 
-/// Encodes a node's use of an upstream as a JSON array.
-nlohmann::json use_json(const policy::upstream_use& use);
+/// Appends an age in milliseconds; negative ages are appended as zero.
+void append_age(std::string& out, core::milliseconds age);
 
-/// Decodes the output of `use_json`. Throws if the value has another form.
-policy::upstream_use use_of(const nlohmann::json& value);
+/// Reads an age. Ages that no node can report make the reader invalid.
+core::milliseconds read_age(core::byte_reader& reader);
+
+/// Appends a node's use of an upstream. Pending times are rounded to tenths of a millisecond.
+void append_use(std::string& out, const policy::upstream_use& use);
+
+policy::upstream_use read_use(core::byte_reader& reader);
 
 } // namespace figspoke::relay
--- a/packages/state/membership.cpp
+++ b/packages/state/membership.cpp
@@ -122,13 +122,7 @@
     return true;
 }
 
-bool merge_heartbeat(membership& known, const std::string& id, const heartbeat_update& update,
-                     core::steady_time now) {
-    const auto found = known.members.find(id);
-    if (id == known.self || found == known.members.end()) {
-        return false;
-    }
-    auto& record = found->second;
+bool merge_heartbeat(member_record& record, const heartbeat_update& update, core::steady_time now) {
     if (record.entry.incarnation != update.incarnation || record.entry.heartbeat >= update.heartbeat) {
         return false;
     }
@@ -187,10 +181,15 @@
     return serving;
 }
 
+bool is_forgotten(const membership& known, const member_record& member, const health_timeouts& timeouts,
+                  core::steady_time now) {
+    return member.entry.id != known.self && now - member.last_advanced > timeouts.forget;
+}
+
 void prune(membership& known, const health_timeouts& timeouts, core::steady_time now) {
     for (auto it = known.members.begin(); it != known.members.end();) {
         const auto& record = it->second;
-        if (it->first == known.self || now - record.last_advanced <= timeouts.forget) {
+        if (!is_forgotten(known, record, timeouts, now)) {
             ++it;
             continue;
         }
--- a/packages/state/membership.h
+++ b/packages/state/membership.h
@@ -101,10 +101,9 @@
 bool merge_entry(membership& known, const member_entry& entry, core::milliseconds heartbeat_age,
                  core::steady_time now);
 
-/// Merges a member's heartbeat and state without its other fields. Ignored if the member is unknown or has
-/// another incarnation. Returns whether the membership changed.
-bool merge_heartbeat(membership& known, const std::string& id, const heartbeat_update& update,
-                     core::steady_time now);
+/// Merges a member's heartbeat and state into its record without its other fields. Ignored if the record has
+/// another incarnation. Returns whether the record changed. A node's own record is never merged.
+bool merge_heartbeat(member_record& record, const heartbeat_update& update, core::steady_time now);
 
 /// Increments the node's own heartbeat.
 void advance_heartbeat(membership& known, core::steady_time now);
@@ -133,6 +132,10 @@
 std::vector<const member_entry*> serving_members(const membership& known, const health_timeouts& timeouts,
                                                  core::steady_time now);
 
+/// Returns whether `prune` forgets a member.
+bool is_forgotten(const membership& known, const member_record& member, const health_timeouts& timeouts,
+                  core::steady_time now);
+
 /// Forgets members without a new heartbeat for longer than `forget`, leaves tombstones for them and drops old
 /// tombstones.
 void prune(membership& known, const health_timeouts& timeouts, core::steady_time now);
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -110,6 +110,48 @@
     CHECK(decoded->compact_members.at(0).silence == core::milliseconds(250));
 }
 
+TEST_CASE("heartbeats with any content survive encoding and decoding, and a cut one is rejected") {
+    // Guards against a decoder that reads one field as another, or a shorter datagram as a whole one.
+    CHECK(rc::check([] {
+        auto message = sample_heartbeat();
+        message.sender.heartbeat = *rc::gen::arbitrary<std::uint64_t>();
+        message.stamp = *rc::gen::arbitrary<std::int64_t>();
+        message.documents[1] = {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>(),
+                                core::milliseconds(*rc::gen::inRange(0, 1000000))};
+        message.uses["u2"] = {*rc::gen::arbitrary<int>(),
+                              *rc::gen::arbitrary<std::int64_t>(),
+                              {double(*rc::gen::inRange(0, 100000)), 0.1, 0, 2.5},
+                              core::milliseconds(7)};
+        message.crashes.push_back({*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::string>(),
+                                   core::milliseconds(1)});
+        const auto bytes = encode_heartbeat(message);
+        const auto decoded = decode_heartbeat(bytes);
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(encode_heartbeat(*decoded) == bytes);
+        RC_ASSERT(decoded->sender == message.sender);
+        RC_ASSERT(decoded->stamp == message.stamp);
+        RC_ASSERT(decoded->documents[1].hash == message.documents[1].hash);
+        RC_ASSERT(decoded->uses.at("u2").tokens == message.uses.at("u2").tokens);
+        RC_ASSERT(decoded->uses.at("u2").pending == message.uses.at("u2").pending);
+        RC_ASSERT(decoded->crashes.back().upstream == message.crashes.back().upstream);
+        RC_ASSERT(!decode_heartbeat(bytes.substr(0, *rc::gen::inRange<std::size_t>(0, bytes.size()))));
+        RC_ASSERT(!decode_heartbeat(bytes + 'x'));
+    }));
+}
+
+TEST_CASE("a member costs at most ten bytes in a heartbeat between cells") {
+    // Heartbeats between cells were the largest part of the bytes between failure domains in a fleet of 295
+    // nodes, and reading them most of the processor time.
+    heartbeat_message message;
+    const auto empty = encode_heartbeat(message).size();
+    constexpr std::size_t members = 380;
+    for (std::size_t i = 0; i < members; ++i) {
+        message.compact_members.push_back(
+            {std::uint32_t(i * 0x1234567U), 14400, state::member_state::serving, core::milliseconds(900)});
+    }
+    CHECK(encode_heartbeat(message).size() - empty <= members * 10);
+}
+
 TEST_CASE("decoding a corrupted heartbeat or document throws no exception") {
     // Any host on the network can send to the heartbeat port.
     CHECK(rc::check([] {
@@ -274,6 +316,19 @@
         return idle;
     }
 
+    // Returns the heartbeats that have reached the peer.
+    std::vector<heartbeat_message> received() {
+        std::vector<heartbeat_message> messages;
+        std::string bytes(65536, '\0');
+        while (peer.available() > 0) {
+            const auto size = peer.receive(boost::asio::buffer(bytes));
+            if (auto message = decode_heartbeat(std::string_view(bytes).substr(0, size))) {
+                messages.push_back(std::move(*message));
+            }
+        }
+        return messages;
+    }
+
     void send(const heartbeat_message& message) {
         const auto bytes = encode_heartbeat(message);
         peer.send_to(boost::asio::buffer(bytes),
@@ -284,12 +339,8 @@
     std::vector<std::size_t> full_member_counts(core::milliseconds time) {
         context.run_for(time);
         std::vector<std::size_t> counts;
-        std::string bytes(65536, '\0');
-        while (peer.available() > 0) {
-            const auto size = peer.receive(boost::asio::buffer(bytes));
-            if (const auto message = decode_heartbeat(std::string_view(bytes).substr(0, size))) {
-                counts.push_back(message->members.size());
-            }
+        for (const auto& message : received()) {
+            counts.push_back(message.members.size());
         }
         return counts;
     }
@@ -345,6 +396,43 @@
     CHECK(all(send_heartbeat(1)) == 1);
 }
 
+TEST_CASE("updates between heartbeats carry members that stop but not the heartbeats of all others") {
+    // Each confirmation of a document is forwarded at once. Guards against updates that repeat the heartbeats
+    // of a whole large fleet each time, and against a stopping member that stays in the directories until the
+    // next heartbeat.
+    single_node_fleet fixture;
+    heartbeat_message message;
+    message.sender.id = "n1";
+    message.sender.failure_domain = "d0";
+    message.sender.mesh_address = "127.0.3.2:" + std::to_string(fixture.port());
+    message.sender.incarnation = 1;
+    message.sender.heartbeat = 1;
+    message.sender.state = state::member_state::serving;
+    for (int i = 0; i < 40; ++i) {
+        relayed_member member;
+        member.entry = message.sender;
+        member.entry.id = "m" + std::to_string(i);
+        member.entry.failure_domain = "d1";
+        member.entry.state = i == 7 ? state::member_state::leaving : state::member_state::serving;
+        message.members.push_back(member);
+    }
+    fixture.send(message);
+    fixture.full_member_counts(core::milliseconds(600));
+    REQUIRE(fixture.node.layout().cells > 1);
+    fixture.node.forward_updates();
+    const auto updates = fixture.received();
+    REQUIRE_FALSE(updates.empty());
+    for (const auto& update : updates) {
+        // The stopping member isn't told of itself.
+        CHECK(update.compact_members.size() <= 1U);
+        for (const auto& member : update.compact_members) {
+            CHECK(member.state == state::member_state::leaving);
+        }
+    }
+    CHECK(std::any_of(updates.begin(), updates.end(),
+                      [](const heartbeat_message& update) { return !update.compact_members.empty(); }));
+}
+
 namespace {
 
 load_message sample_load_message() {
