--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -101,6 +101,17 @@
     CHECK(registry_hash(entry(1, "ready")) != registry_hash(entry(2, "draining")));
 }
 
+TEST_CASE("an engine that moves to another failure domain changes the hash of the registry") {
+    // Nodes copy the registry from each other only when its hash changes, so a field that the hash leaves out
+    // stays as it was on all nodes but the one that reads the store.
+    const auto entry = [](const char* zone) {
+        return content_with("servers/a",
+                            R"({"service":"s","address":"10.0.0.1:80","slots":8,"state":"ready","zone":")" +
+                                std::string(zone) + R"("})");
+    };
+    CHECK(registry_hash(entry("z1")) != registry_hash(entry("z2")));
+}
+
 TEST_CASE("no decoder throws on arbitrary bytes") {
     CHECK(rc::check([](const std::string& bytes) {
         decode_routes(content_with("op/config", bytes));
