Give up answers without end and stalled streams that send a byte now and then

Cause: each read of an answer had a timeout of its own, so an upstream that sent bytes without end, or one byte now and then, kept the request and its connection beyond the deadline. The buffer of a connection had no limit of its own; any byte counted as progress of a stream; the body of a refusal was read before the request moved on; and bytes after a complete answer stayed on the idle connection until its next use, where the request then failed.

Change: policy/answer_progress decides, without I/O, how long to wait for the next bytes of a body and which pauses a stream may make. A body that could be had elsewhere must keep a least pace, any other lasts to the deadline at most. Streams end at the deadline. The input buffer is bounded, refusals wait 50 ms for their body, and idle connections with input are closed on each tick. A stream without a length that ends within an event is broken off also where it can't be resumed.

--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "policy/answer_progress.h"
 #include "policy/relay_outcome.h"
 #include "relay/caller_connection.h"
 #include "relay/candidates.h"
@@ -61,7 +62,8 @@
     attempt_plan plan_for(const state::upstream_entry& entry);
     next_step send_to(const state::upstream_entry& entry);
     void begin_stream_watch(const state::upstream_entry& entry, double expected_ms);
-    void record_received_bytes(const state::upstream_entry& entry);
+    void record_progress(std::size_t events);
+    policy::body_limits body_limits(core::milliseconds stall_timeout) const;
     next_step handle_answer(const state::upstream_entry& entry, begun_answer& answer,
                             core::steady_time sent_at);
     next_step handle_refusal(const state::upstream_entry& entry, begun_answer& answer);
@@ -72,7 +74,7 @@
     next_step forward_stream(const state::upstream_entry& entry, begun_answer& answer,
                              core::steady_time sent_at);
     next_step abandon_stream(const state::upstream_entry& entry, begun_answer& answer);
-    std::string extract_new_events(event_splitter& splitter, std::string_view piece);
+    std::string new_events(const std::vector<stream_event>& events);
     bool write_to_caller(const begun_answer& answer, const std::string& bytes);
     bool begin_answer(const begun_answer& answer);
     next_step finish_stream(const state::upstream_entry& entry, begun_answer& answer,
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -17,10 +17,8 @@
 // upstream may close an older connection while the request is in flight.
 constexpr core::milliseconds max_idle_unrepeatable{900};
 constexpr core::milliseconds max_idle_repeatable{8000};
-// Time without bytes on a stream after which it moves if its upstream is silent to all other requests too.
-constexpr core::milliseconds stream_stall_timeout{1300};
-// Time without bytes on a stream after which it moves even if its upstream serves other requests.
-constexpr core::milliseconds max_stream_silence{4000};
+// Time for the body of a refusal. The request moves on without it; it is read only to reuse the connection.
+constexpr core::milliseconds refusal_body_timeout{50};
 // A repeatable plain request moves to another upstream after this multiple of its latency target.
 constexpr int plain_timeout_targets = 2;
 
@@ -85,24 +83,31 @@
     return step;
 }
 
-// Registers a stream that may move to another upstream. It moves when it stalls for longer than the prefill
-// should take while its upstream is silent to all requests and found dead, or after a longer stall.
+// Registers a stream that may move to another upstream when it stalls.
 void forward_run::begin_stream_watch(const state::upstream_entry& entry, double expected_ms) {
     if (!route_.streaming || !attempts_remain()) {
         return;
     }
-    const auto expected = core::milliseconds(std::int64_t(expected_ms));
-    node_.streams[id_] = {entry.id, current_link_, boot_now(), stream_stall_timeout + 2 * expected,
-                          std::max(max_stream_silence, route_.latency_target) + 2 * expected};
+    const auto pauses = policy::allowed_pauses(
+        {false, time_left(), route_.latency_target, core::milliseconds(std::int64_t(expected_ms))});
+    node_.streams[id_] = {entry.id, current_link_, boot_now(), pauses.silent_upstream, pauses.longest};
 }
 
-void forward_run::record_received_bytes(const state::upstream_entry& entry) {
-    node_.last_byte_at[entry.id] = boot_now();
-    if (const auto found = node_.streams.find(id_); found != node_.streams.end()) {
-        found->second.since = boot_now();
-        found->second.silence_timeout = stream_stall_timeout;
-        found->second.limit = max_stream_silence;
+// Only whole events are progress of the stream: an upstream that sends a byte now and then stalls too.
+void forward_run::record_progress(std::size_t events) {
+    const auto found = node_.streams.find(id_);
+    if (found == node_.streams.end() || events == 0) {
+        return;
     }
+    const auto pauses =
+        policy::allowed_pauses({true, time_left(), route_.latency_target, core::milliseconds(0)});
+    found->second.since = boot_now();
+    found->second.silence_timeout = pauses.silent_upstream;
+    found->second.limit = pauses.longest;
+}
+
+policy::body_limits forward_run::body_limits(core::milliseconds stall_timeout) const {
+    return {boot_now(), deadline_, stall_timeout, attempts_remain()};
 }
 
 forward_run::next_step forward_run::handle_answer(const state::upstream_entry& entry, begun_answer& answer,
@@ -129,7 +134,8 @@
 forward_run::next_step forward_run::handle_refusal(const state::upstream_entry& entry, begun_answer& answer) {
     history_.sends.push_back({entry.id, policy::send_result::refused});
     record_upstream_event(node_, entry.id, policy::upstream_event::full);
-    const auto body = read_answer_body(answer, read_timeout(), exchange_.yield());
+    const auto limits = body_limits(std::min(refusal_body_timeout, time_left()));
+    const auto body = read_answer_body(answer, limits, max_discarded_bytes, exchange_.yield());
     if (body) {
         release_link(node_, entry.id, answer);
     } else {
@@ -169,7 +175,8 @@
 
 forward_run::next_step forward_run::forward_whole_answer(const state::upstream_entry& entry,
                                                          begun_answer& answer, core::steady_time sent_at) {
-    auto body = read_answer_body(answer, read_timeout(), exchange_.yield());
+    auto body =
+        read_answer_body(answer, body_limits(read_timeout()), max_whole_answer_bytes, exchange_.yield());
     if (!body) {
         return handle_send_failure(entry,
                                    {policy::send_result::unknown, body.error().cause, body.error().message});
@@ -210,7 +217,7 @@
             return handle_send_failure(
                 entry, {policy::send_result::unknown, piece.error().cause, piece.error().message});
         }
-        record_received_bytes(entry);
+        node_.last_byte_at[entry.id] = boot_now();
         if (first) {
             first = false;
             record_result(entry, true, sent_at);
@@ -218,10 +225,17 @@
         if (piece->empty()) {
             return finish_stream(entry, answer, splitter);
         }
-        const auto bytes = resumable ? extract_new_events(splitter, *piece) : *piece;
+        const auto events = splitter.feed(*piece);
+        record_progress(events.size());
+        // Without a continuation elsewhere, a partial event is better than a delayed one.
+        const auto bytes = resumable ? new_events(events) : *piece;
         if (!bytes.empty() && !write_to_caller(answer, bytes)) {
             return abandon_stream(entry, answer);
         }
+        if (boot_now() >= deadline_) {
+            return handle_send_failure(entry, {policy::send_result::unknown, link_failure::timed_out,
+                                               "the stream lasts beyond the deadline"});
+        }
         if (splitter.incomplete_event().size() > max_event_bytes) {
             return handle_send_failure(entry, {policy::send_result::unknown, link_failure::malformed,
                                                "a server-sent event is too long"});
@@ -236,10 +250,10 @@
     return next_step::finished;
 }
 
-// Returns the bytes of the complete events that the caller hasn't received yet.
-std::string forward_run::extract_new_events(event_splitter& splitter, std::string_view piece) {
+// Returns the bytes of the events that the caller hasn't received yet.
+std::string forward_run::new_events(const std::vector<stream_event>& events) {
     std::string bytes;
-    for (auto& event : splitter.feed(piece)) {
+    for (const auto& event : events) {
         if (event.id && last_event_id_ && *event.id <= *last_event_id_) {
             continue;
         }
@@ -279,7 +293,8 @@
     release_link(node_, entry.id, answer);
     history_.sends.push_back({entry.id, policy::send_result::succeeded});
     bool written = begin_answer(answer);
-    if (written && !splitter.incomplete_event().empty()) {
+    const bool rest_held = route_.retry == state::retry_policy::resumable;
+    if (written && rest_held && !splitter.incomplete_event().empty()) {
         written = exchange_.write(splitter.incomplete_event());
     }
     written = written && exchange_.end();
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -1,5 +1,7 @@
 #include "relay/send_attempt.h"
 
+#include <algorithm>
+
 #include "relay/boot_clock.h"
 
 namespace figspoke::relay {
@@ -8,37 +10,20 @@
 // An upstream may answer an earlier request twice. More than a few such answers mean that requests and
 // answers on the connection no longer correspond.
 constexpr int max_discarded_answers = 2;
-constexpr std::size_t max_discarded_bytes = 256U * 1024;
 
 attempt_failure failure_of(const link_error& error) {
     const bool sent = error.cause != link_failure::not_connected && error.cause != link_failure::refused;
     return {sent ? policy::send_result::unknown : policy::send_result::not_sent, error.cause, error.message};
 }
 
-link_result<void> discard_body(begun_answer& answer, core::milliseconds read_timeout,
-                               const boost::asio::yield_context& yield) {
-    std::size_t total = 0;
-    while (true) {
-        auto piece = answer.link->read_some(read_timeout, yield);
-        if (!piece) {
-            return tl::make_unexpected(piece.error());
-        }
-        if (piece->empty()) {
-            return {};
-        }
-        total += piece->size();
-        if (total > max_discarded_bytes) {
-            return tl::make_unexpected(
-                link_error{link_failure::malformed, "an answer to another request is too long"});
-        }
-    }
-}
-
 link_result<begun_answer> read_matching_head(relay_state& node, const attempt_plan& plan,
                                              const upstream_link_ptr& link,
                                              const boost::asio::yield_context& yield) {
+    // One deadline for all that comes before the answer: late answers to earlier requests extend nothing.
+    const auto deadline = boot_now() + plan.read_timeout;
     for (int discarded = 0; discarded <= max_discarded_answers; ++discarded) {
-        auto head = link->read_head(plan.read_timeout, yield);
+        const auto left = std::max(core::to_ms(deadline - boot_now()), core::milliseconds(1));
+        auto head = link->read_head(left, yield);
         if (!head) {
             return tl::make_unexpected(head.error());
         }
@@ -53,8 +38,9 @@
         if (!link->reused || link->ends_with_connection()) {
             break;
         }
-        if (auto done = discard_body(answer, plan.read_timeout, yield); !done) {
-            return tl::make_unexpected(done.error());
+        const policy::body_limits limits{boot_now(), deadline, plan.read_timeout, false};
+        if (auto body = read_answer_body(answer, limits, max_discarded_bytes, yield); !body) {
+            return tl::make_unexpected(body.error());
         }
     }
     return tl::make_unexpected(link_error{link_failure::malformed, "the answer belongs to another request"});
@@ -86,18 +72,23 @@
     return std::move(*answer);
 }
 
-link_result<std::string> read_answer_body(begun_answer& answer, core::milliseconds read_timeout,
-                                          const boost::asio::yield_context& yield) {
+link_result<std::string> read_answer_body(begun_answer& answer, const policy::body_limits& limits,
+                                          std::size_t max_bytes, const boost::asio::yield_context& yield) {
     std::string body;
     while (true) {
-        auto piece = answer.link->read_some(read_timeout, yield);
+        const auto wait = policy::body_wait(limits, body.size(), boot_now());
+        if (wait <= core::milliseconds(0)) {
+            return tl::make_unexpected(
+                link_error{link_failure::timed_out, "the body of the answer arrives too slowly"});
+        }
+        auto piece = answer.link->read_some(wait, yield);
         if (!piece) {
             return tl::make_unexpected(piece.error());
         }
         if (piece->empty()) {
             return body;
         }
-        if (body.size() + piece->size() > max_whole_answer_bytes) {
+        if (body.size() + piece->size() > max_bytes) {
             return tl::make_unexpected(
                 link_error{link_failure::malformed, "the body of the answer is too large"});
         }
--- a/packages/relay/send_attempt.h
+++ b/packages/relay/send_attempt.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/spawn.hpp>
 
+#include "policy/answer_progress.h"
 #include "policy/relay_outcome.h"
 #include "relay/relay_state.h"
 
@@ -18,7 +19,7 @@
     header_list headers;
     std::shared_ptr<const std::string> body;
     std::string request_id;
-    /// Maximum time without a byte of the answer.
+    /// Maximum time until the head of the answer.
     core::milliseconds read_timeout{0};
     core::milliseconds connect_timeout{0};
     /// Maximum idle time of a pooled connection that is used. The upstream may close an older one during a
@@ -45,13 +46,16 @@
                                                                const std::function<void()>& on_sent,
                                                                const boost::asio::yield_context& yield);
 
-/// Reads the body of an answer, at most `max_whole_answer_bytes`.
-link_result<std::string> read_answer_body(begun_answer& answer, core::milliseconds read_timeout,
-                                          const boost::asio::yield_context& yield);
+/// Reads the body of an answer, at most `max_bytes`.
+link_result<std::string> read_answer_body(begun_answer& answer, const policy::body_limits& limits,
+                                          std::size_t max_bytes, const boost::asio::yield_context& yield);
 
 /// Returns the connection to the pool if it is reusable and its upstream is registered; closes it otherwise.
 void release_link(relay_state& node, const std::string& upstream, const begun_answer& answer);
 
 inline constexpr std::size_t max_whole_answer_bytes = 8U * 1024 * 1024;
 
+/// Maximum length of a body that is read only so that its connection can be used again.
+inline constexpr std::size_t max_discarded_bytes = 256U * 1024;
+
 } // namespace figspoke::relay
--- a/packages/relay/upstream_link.cpp
+++ b/packages/relay/upstream_link.cpp
@@ -25,6 +25,9 @@
 
 constexpr std::uint32_t max_answer_header_bytes = 64U * 1024;
 constexpr std::size_t piece_bytes = 16U * 1024;
+// Bytes that are received and not yet parsed. The parser asks for more until a header field, a chunk's
+// extension or a trailer ends, so that an upstream could make an unlimited buffer grow without end.
+constexpr std::size_t max_buffered_bytes = max_answer_header_bytes + 2 * piece_bytes;
 // The kernel closes a connection whose sent bytes stay unacknowledged for this long (TCP_USER_TIMEOUT). The
 // read timeouts cover an upstream that acknowledges but doesn't answer.
 constexpr core::milliseconds user_timeout{3000};
@@ -57,7 +60,7 @@
 
     tcp::socket socket;
     watchdog timer;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_buffered_bytes};
     std::unique_ptr<answer_parser> parser;
     std::array<char, piece_bytes> piece{};
     bool head_request = false;
@@ -247,13 +250,16 @@
 void upstream_pool::expire(core::steady_time now, core::milliseconds max_idle) {
     for (auto& pooled : entries_) {
         auto& links = pooled.links;
-        const auto old = [&](const upstream_link_ptr& link) { return now - link->used_at > max_idle; };
-        std::for_each(links.begin(), links.end(), [&](const upstream_link_ptr& link) {
-            if (old(link)) {
-                link->close();
-            }
-        });
-        links.erase(std::remove_if(links.begin(), links.end(), old), links.end());
+        links.erase(std::remove_if(links.begin(), links.end(),
+                                   [&](const upstream_link_ptr& link) {
+                                       const bool kept =
+                                           now - link->used_at <= max_idle && link->has_no_input();
+                                       if (!kept) {
+                                           link->close();
+                                       }
+                                       return !kept;
+                                   }),
+                    links.end());
     }
     entries_.erase(std::remove_if(entries_.begin(), entries_.end(),
                                   [](const entry& pooled) { return pooled.links.empty(); }),
--- a/packages/relay/upstream_link.h
+++ b/packages/relay/upstream_link.h
@@ -105,7 +105,8 @@
     /// Closes the idle connections of an upstream.
     void drop(const std::string& upstream);
 
-    /// Closes connections that were idle for longer than `max_idle`.
+    /// Closes connections that were idle for longer than `max_idle`, that the upstream has closed, or on
+    /// which bytes arrived that belong to no answer.
     void expire(core::steady_time now, core::milliseconds max_idle);
 
   private:
