Serve requests that arrive while a planned stop closes connections

Cause: closing the listening socket resets the connections that the kernel holds for it, and an idle connection was closed without looking whether its next request had arrived. The process also ended when no request was running, though one could be unread in a socket.

Change: waiting connections are accepted before the listening socket closes; a connection counts as idle only without input and, when new, after 250 ms; the process ends when no connection is unfinished. A connection that closes with unread bytes first reads on for up to 500 ms, as a reset may overtake its last answer.

Measured: on the code before, twelve requests that wait to be accepted around the end of accepting are not all served, and of eight callers in a loop one is cut off; both pass in three of three runs with the change. The test with the next request in the socket passes on both, as loopback delivers an answer before a reset.

--- a/packages/relay/caller_connection.cpp
+++ b/packages/relay/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "relay/caller_connection.h"
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <set>
 #include <stdexcept>
@@ -14,6 +16,7 @@
 #include "adapters/await.h"
 #include "adapters/endpoint.h"
 #include "core/error_json.h"
+#include "relay/boot_clock.h"
 #include "relay/connection_helpers.h"
 #include "relay/watchdog.h"
 
@@ -34,6 +37,12 @@
 constexpr core::milliseconds user_timeout{10000};
 // Pause after a failed accept, for example without free file descriptors.
 constexpr core::milliseconds accept_pause{20};
+// Time in which the first request of a new connection is expected when the server stops. The request may be
+// on its way, and closing the connection would lose it.
+constexpr core::milliseconds first_request_time{250};
+// Time and bytes for which a closing connection goes on reading, so that its last answer isn't lost.
+constexpr core::milliseconds linger_time{500};
+constexpr std::size_t max_linger_bytes = 1024U * 1024;
 
 using parser_type = http::request_parser<http::string_body>;
 
@@ -70,6 +79,12 @@
     }
 }
 
+// Returns whether bytes were received that were not read yet.
+bool has_received_bytes(tcp::socket& socket) {
+    char byte = 0;
+    return socket.is_open() && ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 // Returns whether the length of the body is unambiguous. Other transfer codings than chunked, or both a
 // coding and a length, would permit request smuggling.
 bool has_unambiguous_framing(const parser_type& parser) {
@@ -100,10 +115,13 @@
         set_options();
         while (socket_.is_open() && serve_next_request()) {
         }
+        drain_input();
         close();
     }
 
-    bool idle() const { return !busy_; }
+    /// Returns whether the connection has neither a request that is being read or served nor one that may
+    /// have arrived.
+    bool idle() { return !busy_ && !awaits_first_request() && !has_unread_input(); }
 
     void close() {
         beast::error_code ignored;
@@ -160,6 +178,28 @@
   private:
     void set_options() { set_connection_options(socket_, user_timeout); }
 
+    bool awaits_first_request() const {
+        return !served_any_ && boot_now() - accepted_at_ < first_request_time;
+    }
+
+    bool has_unread_input() { return buffer_.size() > 0 || has_received_bytes(socket_); }
+
+    // Closing a socket with unread bytes resets the connection, and the reset may overtake the last answer on
+    // its way to the caller.
+    void drain_input() {
+        if (!has_received_bytes(socket_)) {
+            return;
+        }
+        beast::error_code code;
+        socket_.shutdown(tcp::socket::shutdown_send, code);
+        watchdog_.arm(linger_time);
+        std::array<char, 4096> discarded{};
+        for (std::size_t total = 0; !code && total < max_linger_bytes;) {
+            total += socket_.async_read_some(asio::buffer(discarded), (*yield_)[code]);
+        }
+        watchdog_.disarm();
+    }
+
     // Waits for the first byte of a request, so that the header timeout starts there.
     bool wait_for_request(const state::input_limits& limits) {
         if (buffer_.size() > 0) {
@@ -181,6 +221,7 @@
         const bool keep_open = read_and_serve(limits);
         --shared_->running;
         busy_ = false;
+        served_any_ = true;
         return keep_open;
     }
 
@@ -346,7 +387,9 @@
     std::uint64_t watch_id_ = 0;
     bool watching_ = false;
     bool disconnected_ = false;
+    core::steady_time accepted_at_ = boot_now();
     bool busy_ = false;
+    bool served_any_ = false;
     bool finished_ = false;
     bool closing_ = false;
 };
@@ -383,9 +426,27 @@
                 adapters::sleep_for(accept_pause, yield);
                 continue;
             }
-            auto link = std::make_shared<connection>(std::move(socket), shared);
-            asio::spawn(
-                context, [link](const asio::yield_context& own) { link->run(own); }, asio::detached);
+            serve(std::move(socket));
+        }
+    }
+
+    void serve(tcp::socket socket) {
+        auto link = std::make_shared<connection>(std::move(socket), shared);
+        asio::spawn(
+            context, [link](const asio::yield_context& own) { link->run(own); }, asio::detached);
+    }
+
+    // Closing the listening socket resets the connections that the kernel has accepted for it, although their
+    // callers may have sent a request already.
+    void accept_pending() {
+        beast::error_code code;
+        acceptor.non_blocking(true, code);
+        while (!code && shared->connections.size() < shared->max_connections) {
+            tcp::socket socket(context);
+            acceptor.accept(socket, code);
+            if (!code) {
+                serve(std::move(socket));
+            }
         }
     }
 
@@ -415,6 +476,9 @@
 }
 
 void caller_server::stop_accepting() {
+    if (state_->acceptor.is_open()) {
+        state_->accept_pending();
+    }
     beast::error_code ignored;
     state_->acceptor.close(ignored);
 }
@@ -431,6 +495,11 @@
     return state_->shared->running;
 }
 
+std::size_t caller_server::unfinished() const {
+    const auto& all = state_->shared->connections;
+    return std::size_t(std::count_if(all.begin(), all.end(), [](auto* link) { return !link->idle(); }));
+}
+
 std::size_t caller_server::connections() const {
     return state_->shared->connections.size();
 }
--- a/packages/relay/caller_connection.h
+++ b/packages/relay/caller_connection.h
@@ -75,12 +75,15 @@
 
     unsigned short port() const;
 
-    /// Closes the listening socket.
+    /// Accepts the connections that callers have already made and closes the listening socket.
     void stop_accepting();
 
-    /// Closes the connections without a request that is being read or served.
+    /// Closes the connections without a request that is being read or served or that may have arrived.
     void close_idle();
 
+    /// Returns the number of connections that `close_idle` keeps.
+    std::size_t unfinished() const;
+
     /// Returns the number of requests that are being read or served.
     std::size_t running() const;
 
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -360,7 +360,7 @@
         }
         callers_->stop_accepting();
         callers_->close_idle();
-        while (boot_now() < end && callers_->running() > 0) {
+        while (boot_now() < end && callers_->unfinished() > 0) {
             adapters::sleep_for(drain_poll, yield);
             callers_->close_idle();
         }
--- a/test/platform/relay_process_test.cpp
+++ b/test/platform/relay_process_test.cpp
@@ -500,3 +500,90 @@
     CHECK(fixture.engine.requests().size() == 1);
     CHECK(fixture.node->process->output().find("stream_given_up") == std::string::npos);
 }
+
+TEST_CASE("requests that arrive around a planned shutdown are answered or left unread") {
+    // Guards against requests that are cut off because the listening socket or an idle connection closes at
+    // the moment at which they arrive. A caller may repeat only what was certainly not read.
+    cluster_fixture fixture([](engine_connection& connection, const engine_request& request) {
+        std::this_thread::sleep_for(milliseconds(5));
+        answer_ok(connection, request);
+    });
+    constexpr int caller_count = 8;
+    std::atomic<bool> stopped{false};
+    std::atomic<int> served{0};
+    std::atomic<int> cut{0};
+    std::vector<std::thread> callers;
+    callers.reserve(caller_count);
+    for (int i = 0; i < caller_count; ++i) {
+        callers.emplace_back([&, i] {
+            for (int sent = 0; !stopped; ++sent) {
+                const auto id = "c" + std::to_string(i) + "-" + std::to_string(sent);
+                const auto answer = fixture.cluster.send(*fixture.node, "/order/1", id);
+                served += answer.status == 200 ? 1 : 0;
+                // A refused connection has read nothing. Any other failure of a request that was sent counts.
+                const bool refused =
+                    answer.status == 0 && answer.failure.find("refused") != std::string::npos;
+                cut += answer.status != 200 && !refused ? 1 : 0;
+                stopped = stopped || refused;
+            }
+        });
+    }
+    REQUIRE(wait_until([&] { return served > 50; }));
+    fixture.node->process->send_signal(SIGTERM);
+    CHECK(fixture.node->process->wait_for_exit(milliseconds(8000)) == 0);
+    stopped = true;
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    CHECK(cut == 0);
+}
+
+TEST_CASE("connections that wait to be accepted when a shutdown stops accepting are served") {
+    // Guards against requests that are cut off with the listening socket: a busy node accepts connections
+    // late, and closing the socket resets those that the kernel holds for it. The node is paused around the
+    // end of the time in which it accepts, 1.8 s after the signal.
+    cluster_fixture fixture(answer_ok);
+    fixture.node->process->send_signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(1500));
+    fixture.node->process->send_signal(SIGSTOP);
+    constexpr int caller_count = 12;
+    std::atomic<int> served{0};
+    std::vector<std::thread> callers;
+    callers.reserve(caller_count);
+    for (int i = 0; i < caller_count; ++i) {
+        callers.emplace_back([&, i] {
+            const auto answer = fixture.cluster.send(*fixture.node, "/open/1", "w" + std::to_string(i));
+            served += answer.status == 200 ? 1 : 0;
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(600));
+    fixture.node->process->send_signal(SIGCONT);
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    CHECK(served == caller_count);
+    CHECK(fixture.node->process->wait_for_exit(milliseconds(8000)) == 0);
+}
+
+TEST_CASE("an answer before a shutdown arrives although the caller has sent its next request") {
+    // Guards against a reset that overtakes an answer: closing a connection whose next request is unread
+    // resets it.
+    std::atomic<int> ran{0};
+    cluster_fixture fixture([&](engine_connection& connection, const engine_request& request) {
+        ++ran;
+        std::this_thread::sleep_for(milliseconds(600));
+        answer_ok(connection, request);
+    });
+    const auto request = [](int number) {
+        return "POST /order/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: p" + std::to_string(number) +
+               "\r\nX-Deadline-Ms: 8000\r\nApi-Key: k1\r\nContent-Length: 70000\r\n\r\n" +
+               std::string(70000, 'b');
+    };
+    std::string answer;
+    std::thread caller([&] { answer = exchange_raw(fixture.node->callers, request(1) + request(2), 3000); });
+    REQUIRE(wait_until([&] { return ran == 1; }));
+    fixture.node->process->send_signal(SIGTERM);
+    caller.join();
+    CHECK(answer.find("whole answer of p1") != std::string::npos);
+    CHECK(ran == 1);
+}
