Start a fleet with a few calls to the store and join load reports

Every process read the list of nodes and wrote its address at its start, two calls for each of 38 starts, though seeds and peers had answered long before. And each request sent up to five datagrams to one aggregator, two at its start and two at its end, repeated for all upstreams in use on every tick of 200 ms.

What a request reports at one moment takes one datagram, and repetitions come on every second tick.

--- a/packages/relay/load_aggregators.cpp
+++ b/packages/relay/load_aggregators.cpp
@@ -1,5 +1,7 @@
 #include "relay/load_aggregators.h"
 
+#include <utility>
+
 #include "core/erase_where.h"
 #include "relay/boot_clock.h"
 
@@ -27,13 +29,12 @@
 
 void load_aggregators::report(const std::string& upstream, const policy::upstream_use& use) {
     const auto place = hooks_.place_of(upstream);
-    auto message = new_message();
     if (place.address.empty()) {
-        policy::record_load(load_table_, upstream, {node_, incarnation_, message.sequence, use}, boot_now());
+        policy::record_load(load_table_, upstream, {node_, incarnation_, ++sequence_, use}, boot_now());
         return;
     }
-    message.uses[upstream] = use;
-    hooks_.send(place.address, encode_load_message(message));
+    pending_reports_[place.address].uses[upstream] = use;
+    send_reports_later();
 }
 
 void load_aggregators::report(const std::string& upstream, policy::upstream_event event) {
@@ -42,13 +43,34 @@
         policy::record_event(load_table_, settings_, upstream, event, boot_now());
         return;
     }
-    auto message = new_message();
-    message.events.emplace_back(upstream, event);
-    hooks_.send(place.address, encode_load_message(message));
+    pending_reports_[place.address].events.emplace_back(upstream, event);
+    send_reports_later();
+}
+
+// The start of a request changes the use of its upstream and is an event as well, and so is its end. One
+// datagram takes both.
+void load_aggregators::send_reports_later() {
+    if (!hooks_.defer) {
+        send_reports();
+    } else if (!sending_later_) {
+        sending_later_ = true;
+        hooks_.defer([this] { send_reports(); });
+    }
+}
+
+void load_aggregators::send_reports() {
+    sending_later_ = false;
+    for (auto& [address, pending] : std::exchange(pending_reports_, {})) {
+        auto message = new_message();
+        message.uses = std::move(pending.uses);
+        message.events = std::move(pending.events);
+        hooks_.send(address, encode_load_message(message));
+    }
 }
 
 void load_aggregators::refresh(const std::map<std::string, policy::upstream_use>& uses) {
     const auto now = boot_now();
+    send_reports();
     policy::expire_loads(load_table_, settings_, now);
     core::erase_where(cached_loads_, [&](const cached_load& cached, const std::string&) {
         return now - cached.at > cached_load_lifetime;
--- a/packages/relay/load_aggregators.h
+++ b/packages/relay/load_aggregators.h
@@ -25,6 +25,8 @@
 struct aggregator_hooks {
     std::function<aggregator_place(const std::string& upstream)> place_of;
     std::function<void(const std::string& address, const std::string& bytes)> send;
+    /// Runs a function once the present event is handled; if empty, reports are sent one by one.
+    std::function<void(std::function<void()>)> defer;
 };
 
 /// In a large fleet each upstream has a load aggregator: the node to which all others report their requests
@@ -64,6 +66,8 @@
     };
 
     load_message new_message();
+    void send_reports_later();
+    void send_reports();
     /// Sends one query to each aggregator; returns the number of replies to expect.
     std::size_t send_queries(const std::vector<std::string>& upstreams, std::uint64_t query_id);
     void reply_to_query(const load_message& message, const std::string& from);
@@ -76,6 +80,9 @@
     policy::load_table_settings settings_;
     aggregator_hooks hooks_;
     policy::load_table load_table_;
+    /// Reports that wait to be sent, by the aggregator's address.
+    std::map<std::string, load_message> pending_reports_;
+    bool sending_later_ = false;
     std::map<std::string, cached_load> cached_loads_;
     std::map<std::uint64_t, pending_query> pending_queries_;
 };
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <cstdlib>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <nlohmann/json.hpp>
 
@@ -15,6 +16,7 @@
 #include "relay/forward.h"
 #include "relay/relay_state.h"
 #include "relay/rollouts.h"
+#include "state/discovery.h"
 
 namespace figspoke::relay {
 namespace {
@@ -32,6 +34,9 @@
 // File descriptors reserved for listening sockets, peers and the store; callers and upstreams share the rest.
 constexpr std::int64_t reserved_descriptors = 260;
 constexpr core::milliseconds tick{200};
+// Ticks between repetitions of load reports. Aggregators drop a report after 1.5 s, so two repetitions may be
+// lost.
+constexpr std::uint64_t refresh_ticks = 2;
 // A longer time between two ticks means that the VM was paused.
 constexpr core::milliseconds min_vm_pause{700};
 // Fraction of the grace period in which requests are still accepted. Later ones may take longer than the rest
@@ -78,7 +83,7 @@
         spawn([this](const asio::yield_context& yield) {
             run_document_loop(state_, document_kind::registry, yield);
         });
-        spawn([this](const asio::yield_context& yield) { register_node(yield); });
+        spawn([this](const asio::yield_context& yield) { discover_nodes(yield); });
         spawn([this](const asio::yield_context& yield) { run_ticks(yield); });
         context_.run();
         adapters::close_log();
@@ -147,6 +152,7 @@
         hooks.send = [this](const std::string& address, const std::string& bytes) {
             state_.peers->send_bytes(address, bytes);
         };
+        hooks.defer = [this](std::function<void()> function) { asio::post(context_, std::move(function)); };
         return hooks;
     }
 
@@ -284,10 +290,11 @@
 
     void run_ticks(const asio::yield_context& yield) {
         auto last = boot_now();
+        std::uint64_t ticks = 0;
         while (!state_.stopped) {
             adapters::sleep_for(tick, yield);
             const auto passed = boot_now() - std::exchange(last, boot_now());
-            if (asks_load_aggregators(state_)) {
+            if (asks_load_aggregators(state_) && ++ticks % refresh_ticks == 0) {
                 state_.aggregators->refresh(local_uses());
             }
             close_silent_streams(state_, passed > min_vm_pause ? passed : core::nanoseconds(0));
@@ -299,20 +306,44 @@
         }
     }
 
-    // Nodes find each other through seeds and heartbeats. The list in the store covers the case that no seed
-    // is running.
-    void register_node(const asio::yield_context& yield) {
-        for (auto pause = min_register_delay; !state_.stopped;
-             pause = std::min(pause * 2, max_register_delay)) {
-            if (const auto known = state_.platform.list_nodes(yield)) {
-                state_.peers->add_seeds(*known);
-                const auto& settings = state_.settings;
-                if (state_.platform.register_node(settings.node_id, settings.listen.peers, yield)) {
-                    return;
-                }
-            }
+    void discover_nodes(const asio::yield_context& yield) {
+        const auto started = boot_now();
+        auto read_at = started;
+        bool registered = false;
+        auto pause = min_discovery_delay;
+        while (!state_.stopped) {
             adapters::sleep_for(pause, yield);
+            const auto step = state::next_discovery_step({core::to_ms(boot_now() - started),
+                                                          state_.peers->size(), state_.peers->rank(),
+                                                          registered, core::to_ms(boot_now() - read_at)},
+                                                         {});
+            if (step == state::discovery_step::none || state_.leaving) {
+                pause = min_discovery_delay;
+                continue;
+            }
+            bool listed = true;
+            if (step == state::discovery_step::read_and_write_addresses) {
+                listed = read_node_addresses(yield);
+                read_at = boot_now();
+            }
+            const auto& settings = state_.settings;
+            if (listed && !registered) {
+                registered =
+                    state_.platform.register_node(settings.node_id, settings.listen.peers, yield).has_value();
+            }
+            // A lone node, and one that the store refuses, call less and less often.
+            pause = std::min(pause * 2, max_discovery_delay);
+        }
+    }
+
+    bool read_node_addresses(const asio::yield_context& yield) {
+        const auto known = state_.platform.list_nodes(yield);
+        if (known) {
+            state_.peers->add_seeds(*known);
         }
+        state_.log.state("nodes_listed", {{"known", known ? known->size() : 0},
+                                          {"cause", known ? "" : known.error().message}});
+        return known.has_value();
     }
 
     void wait_for_signals(const asio::yield_context& yield) {
@@ -392,8 +423,8 @@
     static constexpr std::size_t max_session_records = 200;
     // Reports are created on each tick; earlier heartbeats contained the older ones.
     static constexpr core::milliseconds max_trial_record_age{1000};
-    static constexpr core::milliseconds min_register_delay{500};
-    static constexpr core::milliseconds max_register_delay{8000};
+    static constexpr core::milliseconds min_discovery_delay{500};
+    static constexpr core::milliseconds max_discovery_delay{8000};
 
     asio::io_context context_{1};
     relay_state state_;
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -473,6 +473,31 @@
 
 } // namespace
 
+TEST_CASE("what a request reports to an aggregator at one moment takes one datagram") {
+    // In a fleet of hundreds of nodes the datagrams about the load of upstreams outnumber all others.
+    std::vector<std::function<void()>> deferred;
+    std::vector<load_message> sent;
+    aggregator_hooks hooks;
+    hooks.place_of = [](const std::string&) { return aggregator_place{"k", "keeper"}; };
+    hooks.send = [&](const std::string&, const std::string& bytes) {
+        sent.push_back(decode_load_message(bytes).value());
+    };
+    hooks.defer = [&](std::function<void()> function) { deferred.push_back(std::move(function)); };
+    load_aggregators node("a", 1, {}, hooks);
+    node.report("u1", policy::upstream_use{1, 10, {}, {}});
+    node.report("u1", policy::upstream_event::dispatched);
+    node.report("u2", policy::upstream_event::succeeded);
+    node.report("u1", policy::upstream_use{2, 20, {}, {}});
+    CHECK(sent.empty());
+    REQUIRE(deferred.size() == 1U);
+    deferred.front()();
+    REQUIRE(sent.size() == 1U);
+    CHECK(sent[0].uses.at("u1").requests == 2);
+    CHECK(sent[0].events.size() == 2U);
+    node.report("u1", policy::upstream_event::succeeded);
+    CHECK(deferred.size() == 2U);
+}
+
 TEST_CASE("load messages survive encoding and decoding, and invalid ones are rejected") {
     // A datagram of an unknown sender must neither crash the process nor change its state.
     const auto bytes = encode_load_message(sample_load_message());
