Deliver bytes that have arrived when a stream reaches its deadline

The check against events without end cut it right after a piece, although the rest could already be in the socket. Change: what has arrived is delivered for up to 200 ms after the deadline, as before; bytes without end stop there.

--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -17,6 +17,9 @@
 // upstream may close an older connection while the request is in flight.
 constexpr core::milliseconds max_idle_unrepeatable{900};
 constexpr core::milliseconds max_idle_repeatable{8000};
+// Time beyond the deadline in which bytes that have already arrived are still delivered. The upstream may
+// send without end, so it is bounded.
+constexpr core::milliseconds late_bytes_time{200};
 // Time for the body of a refusal. The request moves on without it; it is read only to reuse the connection.
 constexpr core::milliseconds refusal_body_timeout{50};
 // A repeatable plain request moves to another upstream after this multiple of its latency target.
@@ -232,7 +235,7 @@
         if (!bytes.empty() && !write_to_caller(answer, bytes)) {
             return abandon_stream(entry, answer);
         }
-        if (boot_now() >= deadline_) {
+        if (boot_now() >= deadline_ + late_bytes_time) {
             return handle_send_failure(entry, {policy::send_result::unknown, link_failure::timed_out,
                                                "the stream lasts beyond the deadline"});
         }
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -464,7 +464,8 @@
                     if (auto* other = find(); other != nullptr) {
                         other->receive(bytes, to == "keeper" ? "asker" : "keeper");
                     }
-                }};
+                },
+                {}};
     }
 
     load_aggregators client;
