--- a/packages/relay/heartbeat_message.cpp
+++ b/packages/relay/heartbeat_message.cpp
@@ -19,7 +19,6 @@
 constexpr std::uint8_t written_flag = 2;
 
 // Fewest bytes of a list's entry, which bound the number of entries that a received message can announce.
-constexpr std::size_t min_use_bytes = 8;
 constexpr std::size_t min_trial_bytes = 15;
 constexpr std::size_t min_crash_bytes = 10;
 constexpr std::size_t min_rollout_bytes = 5;
@@ -73,21 +72,6 @@
     return counts;
 }
 
-void append_uses(std::string& out, const std::map<std::string, upstream_use>& uses) {
-    core::append_varint(out, uses.size());
-    for (const auto& [upstream, use] : uses) {
-        core::append_text(out, upstream);
-        append_use(out, use);
-    }
-}
-
-void read_uses(byte_reader& reader, std::map<std::string, upstream_use>& uses) {
-    for (auto left = core::read_count(reader, min_use_bytes); left > 0 && reader.is_valid; --left) {
-        auto upstream = read_string(reader);
-        uses[std::move(upstream)] = read_use(reader);
-    }
-}
-
 void append_trials(std::string& out, const std::vector<trial_record>& trials) {
     core::append_varint(out, trials.size());
     for (const auto& record : trials) {
@@ -275,7 +259,7 @@
         claim.hash = core::read_fixed64(reader);
         claim.age = read_age(reader);
     }
-    read_uses(reader, message.uses);
+    message.uses = read_uses(reader);
     read_trials(reader, message.trials);
     read_crashes(reader, message.crashes);
     read_rollouts(reader, message.rollouts);
--- a/packages/relay/load_message.cpp
+++ b/packages/relay/load_message.cpp
@@ -11,7 +11,6 @@
 constexpr char load_marker = 'M';
 
 // Fewest bytes of a list's entry, which bound the number of entries that a received message can announce.
-constexpr std::size_t min_use_bytes = 8;
 constexpr std::size_t min_event_bytes = 2;
 constexpr std::size_t min_query_bytes = 1;
 constexpr std::size_t min_load_bytes = 9;
@@ -20,13 +19,6 @@
 constexpr std::uint8_t suspect_flag = 1;
 constexpr std::uint8_t full_flag = 2;
 
-void read_uses(byte_reader& reader, load_message& message) {
-    for (auto left = core::read_count(reader, min_use_bytes); left > 0 && reader.is_valid; --left) {
-        std::string upstream(core::read_text(reader));
-        message.uses[std::move(upstream)] = read_use(reader);
-    }
-}
-
 void read_events(byte_reader& reader, load_message& message) {
     for (auto left = core::read_count(reader, min_event_bytes); left > 0 && reader.is_valid; --left) {
         std::string upstream(core::read_text(reader));
@@ -66,11 +58,7 @@
          {message.incarnation, message.sequence, message.query_id, message.answered_query_id}) {
         core::append_varint(out, number);
     }
-    core::append_varint(out, message.uses.size());
-    for (const auto& [upstream, use] : message.uses) {
-        core::append_text(out, upstream);
-        append_use(out, use);
-    }
+    append_uses(out, message.uses);
     core::append_varint(out, message.events.size());
     for (const auto& [upstream, event] : message.events) {
         core::append_text(out, upstream);
@@ -100,7 +88,7 @@
          {&message.incarnation, &message.sequence, &message.query_id, &message.answered_query_id}) {
         *number = core::read_varint(reader);
     }
-    read_uses(reader, message);
+    message.uses = read_uses(reader);
     read_events(reader, message);
     read_queries(reader, message);
     read_loads(reader, message);
--- a/packages/relay/use_codec.cpp
+++ b/packages/relay/use_codec.cpp
@@ -10,6 +10,8 @@
 // Longer ages are not plausible and could overflow when they are subtracted from a time.
 constexpr core::milliseconds max_age{std::chrono::hours(24 * 366)};
 constexpr double pending_steps_per_ms = 10;
+// Fewest bytes of an upstream's id and use, which bound the number of uses that a message can announce.
+constexpr std::size_t min_use_bytes = 8;
 // Upper limit of an encoded pending time; the sums of a whole fleet stay far below it.
 constexpr double max_pending_steps = 1e15;
 
@@ -60,4 +62,21 @@
     return use;
 }
 
+void append_uses(std::string& out, const std::map<std::string, policy::upstream_use>& uses) {
+    core::append_varint(out, uses.size());
+    for (const auto& [upstream, use] : uses) {
+        core::append_text(out, upstream);
+        append_use(out, use);
+    }
+}
+
+std::map<std::string, policy::upstream_use> read_uses(core::byte_reader& reader) {
+    std::map<std::string, policy::upstream_use> uses;
+    for (auto left = core::read_count(reader, min_use_bytes); left > 0 && reader.is_valid; --left) {
+        std::string upstream(core::read_text(reader));
+        uses[std::move(upstream)] = read_use(reader);
+    }
+    return uses;
+}
+
 } // namespace figspoke::relay
--- a/packages/relay/use_codec.h
+++ b/packages/relay/use_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 
 #include "core/byte_codec.h"
@@ -18,4 +19,9 @@
 
 policy::upstream_use read_use(core::byte_reader& reader);
 
+/// Appends uses by upstream, with their number.
+void append_uses(std::string& out, const std::map<std::string, policy::upstream_use>& uses);
+
+std::map<std::string, policy::upstream_use> read_uses(core::byte_reader& reader);
+
 } // namespace figspoke::relay
