--- a/packages/relay/forward_evidence.cpp
+++ b/packages/relay/forward_evidence.cpp
@@ -39,6 +39,11 @@
 // only once the upstream is unreachable, since connections are reset for other reasons too.
 void forward_run::record_broken_connection(const state::upstream_entry& entry) {
     node_.pool.drop(entry.id);
+    node_.log.state("upstream_connection_broke", {{"upstream", entry.id},
+                                                  {"request", request_.request_id},
+                                                  {"shared_parts", shared_part_ids()},
+                                                  {"answer_begun", send_head_after_.has_value()},
+                                                  {"events", send_events_}});
     policy::record_unconfirmed_crash(node_.crashes, {}, {fingerprint_, entry.id, boot_now()});
 }
 
--- a/packages/relay/forward_log.cpp
+++ b/packages/relay/forward_log.cpp
@@ -4,6 +4,15 @@
 
 namespace figspoke::relay {
 
+// Returns the ids of the parts of the prompt that other requests may share.
+std::string forward_run::shared_part_ids() const {
+    std::string ids;
+    for (std::size_t i = 0; i + 1 < request_.prompt.size(); ++i) {
+        ids += (i == 0 ? "" : ",") + request_.prompt[i].id;
+    }
+    return ids;
+}
+
 void forward_run::log_send(const state::upstream_entry& entry, core::steady_time sent_at) {
     const auto& last = history_.sends.empty() ? policy::send_record{} : history_.sends.back();
     send_log_.push_back({{"upstream", entry.id},
@@ -13,6 +22,8 @@
                          {"load", choice_.load},
                          {"expected_ms", std::int64_t(choice_.pending_ms + choice_.own_prefill_ms)},
                          {"result", policy::to_string(last.result)},
+                         {"head_ms", send_head_after_ ? send_head_after_->count() : -1},
+                         {"events", send_events_},
                          {"ms", core::to_ms(boot_now() - sent_at).count()}});
 }
 
@@ -35,6 +46,9 @@
         line["confidence"] = *confidence_;
         line["expected_larger_ms"] = expected_larger_ms_;
     }
+    if (request_.prompt.size() > 1) {
+        line["shared_parts"] = shared_part_ids();
+    }
     if (!last_failure_.empty()) {
         line["failure"] = last_failure_;
     }
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -97,6 +97,7 @@
     void finish_with_error(const core::error& error, const std::string& end);
 
     // Log.
+    std::string shared_part_ids() const;
     void log_send(const state::upstream_entry& entry, core::steady_time sent_at);
     void write_log();
 
@@ -136,6 +137,9 @@
     std::string end_;
     int status_ = 0;
     std::int64_t queued_ms_ = 0;
+    /// Whole events that the present send has brought, and the time until the head of its answer.
+    std::size_t send_events_ = 0;
+    std::optional<core::milliseconds> send_head_after_;
     std::int64_t first_byte_ms_ = 0;
     nlohmann::json send_log_ = nlohmann::json::array();
 };
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -72,11 +72,16 @@
     policy::record_prefixes(node_.prefixes, entry.id, shared_segments(), boot_now());
     record_upstream_event(node_, entry.id, policy::upstream_event::dispatched);
     const auto plan = plan_for(entry);
+    send_events_ = 0;
+    send_head_after_.reset();
     const auto sent_at = boot_now();
     const double expected = prefill + pending_ms_;
     auto answer = send_and_read_head(
         node_, plan, current_link_, [&] { begin_stream_watch(entry, expected); }, exchange_.yield());
     node_.streams.erase(id_);
+    if (answer) {
+        send_head_after_ = core::to_ms(boot_now() - sent_at);
+    }
     const auto step =
         answer ? handle_answer(entry, *answer, sent_at) : handle_send_failure(entry, answer.error());
     node_.streams.erase(id_);
@@ -98,6 +103,7 @@
 
 // Only whole events are progress of the stream: an upstream that sends a byte now and then stalls too.
 void forward_run::record_progress(std::size_t events) {
+    send_events_ += events;
     const auto found = node_.streams.find(id_);
     if (found == node_.streams.end() || events == 0) {
         return;
