Refuse requests by the part of their prompt that crashes upstreams

Cause: a decision keyed by too narrow an identity. Crashes were counted by the fingerprint of path, key and body, so requests that share only a part were never added up, while sound requests were counted like the cause.

Change: the ledger holds the fingerprints of the request and of each shared part of its prompt. A request is refused when one of them took part in three crashes that no fingerprint of others with as many crashes explains. Settled or finished answers clear their parts. A broken connection is followed by a connection probe; crashes told by peers confirm a node's own open ones; sends under way are closed when their request is found guilty, and peers hear of it at once. Refused fingerprints are kept for 10 minutes instead of one, since no crash refreshes them: the old case that expected them to be gone after 100 s now expects both that they are there then and gone after 700 s.

--- a/packages/policy/crash_ledger.cpp
+++ b/packages/policy/crash_ledger.cpp
@@ -8,18 +8,35 @@
 namespace figspoke::policy {
 namespace {
 
-core::steady_time latest_crash_time(const std::vector<confirmed_crash>& crashes) {
-    return std::max_element(crashes.begin(), crashes.end(),
-                            [](const confirmed_crash& a, const confirmed_crash& b) { return a.at < b.at; })
-        ->at;
+void remove_least_important(crash_ledger& ledger, const crash_ledger_settings& settings) {
+    const auto importance = [&](const std::vector<confirmed_crash>& crashes) {
+        return std::make_pair(crashes.size() >= settings.refuse_after, latest_crash_time(crashes));
+    };
+    const auto least =
+        std::min_element(ledger.crashes.begin(), ledger.crashes.end(), [&](const auto& a, const auto& b) {
+            return importance(a.second) < importance(b.second);
+        });
+    ledger.crashes.erase(least);
 }
 
-void remove_oldest_fingerprint(crash_ledger& ledger) {
-    const auto oldest =
-        std::min_element(ledger.crashes.begin(), ledger.crashes.end(), [](const auto& a, const auto& b) {
-            return latest_crash_time(a.second) < latest_crash_time(b.second);
-        });
-    ledger.crashes.erase(oldest);
+bool is_same_crash(const crash_ledger_settings& settings, const confirmed_crash& a,
+                   const confirmed_crash& b) {
+    const auto apart = a.at < b.at ? b.at - a.at : a.at - b.at;
+    return a.upstream == b.upstream && apart < settings.same_crash_window;
+}
+
+// Returns whether a fingerprint of other requests that took part in the crash has `count` crashes or more.
+bool has_other_explanation(const crash_ledger& ledger, const crash_ledger_settings& settings,
+                           const confirmed_crash& crash, std::size_t count,
+                           const request_fingerprints& request) {
+    return std::any_of(ledger.crashes.begin(), ledger.crashes.end(), [&](const auto& entry) {
+        const auto& [fingerprint, crashes] = entry;
+        return crashes.size() >= count &&
+               std::find(request.begin(), request.end(), fingerprint) == request.end() &&
+               std::any_of(crashes.begin(), crashes.end(), [&](const confirmed_crash& other) {
+                   return is_same_crash(settings, crash, other);
+               });
+    });
 }
 
 } // namespace
@@ -31,16 +48,21 @@
         return false;
     }
     auto& crashes = ledger.crashes[fingerprint];
+    const confirmed_crash added{upstream, at};
     const bool known = std::any_of(crashes.begin(), crashes.end(), [&](const confirmed_crash& crash) {
-        const auto distance = crash.at < at ? at - crash.at : crash.at - at;
-        return crash.upstream == upstream && distance < settings.same_crash_window;
+        return is_same_crash(settings, crash, added);
     });
     if (known) {
         return false;
     }
-    crashes.push_back({upstream, at});
+    crashes.push_back(added);
+    if (crashes.size() > settings.max_crashes) {
+        crashes.erase(
+            std::min_element(crashes.begin(), crashes.end(),
+                             [](const confirmed_crash& a, const confirmed_crash& b) { return a.at < b.at; }));
+    }
     if (ledger.crashes.size() > settings.max_fingerprints) {
-        remove_oldest_fingerprint(ledger);
+        remove_least_important(ledger, settings);
     }
     return true;
 }
@@ -59,7 +81,7 @@
 
 std::vector<std::uint64_t> confirm_crash(crash_ledger& ledger, const crash_ledger_settings& settings,
                                          const std::string& upstream, core::steady_time now) {
-    std::vector<std::uint64_t> refused;
+    std::vector<std::uint64_t> over_limit;
     auto crashes = std::exchange(ledger.unconfirmed, {});
     for (auto& crash : crashes) {
         if (crash.upstream != upstream) {
@@ -68,11 +90,11 @@
         }
         const bool recent = now - crash.at <= settings.confirmation_window;
         if (recent && record_crash(ledger, settings, crash.fingerprint, upstream, crash.at) &&
-            is_refused(ledger, settings, crash.fingerprint)) {
-            refused.push_back(crash.fingerprint);
+            crash_count(ledger, crash.fingerprint) >= settings.refuse_after) {
+            over_limit.push_back(crash.fingerprint);
         }
     }
-    return refused;
+    return over_limit;
 }
 
 void clear_fingerprint(crash_ledger& ledger, std::uint64_t fingerprint, core::steady_time now) {
@@ -102,17 +124,41 @@
     return found == ledger.crashes.end() ? 0 : found->second.size();
 }
 
+core::steady_time latest_crash_time(const std::vector<confirmed_crash>& crashes) {
+    return std::max_element(crashes.begin(), crashes.end(),
+                            [](const confirmed_crash& a, const confirmed_crash& b) { return a.at < b.at; })
+        ->at;
+}
+
+// Requests beside the cause are repeated like it and may meet it again, so that a count alone would refuse
+// them too. Where two requests explain the crashes equally well, both run: the next crash or success decides.
 bool is_refused(const crash_ledger& ledger, const crash_ledger_settings& settings,
-                std::uint64_t fingerprint) {
-    return crash_count(ledger, fingerprint) >= settings.refuse_after;
+                const request_fingerprints& request) {
+    return std::any_of(request.begin(), request.end(), [&](std::uint64_t fingerprint) {
+        const auto found = ledger.crashes.find(fingerprint);
+        if (found == ledger.crashes.end() || found->second.size() < settings.refuse_after) {
+            return false;
+        }
+        const auto& crashes = found->second;
+        const auto attributed = std::count_if(crashes.begin(), crashes.end(), [&](const auto& crash) {
+            return !has_other_explanation(ledger, settings, crash, crashes.size(), request);
+        });
+        return std::size_t(attributed) >= settings.refuse_after;
+    });
 }
 
 void expire_crashes(crash_ledger& ledger, const crash_ledger_settings& settings, core::steady_time now) {
     core::erase_where(ledger.crashes, [&](const auto& crashes, std::uint64_t) {
-        return now - latest_crash_time(crashes) > settings.expiry;
+        const bool over_limit = crashes.size() >= settings.refuse_after;
+        return now - latest_crash_time(crashes) > (over_limit ? settings.refused_expiry : settings.expiry);
     });
     core::erase_where(ledger.cleared,
                       [&](core::steady_time at, std::uint64_t) { return now - at > settings.expiry; });
+    while (ledger.cleared.size() > settings.max_fingerprints) {
+        ledger.cleared.erase(
+            std::min_element(ledger.cleared.begin(), ledger.cleared.end(),
+                             [](const auto& a, const auto& b) { return a.second < b.second; }));
+    }
 }
 
 } // namespace figspoke::policy
--- a/packages/policy/crash_ledger.h
+++ b/packages/policy/crash_ledger.h
@@ -11,19 +11,29 @@
 
 struct crash_ledger_settings {
     /// Number of crashes, on different upstreams or at different times, after which requests with a
-    /// fingerprint are refused.
+    /// fingerprint are refused unless other requests explain the crashes.
     std::size_t refuse_after = 3;
     /// Reports about one upstream within this time are the same crash, reported by several nodes.
     core::milliseconds same_crash_window{1500};
     /// Time since a fingerprint's latest crash, or since it was cleared, after which the record is removed.
     core::milliseconds expiry{60000};
+    /// The same for a fingerprint with `refuse_after` crashes or more. None of its requests runs any more, so
+    /// no new crash keeps the record alive, and each expiry costs that many upstreams again.
+    core::milliseconds refused_expiry{600000};
+    /// Number of latest crashes that are kept of one fingerprint.
+    std::size_t max_crashes = 8;
     /// Longest time between a broken connection and the detection that the upstream is down for the two to
     /// count as one crash.
     core::milliseconds confirmation_window{2500};
-    /// Beyond this number, the fingerprint whose latest crash is the oldest is removed.
+    /// Beyond this number, the fingerprint with too few crashes to be refused whose latest crash is the
+    /// oldest is removed, and where there is none, the oldest of all.
     std::size_t max_fingerprints = 2000;
 };
 
+/// The fingerprints of one request: that of the whole request, and one for each part that it shares with
+/// other requests. Either may be what crashes upstreams.
+using request_fingerprints = std::vector<std::uint64_t>;
+
 /// A connection that broke while a request ran. It counts as a crash once the upstream is found to be down.
 struct unconfirmed_crash {
     std::uint64_t fingerprint = 0;
@@ -37,9 +47,9 @@
     core::steady_time at;
 };
 
-/// Records which requests, identified by fingerprint, were running when upstreams crashed. A request that
-/// shares an upstream with the one that caused the crash is counted too, but only the latter takes part in
-/// enough crashes to be refused.
+/// Records which requests and parts of requests, identified by fingerprint, were running when upstreams
+/// crashed. Requests that share an upstream with the one that caused the crash are counted too; they are told
+/// apart by their successes and because the cause takes part in more crashes than they do.
 struct crash_ledger {
     std::map<std::uint64_t, std::vector<confirmed_crash>> crashes;
     std::vector<unconfirmed_crash> unconfirmed;
@@ -57,7 +67,7 @@
                               const unconfirmed_crash& crash);
 
 /// Records the recent unconfirmed crashes of this upstream as crashes, because it was found to be down or
-/// restarted. Returns the fingerprints whose requests are refused from now on.
+/// restarted. Returns the fingerprints that took part in `settings.refuse_after` crashes or more by now.
 std::vector<std::uint64_t> confirm_crash(crash_ledger& ledger, const crash_ledger_settings& settings,
                                          const std::string& upstream, core::steady_time now);
 
@@ -72,10 +82,16 @@
 /// Returns the number of crashes that are recorded for a fingerprint.
 std::size_t crash_count(const crash_ledger& ledger, std::uint64_t fingerprint);
 
-/// Returns whether requests with this fingerprint are refused.
-bool is_refused(const crash_ledger& ledger, const crash_ledger_settings& settings, std::uint64_t fingerprint);
+/// Returns the time of the latest of these crashes, of which there must be one.
+core::steady_time latest_crash_time(const std::vector<confirmed_crash>& crashes);
+
+/// Returns whether a request is refused: one of its fingerprints took part in `settings.refuse_after` crashes
+/// for which no fingerprint of other requests, with as many crashes or more, is a cause as likely.
+bool is_refused(const crash_ledger& ledger, const crash_ledger_settings& settings,
+                const request_fingerprints& request);
 
-/// Removes crashes and cleared fingerprints that are older than `settings.expiry`.
+/// Removes crashes and cleared fingerprints that have expired, and the oldest cleared fingerprints beyond
+/// `settings.max_fingerprints`.
 void expire_crashes(crash_ledger& ledger, const crash_ledger_settings& settings, core::steady_time now);
 
 } // namespace figspoke::policy
--- a/packages/relay/crash_records.h
+++ b/packages/relay/crash_records.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <set>
+#include <string>
 #include <vector>
 
 #include "policy/crash_ledger.h"
@@ -7,13 +9,14 @@
 
 namespace figspoke::relay {
 
-/// Returns the crash records for peers: crashes within the last `recent`, crashes of fingerprints with more
-/// than one, and fingerprints that a success has cleared within `recent`. Their number is bounded.
+/// Returns the crash records for peers: those of fingerprints that crashed within the last `recent` or have
+/// so many crashes that they may be refused, and fingerprints that a success has cleared within `recent`.
+/// Their number is bounded; the fingerprints with the most crashes go first.
 std::vector<crash_record> crash_records(const policy::crash_ledger& ledger, core::milliseconds recent,
                                         core::steady_time now);
 
-/// Adds a peer's crash records to the ledger.
-void merge_crash_records(policy::crash_ledger& ledger, const std::vector<crash_record>& records,
-                         core::steady_time now);
+/// Adds a peer's crash records to the ledger. Returns the upstreams of crashes that it didn't hold yet.
+std::set<std::string> merge_crash_records(policy::crash_ledger& ledger,
+                                          const std::vector<crash_record>& records, core::steady_time now);
 
 } // namespace figspoke::relay
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -55,7 +55,7 @@
     }
     for (const auto* list : {&changes.restarted, &changes.removed}) {
         for (const auto& id : *list) {
-            policy::confirm_crash(node.crashes, {}, id, boot_now());
+            confirm_upstream_crash(node, id);
             node.health.upstreams.erase(id);
             node.full_until.erase(id);
         }
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -29,6 +29,10 @@
 
 void forward_run::attempt_until_done() {
     while (!exchange_.disconnected()) {
+        if (is_refused_for_crashes()) {
+            finish_refused_for_crashes();
+            return;
+        }
         const auto choice = wait_for_upstream();
         if (exchange_.disconnected()) {
             break;
@@ -37,6 +41,10 @@
             finish_without_upstream();
             return;
         }
+        if (is_refused_for_crashes()) {
+            finish_refused_for_crashes();
+            return;
+        }
         if (send_to(*choice) == next_step::finished) {
             return;
         }
--- a/packages/relay/forward_admission.cpp
+++ b/packages/relay/forward_admission.cpp
@@ -33,12 +33,7 @@
                            "the configuration was not confirmed recently enough to accept keys",
                            std::nullopt};
     }
-    fingerprint_ =
-        core::stable_hash(exchange_.head().target + '\n' + request_.api_key + '\n' + *exchange_.body());
-    if (policy::is_refused(node_.crashes, {}, fingerprint_)) {
-        return core::error{core::error_kind::overloaded, "the request crashed several upstreams",
-                           core::milliseconds(5000)};
-    }
+    fingerprints_ = make_fingerprints();
     set_deadline();
     history_.retry = route_.retry;
     history_.max_attempts = route_.max_attempts;
--- a/packages/relay/forward_end.cpp
+++ b/packages/relay/forward_end.cpp
@@ -7,6 +7,12 @@
 #include "relay/boot_clock.h"
 
 namespace figspoke::relay {
+namespace {
+
+// Time until a request that crashes upstreams may come again.
+constexpr core::milliseconds refusal_pause{5000};
+
+} // namespace
 
 void forward_run::on_caller_disconnect() {
     if (current_link_) {
@@ -49,6 +55,15 @@
     finish_with_error(error, std::string(policy::to_string(cause)));
 }
 
+// Another try could not be served either, so that the caller is told to wait for long.
+void forward_run::finish_refused_for_crashes() {
+    const std::string message = "the request or a part of its prompt crashed several upstreams";
+    const bool promise = policy::never_ran(history_);
+    finish_with_error({promise ? core::error_kind::overloaded : core::error_kind::upstream_failed, message,
+                       promise ? std::make_optional(refusal_pause) : std::nullopt},
+                      "refused for crashes");
+}
+
 // Spreads callers' retries over a part of the time until the deadline.
 core::milliseconds forward_run::retry_delay() {
     const double left = double(std::max<std::int64_t>(core::to_ms(deadline_ - boot_now()).count(), 0));
--- a/packages/relay/forward_evidence.cpp
+++ b/packages/relay/forward_evidence.cpp
@@ -1,10 +1,20 @@
 #include "relay/forward_run.h"
 
+#include "core/hash.h"
 #include "policy/crash_ledger.h"
 #include "policy/prefill.h"
 #include "relay/boot_clock.h"
 
 namespace figspoke::relay {
+namespace {
+
+// Number of parts of a prompt that are checked for crashes.
+constexpr std::size_t max_part_fingerprints = 32;
+// A request that crashes upstreams does so when they begin to answer, at the latest some tens of milliseconds
+// after the head. An answer that has been arriving for longer shows that the request is sound.
+constexpr core::milliseconds settling_time{300};
+
+} // namespace
 
 policy::version_counts& forward_run::version_counts_of(const state::upstream_entry& entry) {
     return node_.versions[{entry.service, entry.version}];
@@ -24,7 +34,6 @@
         record_bad_result(entry);
         return;
     }
-    policy::clear_fingerprint(node_.crashes, fingerprint_, boot_now());
     const auto took = core::to_ms(boot_now() - sent_at);
     if (!model_.empty()) {
         policy::learn_prefill(node_.prefill, sent_model_, {unshared_tokens(), took, pending_ms_});
@@ -35,8 +44,45 @@
     node_.metrics.observe("relay_first_byte_seconds", {{"service", entry.service}}, took);
 }
 
+// The parts come from the caller, who could name any number of them.
+policy::request_fingerprints forward_run::make_fingerprints() const {
+    policy::request_fingerprints fingerprints = {
+        core::stable_hash(exchange_.head().target + '\n' + request_.api_key + '\n' + *exchange_.body())};
+    for (std::size_t i = 0; i + 1 < request_.prompt.size() && i < max_part_fingerprints; ++i) {
+        fingerprints.push_back(core::stable_hash("prompt part\n" + request_.prompt[i].id));
+    }
+    return fingerprints;
+}
+
+bool forward_run::is_refused_for_crashes() const {
+    return policy::is_refused(node_.crashes, {}, fingerprints_);
+}
+
+void forward_run::begin_unproven_send() {
+    node_.unproven_sends[id_] = {fingerprints_, current_link_, false};
+}
+
+bool forward_run::closed_for_crashes() const {
+    const auto found = node_.unproven_sends.find(id_);
+    return found != node_.unproven_sends.end() && found->second.closed;
+}
+
+// The head alone proves nothing: a request that crashes its upstream does so after the head.
+bool forward_run::has_settled() const {
+    return !send_settled_ && send_events_ > 0 && boot_now() - send_head_at_ >= settling_time;
+}
+
+void forward_run::record_sound_request() {
+    send_settled_ = true;
+    node_.unproven_sends.erase(id_);
+    for (const auto fingerprint : fingerprints_) {
+        policy::clear_fingerprint(node_.crashes, fingerprint, boot_now());
+    }
+}
+
 // A connection that breaks during a request may mean that the request crashed the upstream. The crash counts
-// only once the upstream is unreachable, since connections are reset for other reasons too.
+// only once the upstream is unreachable, since connections are reset for other reasons too. A request whose
+// answer had been arriving for a while isn't the cause.
 void forward_run::record_broken_connection(const state::upstream_entry& entry) {
     node_.pool.drop(entry.id);
     node_.log.state("upstream_connection_broke", {{"upstream", entry.id},
@@ -44,13 +90,17 @@
                                                   {"shared_parts", shared_part_ids()},
                                                   {"answer_begun", send_head_after_.has_value()},
                                                   {"events", send_events_}});
-    policy::record_unconfirmed_crash(node_.crashes, {}, {fingerprint_, entry.id, boot_now()});
+    if (!send_settled_) {
+        record_possible_crash(entry);
+        probe_for_crash(node_, entry.id);
+    }
 }
 
-void forward_run::confirm_crash(const state::upstream_entry& entry) {
-    for (const auto fingerprint : policy::confirm_crash(node_.crashes, {}, entry.id, boot_now())) {
-        node_.log.state("requests_refused_for_crashes",
-                        {{"fingerprint", fingerprint}, {"upstream", entry.id}});
+// Also called for a send that this node ended itself before the answer had settled: the upstream may crash on
+// it all the same, a moment later, with other requests.
+void forward_run::record_possible_crash(const state::upstream_entry& entry) {
+    for (const auto fingerprint : fingerprints_) {
+        policy::record_unconfirmed_crash(node_.crashes, {}, {fingerprint, entry.id, boot_now()});
     }
 }
 
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -85,14 +85,21 @@
     policy::version_counts& version_counts_of(const state::upstream_entry& entry);
     void record_bad_result(const state::upstream_entry& entry);
     void record_result(const state::upstream_entry& entry, bool good, core::steady_time sent_at);
+    policy::request_fingerprints make_fingerprints() const;
+    bool is_refused_for_crashes() const;
+    bool closed_for_crashes() const;
+    void begin_unproven_send();
+    bool has_settled() const;
+    void record_sound_request();
+    void record_possible_crash(const state::upstream_entry& entry);
     void record_broken_connection(const state::upstream_entry& entry);
-    void confirm_crash(const state::upstream_entry& entry);
 
     // Final answers.
     void on_caller_disconnect();
     void send_answer(const caller_answer& answer);
     void finish_without_upstream();
     void finish_failed(policy::end_cause cause);
+    void finish_refused_for_crashes();
     core::milliseconds retry_delay();
     void finish_with_error(const core::error& error, const std::string& end);
 
@@ -113,7 +120,7 @@
     core::steady_time deadline_{};
     std::uint64_t config_version_ = 0;
     core::nanoseconds config_age_{0};
-    std::uint64_t fingerprint_ = 0;
+    policy::request_fingerprints fingerprints_;
     std::uint64_t session_ = 0;
     double session_bucket_ = 0;
     double service_draw_ = 0;
@@ -140,6 +147,9 @@
     /// Whole events that the present send has brought, and the time until the head of its answer.
     std::size_t send_events_ = 0;
     std::optional<core::milliseconds> send_head_after_;
+    core::steady_time send_head_at_{};
+    /// The present send has shown that the request doesn't crash its upstream.
+    bool send_settled_ = false;
     std::int64_t first_byte_ms_ = 0;
     nlohmann::json send_log_ = nlohmann::json::array();
 };
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -74,17 +74,25 @@
     const auto plan = plan_for(entry);
     send_events_ = 0;
     send_head_after_.reset();
+    send_settled_ = false;
     const auto sent_at = boot_now();
     const double expected = prefill + pending_ms_;
     auto answer = send_and_read_head(
-        node_, plan, current_link_, [&] { begin_stream_watch(entry, expected); }, exchange_.yield());
+        node_, plan, current_link_,
+        [&] {
+            begin_stream_watch(entry, expected);
+            begin_unproven_send();
+        },
+        exchange_.yield());
     node_.streams.erase(id_);
     if (answer) {
-        send_head_after_ = core::to_ms(boot_now() - sent_at);
+        send_head_at_ = boot_now();
+        send_head_after_ = core::to_ms(send_head_at_ - sent_at);
     }
     const auto step =
         answer ? handle_answer(entry, *answer, sent_at) : handle_send_failure(entry, answer.error());
     node_.streams.erase(id_);
+    node_.unproven_sends.erase(id_);
     current_link_.reset();
     use_ = nullptr;
     log_send(entry, sent_at);
@@ -131,6 +139,7 @@
     if (drop_for_larger_model(answer.head)) {
         history_.sends.push_back({entry.id, policy::send_result::failed});
         answer.link->close();
+        record_possible_crash(entry);
         return next_step::retry;
     }
     const bool success = answer.head.status < 500;
@@ -193,6 +202,9 @@
     release_link(node_, entry.id, answer);
     const bool good = answer.head.status < 500;
     record_result(entry, good, sent_at);
+    if (good) {
+        record_sound_request();
+    }
     history_.sends.push_back({entry.id, good ? policy::send_result::succeeded : policy::send_result::failed});
     if (answer_started_) {
         // The caller has received a part of a stream, so only its continuation may follow.
@@ -236,6 +248,9 @@
         }
         const auto events = splitter.feed(*piece);
         record_progress(events.size());
+        if (has_settled()) {
+            record_sound_request();
+        }
         // Without a continuation elsewhere, a partial event is better than a delayed one.
         const auto bytes = resumable ? new_events(events) : *piece;
         if (!bytes.empty() && !write_to_caller(answer, bytes)) {
@@ -254,6 +269,9 @@
 
 forward_run::next_step forward_run::abandon_stream(const state::upstream_entry& entry, begun_answer& answer) {
     answer.link->close();
+    if (!send_settled_) {
+        record_possible_crash(entry);
+    }
     history_.sends.push_back({entry.id, policy::send_result::unknown});
     end_ = "caller left";
     return next_step::finished;
@@ -300,6 +318,7 @@
                                            "the connection closed within a server-sent event"});
     }
     release_link(node_, entry.id, answer);
+    record_sound_request();
     history_.sends.push_back({entry.id, policy::send_result::succeeded});
     bool written = begin_answer(answer);
     const bool rest_held = route_.retry == state::retry_policy::resumable;
@@ -318,13 +337,18 @@
     }
     history_.sends.push_back({entry.id, failure.result});
     last_failure_ = failure.message;
-    if (exchange_.disconnected()) {
+    const bool closed_by_relay = exchange_.disconnected() || closed_for_crashes();
+    if (failure.result != policy::send_result::not_sent && !send_settled_ &&
+        (closed_by_relay || failure.cause == link_failure::timed_out)) {
+        record_possible_crash(entry);
+    }
+    if (closed_by_relay) {
         return next_step::retry;
     }
     const bool out_of_time = failure.cause == link_failure::timed_out && boot_now() >= deadline_;
     if (failure.result == policy::send_result::not_sent) {
         ++unsent_attempts_;
-        confirm_crash(entry);
+        confirm_upstream_crash(node_, entry.id);
         record_upstream_event(node_, entry.id,
                               failure.cause == link_failure::refused
                                   ? policy::upstream_event::connection_refused
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -114,7 +114,10 @@
             handle_claim(state_, kind, claim, echo, peer);
         };
         hooks.on_crashes = [this](const std::vector<crash_record>& records) {
-            merge_crash_records(state_.crashes, records, boot_now());
+            for (const auto& upstream : merge_crash_records(state_.crashes, records, boot_now())) {
+                confirm_upstream_crash(state_, upstream);
+            }
+            close_refused_sends(state_);
         };
         hooks.on_rollouts = [this](const std::vector<rollout_record>& records) {
             for (const auto& record : records) {
--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -31,7 +31,10 @@
             const bool alive = link->connect(address, probe_timeout, yield).has_value();
             link->close();
             node.probes[id] = {boot_now(), false, alive};
-            node.log.state("silent_upstream_probed", {{"upstream", id}, {"accepts_connections", alive}});
+            node.log.state("upstream_probed", {{"upstream", id}, {"accepts_connections", alive}});
+            if (!alive) {
+                confirm_upstream_crash(node, id);
+            }
         },
         boost::asio::detached);
 }
@@ -150,6 +153,35 @@
     }
 }
 
+void probe_for_crash(relay_state& node, const std::string& upstream) {
+    const auto entry = node.registry.upstreams.find(upstream);
+    const auto known = node.probes.find(upstream);
+    const bool running = known != node.probes.end() && known->second.running;
+    if (entry != node.registry.upstreams.end() && !running) {
+        probe(node, upstream, entry->second.entry.address);
+    }
+}
+
+// Peers hear of it at once where it may be what makes a request refused: until then they go on sending it.
+void confirm_upstream_crash(relay_state& node, const std::string& upstream) {
+    const auto over_limit = policy::confirm_crash(node.crashes, {}, upstream, boot_now());
+    if (over_limit.empty()) {
+        return;
+    }
+    node.log.state("crash_limit_reached", {{"upstream", upstream}, {"fingerprints", over_limit}});
+    close_refused_sends(node);
+    node.peers->announce();
+}
+
+void close_refused_sends(relay_state& node) {
+    for (auto& [id, send] : node.unproven_sends) {
+        if (!send.closed && policy::is_refused(node.crashes, {}, send.fingerprints)) {
+            send.closed = true;
+            send.link->close();
+        }
+    }
+}
+
 core::milliseconds key_confirmation_limit(const core::relay_bounds& bounds) {
     return bounds.revocation - key_confirmation_margin;
 }
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -74,6 +74,14 @@
     core::milliseconds limit{0};
 };
 
+/// A send of a request that isn't known to be sound yet.
+struct unproven_send {
+    policy::request_fingerprints fingerprints;
+    upstream_link_ptr link;
+    /// The request was found to crash upstreams, and the connection was closed for that.
+    bool closed = false;
+};
+
 /// The result of a connection probe of an upstream.
 struct upstream_probe {
     core::steady_time at{};
@@ -117,6 +125,8 @@
     std::map<std::string, core::steady_time> last_byte_at;
     /// Streams that wait for a byte and could resume on another upstream, by request number.
     std::map<std::uint64_t, waiting_stream> streams;
+    /// Sends that may still crash their upstreams, by request number.
+    std::map<std::uint64_t, unproven_send> unproven_sends;
     /// Probes of upstreams that sent no byte to any node.
     std::map<std::string, upstream_probe> probes;
     policy::prefill_rates prefill;
@@ -168,6 +178,16 @@
 /// upstream.
 void close_silent_streams(relay_state& node, core::nanoseconds paused);
 
+/// Finds out with a connection whether an upstream whose connection broke has crashed, and records the crash
+/// if it has.
+void probe_for_crash(relay_state& node, const std::string& upstream);
+
+/// Records the crash of an upstream that was found to be down or restarted.
+void confirm_upstream_crash(relay_state& node, const std::string& upstream);
+
+/// Closes the connections of sends whose requests were found to crash upstreams.
+void close_refused_sends(relay_state& node);
+
 /// Returns the maximum age of a confirmation at which requests with a key are admitted: the bound minus a
 /// margin for timers that fire late.
 core::milliseconds key_confirmation_limit(const core::relay_bounds& bounds);
--- /dev/null
+++ b/test/platform/deadly_part_test.cpp
@@ -0,0 +1,111 @@
+#include <deque>
+
+#include <doctest/doctest.h>
+
+#include "platform/support/relay_cluster.h"
+
+using namespace figspoke::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char* deadly_part = "dead";
+// The number of crashes after which requests are refused, and one for a tie.
+constexpr std::size_t max_crashes = 4;
+
+// Engines that crash when they begin to answer a request with the deadly part. Each that has crashed is
+// replaced, as by a restart.
+class engine_group {
+  public:
+    explicit engine_group(relay_cluster& cluster) : cluster_(cluster) {
+        for (int i = 0; i < 3; ++i) {
+            add();
+        }
+    }
+
+    std::size_t crashes() const {
+        return std::size_t(std::count_if(engines_.begin(), engines_.end(),
+                                         [](const auto& engine) { return engine->crashed(); }));
+    }
+
+    std::size_t deadly_requests() const {
+        std::size_t count = 0;
+        for (const auto& engine : engines_) {
+            for (const auto& request : engine->requests()) {
+                count += is_deadly(request) ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+    // Replaces the crashed engines and waits until the node has read of it.
+    void replace_crashed(const relay_process& node) {
+        const auto crashed = crashes();
+        while (engines_.size() < crashed + 3) {
+            add();
+        }
+        const auto newest = "i-" + std::to_string(engines_.size() - 1);
+        REQUIRE(wait_until([&] { return node.process->output().find(newest) != std::string::npos; }));
+    }
+
+  private:
+    static bool is_deadly(const engine_request& request) {
+        const auto parts = request.headers.find("x-prompt-prefix");
+        return parts != request.headers.end() && parts->second.find(deadly_part) != std::string::npos;
+    }
+
+    void add() {
+        const auto position = engines_.size();
+        engines_.push_back(std::make_unique<engine_stand_in>(
+            [this, position](engine_connection& connection, const engine_request& request) {
+                connection.begin_stream(request);
+                if (is_deadly(request)) {
+                    engines_.at(position)->crash();
+                    connection.reset();
+                    return;
+                }
+                connection.send_chunk("id: 1\ndata: e1\n\n");
+                connection.end_stream();
+            }));
+        cluster_.add_engine("i-" + std::to_string(position), "model", *engines_.back());
+    }
+
+    relay_cluster& cluster_;
+    std::deque<std::unique_ptr<engine_stand_in>> engines_;
+};
+
+http_answer send_prompt(relay_cluster& cluster, const relay_process& node, const std::string& id,
+                        const std::string& parts) {
+    return cluster.send(node, "/chat/" + id, id, "body " + id, "k1",
+                        {{"x-prompt-prefix", parts + ",own" + id + ":10"}});
+}
+
+} // namespace
+
+TEST_CASE("requests with a part that crashes engines are refused and others with their first part served") {
+    // Guards against requests, no two alike, that crash one engine after another (BUDGET).
+    relay_cluster cluster;
+    cluster.configure(1, {"k1"});
+    engine_group engines(cluster);
+    auto& node = cluster.start_node();
+    auto& other = cluster.start_node();
+    engines.replace_crashed(node);
+    engines.replace_crashed(other);
+    for (int i = 0; i < 6; ++i) {
+        const auto id = "d" + std::to_string(i);
+        const auto answer = send_prompt(cluster, node, id, "first:20,dead:30");
+        CHECK((answer.status == 502 || answer.status == 503));
+        engines.replace_crashed(node);
+        CHECK(send_prompt(cluster, node, "s" + id, "first:20,sound:30").status == 200);
+    }
+    CHECK(engines.crashes() <= max_crashes);
+    const auto reached = engines.deadly_requests();
+    const auto refused = send_prompt(cluster, node, "d6", "first:20,dead:30,more:5");
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.count("retry-after") == 1);
+    // The other node has heard of the crashes.
+    CHECK(wait_until([&] { return other.process->output().find("i-3") != std::string::npos; }));
+    CHECK(send_prompt(cluster, other, "d7", "dead:30").status == 503);
+    CHECK(send_prompt(cluster, other, "s7", "first:20,sound:30").status == 200);
+    CHECK(engines.deadly_requests() == reached);
+}
--- a/test/platform/support/engine_stand_in.h
+++ b/test/platform/support/engine_stand_in.h
@@ -59,6 +59,11 @@
 
     /// `IP:port` on which the stand-in listens.
     std::string address() const;
+    /// Stops like a crashed process: connections end with a reset and new ones are refused. May be called
+    /// from the handler.
+    void crash();
+    bool crashed() const { return crashed_; }
+
     /// All requests that were read so far, on any connection.
     std::vector<engine_request> requests() const;
 
@@ -70,6 +75,7 @@
     int listener_ = -1;
     int port_ = 0;
     std::atomic<bool> stopping_{false};
+    std::atomic<bool> crashed_{false};
     mutable std::mutex mutex_;
     std::vector<engine_request> requests_;
     std::vector<int> sockets_;
