Count a crash once for each fingerprint and let a doubtful refusal be tested

Cause: evidence without a time of its own. A send that the node had closed, or whose connection had broken for another reason, was entered at the time of its end. Seen 1.5 s or more before the crash, it counted beside the entry of that crash, so that two crashes made three. Nothing could correct it, as no refused request runs and shows that it is sound.

Change: a closed send counts only for a crash within 500 ms and takes the time of that crash; a probe that finds the upstream running discards earlier entries. While a fingerprint has fewer than four crashes, one of the first members lets one request run again 3 s later; its crash makes the refusal final, its success clears the part.

--- a/packages/policy/crash_ledger.cpp
+++ b/packages/policy/crash_ledger.cpp
@@ -39,6 +39,23 @@
     });
 }
 
+// Returns whether the crashes of a fingerprint of the request are attributed to it. Requests beside the cause
+// are repeated like it and may meet it again, so that a count alone would refuse them too. Where two requests
+// explain the crashes equally well, both run: the next crash or success decides. With a margin, an
+// explanation by others needs that many crashes more.
+bool is_attributed(const crash_ledger& ledger, const crash_ledger_settings& settings,
+                   std::uint64_t fingerprint, const request_fingerprints& request, std::size_t margin = 0) {
+    const auto found = ledger.crashes.find(fingerprint);
+    if (found == ledger.crashes.end() || found->second.size() < settings.refuse_after) {
+        return false;
+    }
+    const auto& crashes = found->second;
+    const auto attributed = std::count_if(crashes.begin(), crashes.end(), [&](const auto& crash) {
+        return !has_other_explanation(ledger, settings, crash, crashes.size() + margin, request);
+    });
+    return std::size_t(attributed) >= settings.refuse_after;
+}
+
 } // namespace
 
 bool record_crash(crash_ledger& ledger, const crash_ledger_settings& settings, std::uint64_t fingerprint,
@@ -80,7 +97,7 @@
 }
 
 std::vector<std::uint64_t> confirm_crash(crash_ledger& ledger, const crash_ledger_settings& settings,
-                                         const std::string& upstream, core::steady_time now) {
+                                         const std::string& upstream, core::steady_time crashed_at) {
     std::vector<std::uint64_t> over_limit;
     auto crashes = std::exchange(ledger.unconfirmed, {});
     for (auto& crash : crashes) {
@@ -88,8 +105,11 @@
             ledger.unconfirmed.push_back(std::move(crash));
             continue;
         }
-        const bool recent = now - crash.at <= settings.confirmation_window;
-        if (recent && record_crash(ledger, settings, crash.fingerprint, upstream, crash.at) &&
+        const auto window = crash.closed_here ? settings.closed_window : settings.confirmation_window;
+        // A closed connection doesn't tell when the upstream crashed.
+        const auto at = crash.closed_here ? crashed_at : crash.at;
+        const bool recent = crashed_at - crash.at <= window;
+        if (recent && record_crash(ledger, settings, crash.fingerprint, upstream, at) &&
             crash_count(ledger, crash.fingerprint) >= settings.refuse_after) {
             over_limit.push_back(crash.fingerprint);
         }
@@ -97,6 +117,15 @@
     return over_limit;
 }
 
+void discard_unconfirmed_crashes(crash_ledger& ledger, const std::string& upstream, core::steady_time until) {
+    auto& crashes = ledger.unconfirmed;
+    crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
+                                 [&](const unconfirmed_crash& crash) {
+                                     return crash.upstream == upstream && crash.at <= until;
+                                 }),
+                  crashes.end());
+}
+
 void clear_fingerprint(crash_ledger& ledger, std::uint64_t fingerprint, core::steady_time now) {
     if (ledger.crashes.erase(fingerprint) > 0) {
         ledger.cleared[fingerprint] = now;
@@ -130,23 +159,33 @@
         ->at;
 }
 
-// Requests beside the cause are repeated like it and may meet it again, so that a count alone would refuse
-// them too. Where two requests explain the crashes equally well, both run: the next crash or success decides.
 bool is_refused(const crash_ledger& ledger, const crash_ledger_settings& settings,
                 const request_fingerprints& request) {
     return std::any_of(request.begin(), request.end(), [&](std::uint64_t fingerprint) {
-        const auto found = ledger.crashes.find(fingerprint);
-        if (found == ledger.crashes.end() || found->second.size() < settings.refuse_after) {
-            return false;
-        }
-        const auto& crashes = found->second;
-        const auto attributed = std::count_if(crashes.begin(), crashes.end(), [&](const auto& crash) {
-            return !has_other_explanation(ledger, settings, crash, crashes.size(), request);
-        });
-        return std::size_t(attributed) >= settings.refuse_after;
+        return is_attributed(ledger, settings, fingerprint, request);
     });
 }
 
+bool is_likely_cause(const crash_ledger& ledger, const crash_ledger_settings& settings,
+                     std::uint64_t fingerprint) {
+    return is_attributed(ledger, settings, fingerprint, {fingerprint}, 1);
+}
+
+std::optional<core::steady_time> next_trial_time(const crash_ledger& ledger,
+                                                 const crash_ledger_settings& settings,
+                                                 const request_fingerprints& request) {
+    core::steady_time latest = core::steady_time::min();
+    for (const auto fingerprint : request) {
+        if (is_attributed(ledger, settings, fingerprint, request)) {
+            if (crash_count(ledger, fingerprint) >= settings.certain_after) {
+                return std::nullopt;
+            }
+            latest = std::max(latest, latest_crash_time(ledger.crashes.at(fingerprint)));
+        }
+    }
+    return latest == core::steady_time::min() ? latest : latest + settings.trial_delay;
+}
+
 void expire_crashes(crash_ledger& ledger, const crash_ledger_settings& settings, core::steady_time now) {
     core::erase_where(ledger.crashes, [&](const auto& crashes, std::uint64_t) {
         const bool over_limit = crashes.size() >= settings.refuse_after;
--- a/packages/policy/crash_ledger.h
+++ b/packages/policy/crash_ledger.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,12 @@
     std::size_t refuse_after = 3;
     /// Reports about one upstream within this time are the same crash, reported by several nodes.
     core::milliseconds same_crash_window{1500};
+    /// Number of crashes from which requests are refused for good. With fewer, one runs again now and then:
+    /// the cause may have gone unseen with a node that died, and a sound part of many requests was taken for
+    /// it.
+    std::size_t certain_after = 4;
+    /// Time since the latest crash after which a request may run again.
+    core::milliseconds trial_delay{3000};
     /// Time since a fingerprint's latest crash, or since it was cleared, after which the record is removed.
     core::milliseconds expiry{60000};
     /// The same for a fingerprint with `refuse_after` crashes or more. None of its requests runs any more, so
@@ -25,6 +32,9 @@
     /// Longest time between a broken connection and the detection that the upstream is down for the two to
     /// count as one crash.
     core::milliseconds confirmation_window{2500};
+    /// The same for a connection that the node itself closed: an upstream crashes some tens of milliseconds
+    /// after it has begun an answer, whether or not the caller still waits.
+    core::milliseconds closed_window{500};
     /// Beyond this number, the fingerprint with too few crashes to be refused whose latest crash is the
     /// oldest is removed, and where there is none, the oldest of all.
     std::size_t max_fingerprints = 2000;
@@ -39,6 +49,8 @@
     std::uint64_t fingerprint = 0;
     std::string upstream;
     core::steady_time at;
+    /// The node closed the connection itself.
+    bool closed_here = false;
 };
 
 /// A crash of an upstream that was running a request with the fingerprint.
@@ -67,9 +79,13 @@
                               const unconfirmed_crash& crash);
 
 /// Records the recent unconfirmed crashes of this upstream as crashes, because it was found to be down or
-/// restarted. Returns the fingerprints that took part in `settings.refuse_after` crashes or more by now.
+/// restarted at `crashed_at`. Returns the fingerprints that took part in `settings.refuse_after` crashes or
+/// more by now.
 std::vector<std::uint64_t> confirm_crash(crash_ledger& ledger, const crash_ledger_settings& settings,
-                                         const std::string& upstream, core::steady_time now);
+                                         const std::string& upstream, core::steady_time crashed_at);
+
+/// Removes the unconfirmed crashes of an upstream up to a time at which it was found to be running.
+void discard_unconfirmed_crashes(crash_ledger& ledger, const std::string& upstream, core::steady_time until);
 
 /// Removes the crashes of a fingerprint, because one of its requests succeeded on this node. Earlier crashes
 /// that are reported later are ignored.
@@ -90,6 +106,17 @@
 bool is_refused(const crash_ledger& ledger, const crash_ledger_settings& settings,
                 const request_fingerprints& request);
 
+/// Returns whether no other fingerprint explains the crashes of this one better, so that they must be kept to
+/// refuse the same requests as now. Several that always come together may explain them equally well.
+bool is_likely_cause(const crash_ledger& ledger, const crash_ledger_settings& settings,
+                     std::uint64_t fingerprint);
+
+/// Returns the time from which a request that is refused may run once to show whether it is the cause; empty
+/// if that is certain.
+std::optional<core::steady_time> next_trial_time(const crash_ledger& ledger,
+                                                 const crash_ledger_settings& settings,
+                                                 const request_fingerprints& request);
+
 /// Removes crashes and cleared fingerprints that have expired, and the oldest cleared fingerprints beyond
 /// `settings.max_fingerprints`.
 void expire_crashes(crash_ledger& ledger, const crash_ledger_settings& settings, core::steady_time now);
--- a/packages/relay/crash_records.cpp
+++ b/packages/relay/crash_records.cpp
@@ -51,14 +51,19 @@
     return records;
 }
 
-std::set<std::string> merge_crash_records(policy::crash_ledger& ledger,
-                                          const std::vector<crash_record>& records, core::steady_time now) {
-    std::set<std::string> crashed;
+std::map<std::string, core::steady_time> merge_crash_records(policy::crash_ledger& ledger,
+                                                             const std::vector<crash_record>& records,
+                                                             core::steady_time now) {
+    std::map<std::string, core::steady_time> crashed;
     for (const auto& record : records) {
+        if (record.age > policy::crash_ledger_settings{}.refused_expiry) {
+            continue;
+        }
         if (record.upstream.empty()) {
             policy::clear_crashes_until(ledger, record.fingerprint, now - record.age);
         } else if (policy::record_crash(ledger, {}, record.fingerprint, record.upstream, now - record.age)) {
-            crashed.insert(record.upstream);
+            auto& latest = crashed.emplace(record.upstream, now - record.age).first->second;
+            latest = std::max(latest, now - record.age);
         }
     }
     return crashed;
--- a/packages/relay/crash_records.h
+++ b/packages/relay/crash_records.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <set>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -15,8 +15,10 @@
 std::vector<crash_record> crash_records(const policy::crash_ledger& ledger, core::milliseconds recent,
                                         core::steady_time now);
 
-/// Adds a peer's crash records to the ledger. Returns the upstreams of crashes that it didn't hold yet.
-std::set<std::string> merge_crash_records(policy::crash_ledger& ledger,
-                                          const std::vector<crash_record>& records, core::steady_time now);
+/// Adds a peer's crash records to the ledger. Returns the upstreams of crashes that it didn't hold yet, with
+/// the time of the latest.
+std::map<std::string, core::steady_time> merge_crash_records(policy::crash_ledger& ledger,
+                                                             const std::vector<crash_record>& records,
+                                                             core::steady_time now);
 
 } // namespace figspoke::relay
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -55,7 +55,7 @@
     }
     for (const auto* list : {&changes.restarted, &changes.removed}) {
         for (const auto& id : *list) {
-            confirm_upstream_crash(node, id);
+            confirm_upstream_crash(node, id, boot_now());
             node.health.upstreams.erase(id);
             node.full_until.erase(id);
         }
--- a/packages/relay/forward_evidence.cpp
+++ b/packages/relay/forward_evidence.cpp
@@ -54,12 +54,24 @@
     return fingerprints;
 }
 
-bool forward_run::is_refused_for_crashes() const {
-    return policy::is_refused(node_.crashes, {}, fingerprints_);
+// A trial lasts for one send.
+bool forward_run::is_on_trial() const {
+    return trial_send_ == history_.sends.size();
+}
+
+bool forward_run::is_refused_for_crashes() {
+    if (is_on_trial() || !policy::is_refused(node_.crashes, {}, fingerprints_)) {
+        return false;
+    }
+    if (!answer_started_ && begin_crash_trial(node_, fingerprints_)) {
+        trial_send_ = history_.sends.size();
+        return false;
+    }
+    return true;
 }
 
 void forward_run::begin_unproven_send() {
-    node_.unproven_sends[id_] = {fingerprints_, current_link_, false};
+    node_.unproven_sends[id_] = {fingerprints_, current_link_, is_on_trial(), false};
 }
 
 bool forward_run::closed_for_crashes() const {
@@ -91,16 +103,16 @@
                                                   {"answer_begun", send_head_after_.has_value()},
                                                   {"events", send_events_}});
     if (!send_settled_) {
-        record_possible_crash(entry);
+        record_possible_crash(entry, false);
         probe_for_crash(node_, entry.id);
     }
 }
 
 // Also called for a send that this node ended itself before the answer had settled: the upstream may crash on
 // it all the same, a moment later, with other requests.
-void forward_run::record_possible_crash(const state::upstream_entry& entry) {
+void forward_run::record_possible_crash(const state::upstream_entry& entry, bool closed_here) {
     for (const auto fingerprint : fingerprints_) {
-        policy::record_unconfirmed_crash(node_.crashes, {}, {fingerprint, entry.id, boot_now()});
+        policy::record_unconfirmed_crash(node_.crashes, {}, {fingerprint, entry.id, boot_now(), closed_here});
     }
 }
 
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -86,12 +86,13 @@
     void record_bad_result(const state::upstream_entry& entry);
     void record_result(const state::upstream_entry& entry, bool good, core::steady_time sent_at);
     policy::request_fingerprints make_fingerprints() const;
-    bool is_refused_for_crashes() const;
+    bool is_on_trial() const;
+    bool is_refused_for_crashes();
     bool closed_for_crashes() const;
     void begin_unproven_send();
     bool has_settled() const;
     void record_sound_request();
-    void record_possible_crash(const state::upstream_entry& entry);
+    void record_possible_crash(const state::upstream_entry& entry, bool closed_here);
     void record_broken_connection(const state::upstream_entry& entry);
 
     // Final answers.
@@ -121,6 +122,8 @@
     std::uint64_t config_version_ = 0;
     core::nanoseconds config_age_{0};
     policy::request_fingerprints fingerprints_;
+    /// Number of earlier sends of a refused request at its trial.
+    std::optional<std::size_t> trial_send_;
     std::uint64_t session_ = 0;
     double session_bucket_ = 0;
     double service_draw_ = 0;
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -139,7 +139,7 @@
     if (drop_for_larger_model(answer.head)) {
         history_.sends.push_back({entry.id, policy::send_result::failed});
         answer.link->close();
-        record_possible_crash(entry);
+        record_possible_crash(entry, true);
         return next_step::retry;
     }
     const bool success = answer.head.status < 500;
@@ -270,7 +270,7 @@
 forward_run::next_step forward_run::abandon_stream(const state::upstream_entry& entry, begun_answer& answer) {
     answer.link->close();
     if (!send_settled_) {
-        record_possible_crash(entry);
+        record_possible_crash(entry, true);
     }
     history_.sends.push_back({entry.id, policy::send_result::unknown});
     end_ = "caller left";
@@ -340,7 +340,7 @@
     const bool closed_by_relay = exchange_.disconnected() || closed_for_crashes();
     if (failure.result != policy::send_result::not_sent && !send_settled_ &&
         (closed_by_relay || failure.cause == link_failure::timed_out)) {
-        record_possible_crash(entry);
+        record_possible_crash(entry, true);
     }
     if (closed_by_relay) {
         return next_step::retry;
@@ -348,7 +348,7 @@
     const bool out_of_time = failure.cause == link_failure::timed_out && boot_now() >= deadline_;
     if (failure.result == policy::send_result::not_sent) {
         ++unsent_attempts_;
-        confirm_upstream_crash(node_, entry.id);
+        confirm_upstream_crash(node_, entry.id, boot_now());
         record_upstream_event(node_, entry.id,
                               failure.cause == link_failure::refused
                                   ? policy::upstream_event::connection_refused
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -114,8 +114,8 @@
             handle_claim(state_, kind, claim, echo, peer);
         };
         hooks.on_crashes = [this](const std::vector<crash_record>& records) {
-            for (const auto& upstream : merge_crash_records(state_.crashes, records, boot_now())) {
-                confirm_upstream_crash(state_, upstream);
+            for (const auto& [upstream, at] : merge_crash_records(state_.crashes, records, boot_now())) {
+                confirm_upstream_crash(state_, upstream, at);
             }
             close_refused_sends(state_);
         };
--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -21,6 +21,11 @@
 // silence that caused the probe.
 constexpr core::milliseconds probe_timeout{300};
 constexpr core::milliseconds probe_lifetime{900};
+// A few members try refused requests, one after the other, so that the outcome of one trial reaches the next
+// before its turn.
+constexpr std::size_t trial_nodes = 4;
+constexpr core::milliseconds trial_stagger{4000};
+constexpr core::milliseconds trial_interval{3000};
 
 void probe(relay_state& node, const std::string& id, const std::string& address) {
     node.probes[id] = {boot_now(), true, false};
@@ -28,12 +33,15 @@
         node.context,
         [&node, id, address](const boost::asio::yield_context& yield) {
             const auto link = std::make_shared<upstream_link>(node.context);
+            const auto began = boot_now();
             const bool alive = link->connect(address, probe_timeout, yield).has_value();
             link->close();
             node.probes[id] = {boot_now(), false, alive};
             node.log.state("upstream_probed", {{"upstream", id}, {"accepts_connections", alive}});
-            if (!alive) {
-                confirm_upstream_crash(node, id);
+            if (alive) {
+                policy::discard_unconfirmed_crashes(node.crashes, id, began);
+            } else {
+                confirm_upstream_crash(node, id, began);
             }
         },
         boost::asio::detached);
@@ -163,8 +171,8 @@
 }
 
 // Peers hear of it at once where it may be what makes a request refused: until then they go on sending it.
-void confirm_upstream_crash(relay_state& node, const std::string& upstream) {
-    const auto over_limit = policy::confirm_crash(node.crashes, {}, upstream, boot_now());
+void confirm_upstream_crash(relay_state& node, const std::string& upstream, core::steady_time crashed_at) {
+    const auto over_limit = policy::confirm_crash(node.crashes, {}, upstream, crashed_at);
     if (over_limit.empty()) {
         return;
     }
@@ -173,9 +181,22 @@
     node.peers->announce();
 }
 
+bool begin_crash_trial(relay_state& node, const policy::request_fingerprints& fingerprints) {
+    const auto now = boot_now();
+    const auto rank = node.peers->rank();
+    const auto due = policy::next_trial_time(node.crashes, {}, fingerprints);
+    if (!due || rank >= trial_nodes || now < *due + trial_stagger * int(rank) ||
+        now < node.next_crash_trial) {
+        return false;
+    }
+    node.next_crash_trial = now + trial_interval;
+    node.log.state("crash_trial", {{"fingerprints", fingerprints}});
+    return true;
+}
+
 void close_refused_sends(relay_state& node) {
     for (auto& [id, send] : node.unproven_sends) {
-        if (!send.closed && policy::is_refused(node.crashes, {}, send.fingerprints)) {
+        if (!send.closed && !send.trial && policy::is_refused(node.crashes, {}, send.fingerprints)) {
             send.closed = true;
             send.link->close();
         }
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -78,6 +78,8 @@
 struct unproven_send {
     policy::request_fingerprints fingerprints;
     upstream_link_ptr link;
+    /// The request is refused, but runs once more to show whether it is the cause.
+    bool trial = false;
     /// The request was found to crash upstreams, and the connection was closed for that.
     bool closed = false;
 };
@@ -137,6 +139,8 @@
     std::map<std::string, policy::repeat_budget> budgets;
     policy::version_counts_table versions;
     policy::crash_ledger crashes;
+    /// Earliest time of this node's next trial of a refused request.
+    core::steady_time next_crash_trial{};
     policy::session_pins sessions;
 
     policy::relay_queue queue;
@@ -182,8 +186,11 @@
 /// if it has.
 void probe_for_crash(relay_state& node, const std::string& upstream);
 
-/// Records the crash of an upstream that was found to be down or restarted.
-void confirm_upstream_crash(relay_state& node, const std::string& upstream);
+/// Records the crash of an upstream that was found to be down or restarted at `crashed_at`.
+void confirm_upstream_crash(relay_state& node, const std::string& upstream, core::steady_time crashed_at);
+
+/// Returns whether this node may now run a refused request once, and reserves the trial if so.
+bool begin_crash_trial(relay_state& node, const policy::request_fingerprints& fingerprints);
 
 /// Closes the connections of sends whose requests were found to crash upstreams.
 void close_refused_sends(relay_state& node);
--- a/test/correctness/policy_crash_ledger_test.cpp
+++ b/test/correctness/policy_crash_ledger_test.cpp
@@ -71,6 +71,35 @@
     CHECK_FALSE(is_refused(ledger, {}, {3, other_part}));
 }
 
+TEST_CASE("one crash of an upstream is counted once although its sends ended at different times") {
+    // Guards against the refusal of a part of most prompts after two crashes: a send that the node had closed
+    // long before the crash, and one whose connection had broken for another reason, counted as crashes of
+    // their own.
+    crash_ledger ledger;
+    record_unconfirmed_crash(ledger, {}, {first_part, "u1", at(0), true});
+    record_unconfirmed_crash(ledger, {}, {first_part, "u1", at(1400), true});
+    record_unconfirmed_crash(ledger, {}, {first_part, "u1", at(1600), false});
+    confirm_crash(ledger, {}, "u1", at(1600));
+    CHECK(crash_count(ledger, first_part) == 1U);
+    record_unconfirmed_crash(ledger, {}, {first_part, "u2", at(3000), false});
+    discard_unconfirmed_crashes(ledger, "u2", at(3001));
+    record_unconfirmed_crash(ledger, {}, {first_part, "u2", at(5000), false});
+    confirm_crash(ledger, {}, "u2", at(5000));
+    CHECK(crash_count(ledger, first_part) == 2U);
+}
+
+TEST_CASE("a refused request may run once more before its crashes are certain") {
+    // Guards against a sound part that stays refused because no request with it may show that it is sound.
+    const crash_ledger_settings settings;
+    crash_ledger ledger;
+    for (int i = 0; i < 3; ++i) {
+        record_crash(ledger, {}, deadly_part, "u" + std::to_string(i), at(i * 500));
+    }
+    CHECK(next_trial_time(ledger, settings, {9, deadly_part}) == at(1000) + settings.trial_delay);
+    record_crash(ledger, {}, deadly_part, "u3", at(5000));
+    CHECK_FALSE(next_trial_time(ledger, settings, {9, deadly_part}).has_value());
+}
+
 TEST_CASE("the record of a refused part outlives thousands of later crashes of other requests") {
     // Guards against a ledger that grows without bound, and against one that forgets what it refuses: no new
     // crash refreshes that record.
--- a/test/platform/deadly_part_test.cpp
+++ b/test/platform/deadly_part_test.cpp
@@ -1,4 +1,6 @@
+#include <csignal>
 #include <deque>
+#include <thread>
 
 #include <doctest/doctest.h>
 
@@ -10,7 +12,7 @@
 namespace {
 
 constexpr const char* deadly_part = "dead";
-// The number of crashes after which requests are refused, and one for a tie.
+// Requests are refused for good after so many crashes.
 constexpr std::size_t max_crashes = 4;
 
 // Engines that crash when they begin to answer a request with the deadly part. Each that has crashed is
@@ -80,6 +82,24 @@
                         {{"x-prompt-prefix", parts + ",own" + id + ":10"}});
 }
 
+// Sends requests until it is certain that the part crashes engines. Sound requests are served all the while.
+void make_part_refused(relay_cluster& cluster, const relay_process& node, engine_group& engines) {
+    for (int i = 0; i < 60 && engines.crashes() < max_crashes; ++i) {
+        const auto id = "d" + std::to_string(i);
+        const auto answer = send_prompt(cluster, node, id, "first:20,dead:30");
+        CHECK((answer.status == 502 || answer.status == 503));
+        engines.replace_crashed(node);
+        CHECK(send_prompt(cluster, node, "s" + id, "first:20,sound:30").status == 200);
+        std::this_thread::sleep_for(milliseconds(200));
+    }
+    // More requests than are sent at a trial must not crash engines.
+    for (int i = 0; i < 6; ++i) {
+        const auto answer = send_prompt(cluster, node, "e" + std::to_string(i), "first:20,dead:30");
+        CHECK((answer.status == 502 || answer.status == 503));
+        engines.replace_crashed(node);
+    }
+}
+
 } // namespace
 
 TEST_CASE("requests with a part that crashes engines are refused and others with their first part served") {
@@ -91,13 +111,7 @@
     auto& other = cluster.start_node();
     engines.replace_crashed(node);
     engines.replace_crashed(other);
-    for (int i = 0; i < 6; ++i) {
-        const auto id = "d" + std::to_string(i);
-        const auto answer = send_prompt(cluster, node, id, "first:20,dead:30");
-        CHECK((answer.status == 502 || answer.status == 503));
-        engines.replace_crashed(node);
-        CHECK(send_prompt(cluster, node, "s" + id, "first:20,sound:30").status == 200);
-    }
+    make_part_refused(cluster, node, engines);
     CHECK(engines.crashes() <= max_crashes);
     const auto reached = engines.deadly_requests();
     const auto refused = send_prompt(cluster, node, "d6", "first:20,dead:30,more:5");
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -17,9 +17,11 @@
 #include "relay/load_aggregators.h"
 #include "relay/load_message.h"
 #include "relay/wire_protocol.h"
+#include "support/test_time.h"
 
 using namespace figspoke;
 using namespace figspoke::relay;
+using figspoke::test::at;
 
 namespace {
 
@@ -199,7 +201,6 @@
     // Guards against the refusal of a request that has succeeded on another node. In soak seed 114 a request
     // of many callers was running on three engines that crashed for other reasons. It succeeded elsewhere,
     // but nodes that didn't know of the success refused it.
-    const auto at = [](int ms) { return core::steady_time(std::chrono::hours(1) + core::milliseconds(ms)); };
     policy::crash_ledger served;
     policy::crash_ledger other;
     for (auto* ledger : {&served, &other}) {
@@ -552,3 +553,19 @@
     context.run();
     CHECK(ended);
 }
+
+TEST_CASE("the records of refused fingerprints reach peers before those of many recent crashes") {
+    // Guards against heartbeats whose bounded list of crashes is filled by single crashes of sound requests.
+    policy::crash_ledger ledger;
+    for (std::uint64_t i = 0; i < 500; ++i) {
+        policy::record_crash(ledger, {}, i, "u", at(4000));
+    }
+    const std::uint64_t refused = 1ULL << 60;
+    for (int i = 0; i < 3; ++i) {
+        policy::record_crash(ledger, {}, refused, "v" + std::to_string(i), at(i * 500));
+    }
+    const auto records = crash_records(ledger, core::milliseconds(4000), at(5000));
+    CHECK(records.size() <= 210U);
+    CHECK(std::count_if(records.begin(), records.end(),
+                        [](const crash_record& record) { return record.fingerprint == refused; }) == 3);
+}
