Keep what crashes upstreams in the store across the loss of all nodes

Cause: learned state that lived in memory only and was held by nobody once all nodes were gone at the same time.

Parts that always come together are stored together, so that the same requests are refused after the restart as before.

The new process test kills the node and expects the part to be refused; it fails without the store, since the part then reaches an engine.

--- a/packages/relay/document_source.h
+++ b/packages/relay/document_source.h
@@ -10,6 +10,7 @@
 #include <tl/expected.hpp>
 
 #include "core/time.h"
+#include "relay/crash_record.h"
 #include "relay/rollout_state.h"
 #include "state/route_table.h"
 #include "state/shared_document.h"
@@ -55,6 +56,12 @@
 template <class T>
 using store_result = tl::expected<T, store_error>;
 
+/// Crashes in the store, and the revision of its item; 0 if there is none.
+struct stored_crashes {
+    std::vector<crash_record> records;
+    std::uint64_t revision = 0;
+};
+
 /// Access to the platform: its store and the decoding of its documents.
 struct platform_port {
     using yield_context = boost::asio::yield_context;
@@ -77,6 +84,11 @@
                                               const yield_context&)>
         write_rollout_status;
 
+    /// Read and write the crashes for which requests are refused. A write fails if the stored ones have
+    /// another revision than those that were read.
+    std::function<store_result<stored_crashes>(const yield_context&)> read_crashes;
+    std::function<store_result<std::uint64_t>(const stored_crashes&, const yield_context&)> write_crashes;
+
     /// Lists the heartbeat addresses of registered nodes.
     std::function<store_result<std::vector<std::string>>(const yield_context&)> list_nodes;
     /// Registers a node's heartbeat address under its name.
--- a/packages/relay/heartbeat_message.h
+++ b/packages/relay/heartbeat_message.h
@@ -12,6 +12,7 @@
 #include "core/time.h"
 #include "policy/trial_evidence.h"
 #include "policy/upstream_use.h"
+#include "relay/crash_record.h"
 #include "relay/rollout_state.h"
 #include "state/membership.h"
 #include "state/shared_document.h"
@@ -25,14 +26,6 @@
 using policy::add_use;
 using policy::upstream_use;
 
-/// A request with this fingerprint was running on an upstream that crashed. An empty upstream means that such
-/// a request has succeeded, which clears the fingerprint of earlier crashes.
-struct crash_record {
-    std::uint64_t fingerprint = 0;
-    std::string upstream;
-    core::milliseconds age{0};
-};
-
 /// A recent conversation and the version of the service that it used.
 struct session_record {
     std::uint64_t session = 0;
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -12,6 +12,7 @@
 #include "relay/boot_clock.h"
 #include "relay/caller_connection.h"
 #include "relay/crash_records.h"
+#include "relay/crash_store.h"
 #include "relay/document_loops.h"
 #include "relay/forward.h"
 #include "relay/relay_state.h"
@@ -84,6 +85,7 @@
             run_document_loop(state_, document_kind::registry, yield);
         });
         spawn([this](const asio::yield_context& yield) { discover_nodes(yield); });
+        spawn([this](const asio::yield_context& yield) { run_crash_store_loop(state_, yield); });
         spawn([this](const asio::yield_context& yield) { run_ticks(yield); });
         context_.run();
         adapters::close_log();
--- a/test/platform/deadly_part_test.cpp
+++ b/test/platform/deadly_part_test.cpp
@@ -123,3 +123,23 @@
     CHECK(send_prompt(cluster, other, "s7", "first:20,sound:30").status == 200);
     CHECK(engines.deadly_requests() == reached);
 }
+
+TEST_CASE("a part that crashes engines stays refused after all nodes were killed") {
+    // Guards against a fleet that learns after each restart, at the cost of engines, what it knew before.
+    relay_cluster cluster;
+    cluster.configure(1, {"k1"});
+    engine_group engines(cluster);
+    auto& node = cluster.start_node();
+    engines.replace_crashed(node);
+    make_part_refused(cluster, node, engines);
+    const auto reached = engines.deadly_requests();
+    REQUIRE(wait_until([&] { return node.process->output().find("crashes_stored") != std::string::npos; }));
+    node.process->send_signal(SIGKILL);
+    REQUIRE(node.process->wait_for_exit().has_value());
+    cluster.relaunch(node);
+    REQUIRE(wait_until([&] { return cluster.is_ready(node); }));
+    std::this_thread::sleep_for(milliseconds(500));
+    CHECK(send_prompt(cluster, node, "d8", "first:20,dead:30").status == 503);
+    CHECK(send_prompt(cluster, node, "s8", "first:20,sound:30").status == 200);
+    CHECK(engines.deadly_requests() == reached);
+}
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -10,6 +10,7 @@
 #include "adapters/deflate.h"
 #include "core/relay_settings.h"
 #include "relay/crash_records.h"
+#include "relay/crash_store.h"
 #include "relay/document_codec.h"
 #include "relay/event_splitter.h"
 #include "relay/fleet.h"
@@ -554,6 +555,27 @@
     CHECK(ended);
 }
 
+TEST_CASE("the likely causes of crashes are refused as before once they were stored and read") {
+    // Guards against a fleet that forgets a part because it always came with another one, and against sound
+    // requests that are refused for minutes because they were stored as suspects.
+    policy::crash_ledger ledger;
+    for (int i = 0; i < 4; ++i) {
+        for (const std::uint64_t part : {7, 8}) {
+            policy::record_crash(ledger, {}, part, "u" + std::to_string(i), at(i * 500));
+        }
+    }
+    for (int i = 0; i < 3; ++i) {
+        policy::record_crash(ledger, {}, 9, "u" + std::to_string(i), at(i * 500));
+    }
+    const auto records = refused_crash_records(ledger, at(3000));
+    CHECK(fingerprints_of(records) == std::set<std::uint64_t>{7, 8});
+    policy::crash_ledger restored;
+    merge_crash_records(restored, records, at(90000));
+    CHECK(policy::is_refused(restored, {}, {1, 7, 8}));
+    CHECK_FALSE(policy::is_refused(restored, {}, {1, 8}));
+    CHECK_FALSE(policy::is_refused(restored, {}, {1, 9}));
+}
+
 TEST_CASE("the records of refused fingerprints reach peers before those of many recent crashes") {
     // Guards against heartbeats whose bounded list of crashes is filled by single crashes of sound requests.
     policy::crash_ledger ledger;
