Keep within the rate of requests that an upstream names, over all nodes

Back ends in need saw up to three times the requests that they had said they take: 17 to 37 in 4 s where 12 to 27 are allowed, from all nodes together, on all three small sites.

Cause: a statement of the upstream that no part of the system reads. Server-Limit passed through to the caller; nothing in the relay held it (hypothesis 1). The header is read in one place, and each send asks for it, repeats too (3). Class of the fault: back pressure that isn't part of the model of an upstream.

Change: policy/named_limits divides a named limit among as many nodes as it has requests a second, and two more, that all nodes choose alike by rendezvous; each saves one request at the most, so that the sum over 6 or 380 nodes stays within the bound (2). Nodes tell each other statements with their age in a datagram of its own, which older nodes ignore; an answer without the header ends the limit everywhere. Requests choose another upstream or wait for their turn.

--- a/packages/relay/candidates.cpp
+++ b/packages/relay/candidates.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "relay/boot_clock.h"
+#include "relay/limits.h"
 
 namespace figspoke::relay {
 namespace {
@@ -52,7 +53,7 @@
     return asks_load_aggregators(node) ? node.aggregators->known_load(upstream) : std::nullopt;
 }
 
-policy::relay_candidate make_candidate(const relay_state& node, const state::upstream_entry& entry,
+policy::relay_candidate make_candidate(relay_state& node, const state::upstream_entry& entry,
                                        const upstream_requirements& requirements, core::steady_time now) {
     policy::relay_candidate candidate;
     candidate.id = entry.id;
@@ -80,6 +81,7 @@
         own_requests(node, entry.id) >= connection_share(node, requirements.service);
     const bool reported_full = (kept && kept->full) || (full != node.full_until.end() && full->second > now);
     candidate.at_capacity = reported_full || connections_exhausted ||
+                            !may_send_within_limit(node, entry.id) ||
                             !has_memory_for(node, requirements.service, use.tokens, requirements.tokens);
     return candidate;
 }
@@ -112,7 +114,7 @@
 }
 
 std::vector<policy::relay_candidate>
-make_candidates(const relay_state& node, const std::vector<const state::upstream_entry*>& upstreams,
+make_candidates(relay_state& node, const std::vector<const state::upstream_entry*>& upstreams,
                 const upstream_requirements& requirements) {
     const auto now = boot_now();
     std::vector<policy::relay_candidate> candidates;
@@ -137,6 +139,17 @@
             untried.push_back(entry->id);
         }
     }
+    // In a large fleet most nodes may not send to an upstream with a limit; it would only take a place on the
+    // shortlist. Where all are at their limits, the choice must still find that they are at capacity.
+    std::vector<std::string> within_limits;
+    for (const auto& id : untried) {
+        if (may_send_within_limit(node, id)) {
+            within_limits.push_back(id);
+        }
+    }
+    if (!within_limits.empty()) {
+        untried = std::move(within_limits);
+    }
     const policy::shortlist_settings settings;
     std::vector<double> draws;
     for (std::size_t i = 0; i < settings.owners + settings.others; ++i) {
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -58,6 +58,7 @@
             confirm_upstream_crash(node, id, boot_now());
             node.health.upstreams.erase(id);
             node.full_until.erase(id);
+            node.limits.upstreams.erase(id);
         }
     }
 }
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -6,6 +6,7 @@
 #include "adapters/endpoint.h"
 #include "core/erase_where.h"
 #include "relay/boot_clock.h"
+#include "relay/limit_message.h"
 #include "state/entry_choice.h"
 
 namespace figspoke::relay {
@@ -131,6 +132,7 @@
 // before it has left.
 void fleet::update_live_members(core::steady_time now) {
     std::vector<std::string> live;
+    std::vector<std::string> sending;
     live_count_ = 0;
     const auto limits = timeouts();
     for (const auto& [id, member] : members_.members) {
@@ -139,6 +141,13 @@
         if (alive && member.entry.state == state::member_state::serving) {
             live.push_back(id);
         }
+        if (id == members_.self || (alive && (member.entry.state == state::member_state::serving ||
+                                              member.entry.state == state::member_state::leaving))) {
+            sending.push_back(id);
+        }
+    }
+    if (sending != sender_place_.nodes) {
+        sender_place_ = {members_.self, std::move(sending), sender_place_.version + 1};
     }
     if (live != live_ids_) {
         live_ids_ = std::move(live);
@@ -158,6 +167,14 @@
     return {found->second, member->second.entry.mesh_address};
 }
 
+void fleet::broadcast(const std::string& bytes) {
+    for (const auto& targets : {cell_targets(), link_targets(heartbeat_scope::updates)}) {
+        for (const auto& to : targets) {
+            send_bytes(to.address, bytes);
+        }
+    }
+}
+
 void fleet::send_bytes(const std::string& address, const std::string& bytes) {
     boost::system::error_code code;
     socket_.send_to(asio::buffer(bytes), datagram_endpoint(address), 0, code);
@@ -340,6 +357,8 @@
         const auto received = std::string_view(bytes).substr(0, size);
         if (is_load_message(received)) {
             hooks_.on_load_message(received, from.address().to_string() + ':' + std::to_string(from.port()));
+        } else if (is_limit_message(received)) {
+            hooks_.on_limit_message(received);
         } else if (const auto message = decode_heartbeat(received)) {
             receive(*message);
         }
--- a/packages/relay/fleet.h
+++ b/packages/relay/fleet.h
@@ -15,6 +15,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/spawn.hpp>
 
+#include "policy/named_limits.h"
 #include "relay/heartbeat_filter.h"
 #include "relay/heartbeat_message.h"
 #include "relay/load_aggregators.h"
@@ -54,6 +55,8 @@
     std::function<void()> on_heartbeat;
     /// A message about the load of upstreams, and the address of its sender.
     std::function<void(std::string_view bytes, const std::string& from)> on_load_message;
+    /// A message about the limits that upstreams have named.
+    std::function<void(std::string_view bytes)> on_limit_message;
 };
 
 /// Tracks the members of the fleet by their heartbeats. In a small fleet every node sends heartbeats to all
@@ -95,6 +98,13 @@
     /// Returns the load aggregator of an upstream. Nodes that know the same members choose the same one.
     aggregator_place aggregator_of(const std::string& upstream);
 
+    /// Returns this node's place among the live members that send requests to upstreams, which include those
+    /// that are stopping.
+    const policy::sender_place& sender_place() const { return sender_place_; }
+
+    /// Sends bytes to the members of the cell and the linked members of others.
+    void broadcast(const std::string& bytes);
+
     /// Sends bytes to a peer as one datagram.
     void send_bytes(const std::string& address, const std::string& bytes);
 
@@ -176,6 +186,7 @@
     std::unordered_map<std::uint32_t, tagged_member> members_by_tag_;
     /// Ids of the live members, and the load aggregators chosen among them so far, by upstream.
     std::vector<std::string> live_ids_;
+    policy::sender_place sender_place_;
     std::size_t live_count_ = 1;
     std::unordered_map<std::string, std::string> aggregators_;
     /// The membership's stamp at each of the latest rounds, so that recently changed members are sent in
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -6,6 +6,7 @@
 #include "policy/prefill.h"
 #include "policy/session_pins.h"
 #include "relay/boot_clock.h"
+#include "relay/limits.h"
 
 namespace figspoke::relay {
 namespace {
@@ -71,6 +72,7 @@
     use_ = &use;
     policy::record_prefixes(node_.prefixes, entry.id, shared_segments(), boot_now());
     record_upstream_event(node_, entry.id, policy::upstream_event::dispatched);
+    policy::count_send(node_.limits, entry.id);
     const auto plan = plan_for(entry);
     send_events_ = 0;
     send_head_after_.reset();
@@ -131,6 +133,7 @@
                                                   core::steady_time sent_at) {
     node_.last_byte_at[entry.id] = boot_now();
     use_->end_prefill();
+    record_answer_limit(node_, entry.id, answer.head);
     if (answer.head.not_run || answer.head.wrong_upstream) {
         return handle_refusal(entry, answer);
     }
--- /dev/null
+++ b/packages/relay/limits.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "relay/relay_state.h"
+
+namespace figspoke::relay {
+
+/// Returns whether this node may send a request to an upstream within the limit that it named.
+bool may_send_within_limit(relay_state& node, const std::string& upstream);
+
+/// Records what an answer says of its upstream's limit, and tells peers where that is news.
+void record_answer_limit(relay_state& node, const std::string& upstream, const answer_head& head);
+
+/// Adds the statements of a peer's message.
+void merge_limit_message(relay_state& node, std::string_view bytes);
+
+/// Tells peers the statements of the last seconds and drops expired ones. Called about every second.
+void refresh_limits(relay_state& node);
+
+} // namespace figspoke::relay
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -15,6 +15,7 @@
 #include "relay/crash_store.h"
 #include "relay/document_loops.h"
 #include "relay/forward.h"
+#include "relay/limits.h"
 #include "relay/relay_state.h"
 #include "relay/rollouts.h"
 #include "state/discovery.h"
@@ -38,6 +39,8 @@
 // Ticks between repetitions of load reports. Aggregators drop a report after 1.5 s, so two repetitions may be
 // lost.
 constexpr std::uint64_t refresh_ticks = 2;
+// Ticks between messages about the limits that upstreams have named.
+constexpr std::uint64_t limit_ticks = 5;
 // A longer time between two ticks means that the VM was paused.
 constexpr core::milliseconds min_vm_pause{700};
 // Fraction of the grace period in which requests are still accepted. Later ones may take longer than the rest
@@ -141,6 +144,7 @@
         hooks.on_load_message = [this](std::string_view bytes, const std::string& from) {
             state_.aggregators->receive(bytes, from);
         };
+        hooks.on_limit_message = [this](std::string_view bytes) { merge_limit_message(state_, bytes); };
         hooks.on_heartbeat = [this] {
             for (const auto& [service, waiting] : state_.queue.services) {
                 wake_next(state_, service);
@@ -299,9 +303,13 @@
         while (!state_.stopped) {
             adapters::sleep_for(tick, yield);
             const auto passed = boot_now() - std::exchange(last, boot_now());
-            if (asks_load_aggregators(state_) && ++ticks % refresh_ticks == 0) {
+            ++ticks;
+            if (asks_load_aggregators(state_) && ticks % refresh_ticks == 0) {
                 state_.aggregators->refresh(local_uses());
             }
+            if (ticks % limit_ticks == 0) {
+                refresh_limits(state_);
+            }
             close_silent_streams(state_, passed > min_vm_pause ? passed : core::nanoseconds(0));
             update_rollouts(state_);
             write_rollout_states(state_, yield);
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -14,6 +14,7 @@
 #include "adapters/wakeup.h"
 #include "core/relay_settings.h"
 #include "policy/crash_ledger.h"
+#include "policy/named_limits.h"
 #include "policy/prefill.h"
 #include "policy/relay_choice.h"
 #include "policy/relay_queue.h"
@@ -136,6 +137,8 @@
     policy::health_table health;
     /// Time until which upstreams that reported to be full get no requests.
     std::map<std::string, core::steady_time> full_until;
+    /// Limits that upstreams have named.
+    policy::named_limits limits;
     std::map<std::string, policy::repeat_budget> budgets;
     policy::version_counts_table versions;
     policy::crash_ledger crashes;
--- a/packages/relay/wire_protocol.h
+++ b/packages/relay/wire_protocol.h
@@ -84,6 +84,8 @@
     std::optional<core::seconds> idle_timeout;
     /// The model's confidence in its answer, 0 to 100.
     std::optional<int> confidence;
+    /// Requests a second that the upstream takes from all nodes together, if it names a limit.
+    std::optional<double> limit_per_second;
     bool keep_alive = true;
 };
 
