Compare the pace of streams when a version is judged

Callers saw: a version whose streams take four to eight times as long got 138 to 405 requests in its roll-out where 124 to 220 are allowed, and was completed and kept on the two older sites.

Cause: the verdict knew failures and the mean time to the first byte.

Change: policy/stream_pace holds the usual time between events by model and range of load, learned from versions that aren't under roll-out. A stream three times slower than usual at its load counts as a failure of its version as soon as it shows. Counts and messages between nodes are as before.

--- /dev/null
+++ b/packages/policy/stream_pace.cpp
@@ -0,0 +1,50 @@
+#include "policy/stream_pace.h"
+
+#include <algorithm>
+
+namespace figspoke::policy {
+namespace {
+
+double ms_per_event(const paced_events& progress) {
+    return double(progress.duration.count()) / double(progress.events - 1);
+}
+
+std::size_t load_range(int load) {
+    std::size_t range = 0;
+    for (int upper = 1; load > upper && range + 1 < load_ranges; upper *= 2) {
+        ++range;
+    }
+    return range;
+}
+
+} // namespace
+
+void learn_pace(stream_paces& paces, const stream_pace_settings& settings, const std::string& model,
+                const paced_events& progress) {
+    const bool known = paces.models.count(model) > 0;
+    if (progress.events < settings.min_events || (!known && paces.models.size() >= settings.max_models)) {
+        return;
+    }
+    auto& pace = paces.models[model].at(load_range(progress.load));
+    const double weight = pace.streams > 0 ? settings.newest_weight : 1;
+    pace.ms_per_event += weight * (ms_per_event(progress) - pace.ms_per_event);
+    ++pace.streams;
+}
+
+// An upstream generates more slowly the more requests it runs. During a roll-out the new version runs few and
+// the old one many, so that a comparison without regard to load hides a version that is several times slower.
+bool is_slow_stream(const stream_paces& paces, const stream_pace_settings& settings, const std::string& model,
+                    const paced_events& progress) {
+    const auto found = paces.models.find(model);
+    if (found == paces.models.end() || progress.events < settings.min_events ||
+        progress.duration < settings.min_duration) {
+        return false;
+    }
+    const auto& ranges = found->second;
+    const auto usual =
+        std::find_if(ranges.begin() + std::ptrdiff_t(load_range(progress.load)), ranges.end(),
+                     [&](const stream_paces::pace& pace) { return pace.streams >= settings.min_streams; });
+    return usual != ranges.end() && ms_per_event(progress) >= settings.slow_factor * usual->ms_per_event;
+}
+
+} // namespace figspoke::policy
--- a/packages/relay/forward_evidence.cpp
+++ b/packages/relay/forward_evidence.cpp
@@ -44,6 +44,31 @@
     node_.metrics.observe("relay_first_byte_seconds", {{"service", entry.service}}, took);
 }
 
+policy::paced_events forward_run::send_progress() const {
+    return {send_events_, core::to_ms(boot_now() - send_first_event_at_), send_load_};
+}
+
+std::string forward_run::pace_key(const state::upstream_entry& entry) const {
+    return entry.service + '/' + (sent_model_.empty() ? request_.model : sent_model_);
+}
+
+// A version that generates slowly may send its first byte as early as any other. Its stream is counted as a
+// failure as soon as it shows, since it ends several times later than others.
+void forward_run::judge_pace(const state::upstream_entry& entry) {
+    if (!send_slow_ && policy::is_slow_stream(node_.paces, {}, pace_key(entry), send_progress())) {
+        send_slow_ = true;
+        ++version_counts_of(entry).bad;
+    }
+}
+
+// Streams of a version under roll-out would make its own pace the usual one.
+void forward_run::learn_pace(const state::upstream_entry& entry) {
+    const auto found = node_.rollouts.find(entry.service);
+    if (found == node_.rollouts.end() || found->second.order.target != entry.version) {
+        policy::learn_pace(node_.paces, {}, pace_key(entry), send_progress());
+    }
+}
+
 // The parts come from the caller, who could name any number of them.
 policy::request_fingerprints forward_run::make_fingerprints() const {
     policy::request_fingerprints fingerprints = {
--- a/packages/relay/forward_log.cpp
+++ b/packages/relay/forward_log.cpp
@@ -24,6 +24,7 @@
                          {"result", policy::to_string(last.result)},
                          {"head_ms", send_head_after_ ? send_head_after_->count() : -1},
                          {"events", send_events_},
+                         {"slow", send_slow_},
                          {"ms", core::to_ms(boot_now() - sent_at).count()}});
 }
 
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -85,6 +85,10 @@
     policy::version_counts& version_counts_of(const state::upstream_entry& entry);
     void record_bad_result(const state::upstream_entry& entry);
     void record_result(const state::upstream_entry& entry, bool good, core::steady_time sent_at);
+    policy::paced_events send_progress() const;
+    std::string pace_key(const state::upstream_entry& entry) const;
+    void judge_pace(const state::upstream_entry& entry);
+    void learn_pace(const state::upstream_entry& entry);
     policy::request_fingerprints make_fingerprints() const;
     bool is_on_trial() const;
     bool is_refused_for_crashes();
@@ -151,6 +155,11 @@
     std::size_t send_events_ = 0;
     std::optional<core::milliseconds> send_head_after_;
     core::steady_time send_head_at_{};
+    core::steady_time send_first_event_at_{};
+    /// Number of requests on the upstream of the present send when it was chosen.
+    int send_load_ = 0;
+    /// The present send was counted as a slow one.
+    bool send_slow_ = false;
     /// The present send has shown that the request doesn't crash its upstream.
     bool send_settled_ = false;
     std::int64_t first_byte_ms_ = 0;
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -77,6 +77,8 @@
     send_events_ = 0;
     send_head_after_.reset();
     send_settled_ = false;
+    send_slow_ = false;
+    send_load_ = choice_.load;
     const auto sent_at = boot_now();
     const double expected = prefill + pending_ms_;
     auto answer = send_and_read_head(
@@ -113,6 +115,9 @@
 
 // Only whole events are progress of the stream: an upstream that sends a byte now and then stalls too.
 void forward_run::record_progress(std::size_t events) {
+    if (send_events_ == 0 && events > 0) {
+        send_first_event_at_ = boot_now();
+    }
     send_events_ += events;
     const auto found = node_.streams.find(id_);
     if (found == node_.streams.end() || events == 0) {
@@ -251,6 +256,7 @@
         }
         const auto events = splitter.feed(*piece);
         record_progress(events.size());
+        judge_pace(entry);
         if (has_settled()) {
             record_sound_request();
         }
@@ -322,6 +328,7 @@
     }
     release_link(node_, entry.id, answer);
     record_sound_request();
+    learn_pace(entry);
     history_.sends.push_back({entry.id, policy::send_result::succeeded});
     bool written = begin_answer(answer);
     const bool rest_held = route_.retry == state::retry_policy::resumable;
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -21,6 +21,7 @@
 #include "policy/repeat_budget.h"
 #include "policy/rollout_verdict.h"
 #include "policy/session_pins.h"
+#include "policy/stream_pace.h"
 #include "policy/trial_evidence.h"
 #include "policy/upstream_health.h"
 #include "policy/version_counts.h"
@@ -133,6 +134,7 @@
     /// Probes of upstreams that sent no byte to any node.
     std::map<std::string, upstream_probe> probes;
     policy::prefill_rates prefill;
+    policy::stream_paces paces;
     policy::prefix_cache_index prefixes;
     policy::health_table health;
     /// Time until which upstreams that reported to be full get no requests.
--- /dev/null
+++ b/test/correctness/policy_stream_pace_test.cpp
@@ -0,0 +1,58 @@
+#include <doctest/doctest.h>
+
+#include "policy/rollout_verdict.h"
+#include "policy/stream_pace.h"
+
+using namespace figspoke::policy;
+using std::chrono::milliseconds;
+
+TEST_CASE("a version whose streams are several times slower is found bad although its first byte is early") {
+    // Guards against a slow version that is rolled out and kept (EXPOSURE).
+    stream_paces paces;
+    CHECK_FALSE(is_slow_stream(paces, {}, "m", {40, milliseconds(8000)}));
+    version_counts old;
+    for (int i = 0; i < 20; ++i) {
+        const paced_events usual{40, milliseconds(900 + 30 * (i % 7))};
+        CHECK_FALSE(is_slow_stream(paces, {}, "m", usual));
+        learn_pace(paces, {}, "m", usual);
+        ++old.sent;
+        ++old.good;
+        old.first_byte_ms += 300;
+    }
+    version_counts target;
+    int answers = 0;
+    while (evaluate_version(target, old, {}).verdict == rollout_verdict::unknown && answers < 50) {
+        // Half of the streams take eight times as long.
+        const paced_events stream{5, milliseconds(answers % 2 == 0 ? 800 : 100)};
+        ++target.sent;
+        ++target.good;
+        target.first_byte_ms += 300;
+        target.bad += is_slow_stream(paces, {}, "m", stream) ? 1 : 0;
+        ++answers;
+    }
+    CHECK(evaluate_version(target, old, {}).verdict == rollout_verdict::bad);
+    CHECK(answers <= 10);
+}
+
+TEST_CASE("streams of an idle slow version are compared with those of idle upstreams") {
+    // Guards against a slow version that looks sound because the old one has all the load.
+    stream_paces paces;
+    for (int i = 0; i < 20; ++i) {
+        learn_pace(paces, {}, "m", {40, milliseconds(700), 4});
+        learn_pace(paces, {}, "m", {40, milliseconds(3000), 40});
+    }
+    CHECK(is_slow_stream(paces, {}, "m", {10, milliseconds(670), 3}));
+    CHECK_FALSE(is_slow_stream(paces, {}, "m", {10, milliseconds(670), 36}));
+    CHECK_FALSE(is_slow_stream(paces, {}, "m", {10, milliseconds(6700), 100}));
+}
+
+TEST_CASE("a stream under load and one of another model are not slow") {
+    stream_paces paces;
+    for (int i = 0; i < 20; ++i) {
+        learn_pace(paces, {}, "small", {40, milliseconds(900)});
+    }
+    CHECK_FALSE(is_slow_stream(paces, {}, "small", {40, milliseconds(2000)}));
+    CHECK_FALSE(is_slow_stream(paces, {}, "large", {40, milliseconds(7000)}));
+    CHECK_FALSE(is_slow_stream(paces, {}, "small", {3, milliseconds(7000)}));
+    CHECK(is_slow_stream(paces, {}, "small", {10, milliseconds(900)}));
+}
