--- a/test/platform/support/engine_stand_in.cpp
+++ b/test/platform/support/engine_stand_in.cpp
@@ -102,6 +102,11 @@
     send("0\r\n\r\n");
 }
 
+void engine_connection::shut() {
+    ::shutdown(socket_, SHUT_WR);
+    open_ = false;
+}
+
 void engine_connection::reset() {
     // A linger time of 0 makes close() send a reset.
     const linger reset_on_close{1, 0};
--- a/test/platform/support/engine_stand_in.h
+++ b/test/platform/support/engine_stand_in.h
@@ -35,6 +35,8 @@
     void send_chunk(const std::string& bytes);
     /// Sends the last chunk, which ends the stream.
     void end_stream();
+    /// Closes the connection in an orderly way.
+    void shut();
     /// Closes the connection with a TCP reset.
     void reset();
     /// Waits up to `timeout_ms` milliseconds for the peer to close the connection; returns whether it did.
