--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int workers = 12;
+constexpr int workers = 24;
 constexpr int stream_events = 50;
 constexpr int event_gap_ms = 100;
 constexpr int deadline_ms = 20000;
@@ -43,16 +43,18 @@
     }
 }
 
-// Sends one request after the other on one connection, and makes a new one where the node has closed it.
+// Sends one request after the other on one connection. Where the node has closed it or asks for its end, the
+// client asks for addresses and makes a new one.
 void work(int number, const node& first, const node& second) {
     client connection;
     bool connected = false;
     bool kept = false;
-    const node* to = &first;
+    std::string to;
     for (int i = 0; !stopping; ++i) {
         if (!connected) {
-            to = signalled_at >= 0 ? &second : &first;
-            connected = connection.connect(to->callers());
+            const auto addresses = look_up({&first, &second});
+            to = addresses.empty() ? second.callers() : addresses[std::size_t(number + i) % addresses.size()];
+            connected = connection.connect(to);
             kept = false;
             if (!connected) {
                 sleep_ms(50);
@@ -62,7 +64,7 @@
         sent_request result;
         result.id = "w" + std::to_string(number) + "-" + std::to_string(i);
         result.kept_connection = kept;
-        result.on_leaving_node = to == &first;
+        result.on_leaving_node = to == first.callers();
         result.sent_at = now_ms();
         auto fields = request_fields(result.id, "key-1", deadline_ms);
         fields["X-Model"] = "small";
--- a/review/support/kit.h
+++ b/review/support/kit.h
@@ -929,6 +929,7 @@
 
     const std::string& name() const { return name_; }
     const std::string& callers() const { return callers_; }
+    const std::string& directory() const { return directory_; }
     const node_settings& settings() const { return settings_; }
 
   private:
@@ -989,6 +990,23 @@
     return made;
 }
 
+// Asks the nodes' directories in turn for addresses; empty if none answers.
+inline std::vector<std::string> look_up(const std::vector<const node*>& nodes) {
+    for (const auto* each : nodes) {
+        client asking;
+        if (!asking.connect(each->directory(), 1000) ||
+            !asking.send("GET", "/lookup?name=shop.example&region=region-a&zone=zone-a", {{"Host", each->directory()}})) {
+            continue;
+        }
+        const auto got = asking.read(1000);
+        const auto body = json::parse(got.body, nullptr, false);
+        if (got.status == 200 && body.is_object() && body.contains("addresses")) {
+            return body["addresses"].get<std::vector<std::string>>();
+        }
+    }
+    return {};
+}
+
 // The head lines of a client's request.
 inline headers request_fields(const std::string& id, const std::string& key, int deadline_ms) {
     return {{"Host", "shop.example"},
