--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -40,7 +40,8 @@
     while (asked) {
         const auto id = asked->field("x-request-id");
         if (!state.late_copy.empty()) {
-            note("engine: sends the late copy of the refusal on the connection on which %s has come", id.c_str());
+            note("engine: sends the late copy of the refusal on the connection on which %s has come",
+                 id.c_str());
             link.send(std::exchange(state.late_copy, {}));
         }
         std::unique_lock lock(results_mutex);
@@ -81,7 +82,8 @@
             connected = connection.connect(to.callers());
         }
         const auto id = "order-" + std::to_string(number) + "-" + std::to_string(i);
-        connection.send("POST", "/order/" + std::to_string(i), request_fields(id, "key-1", deadline_ms), "two bales");
+        connection.send("POST", "/order/" + std::to_string(i), request_fields(id, "key-1", deadline_ms),
+                        "two bales");
         const auto got = connection.read(deadline_ms + 1000);
         connected = !connection.must_close(got);
         if (!connected) {
@@ -131,8 +133,8 @@
             note("%s: answered %d (not run), although it was run", id.c_str(), status);
         }
     }
-    note("orders %zu, answered 200: %d, refusals of the engine %d, late copies %d of %d answers", statuses.size(),
-         served, refusals, copies, answers);
+    note("orders %zu, answered 200: %d, refusals of the engine %d, late copies %d of %d answers",
+         statuses.size(), served, refusals, copies, answers);
     note("run more than once: %d; answered 429 or 503 although run: %d", twice, denied);
     if (served == 0) {
         give_up("no order was served");
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -91,10 +91,9 @@
     store platform("127.0.0.1");
     engine first_engine(platform, "i-writer-1", "writer", 64, serve);
     engine second_engine(platform, "i-writer-2", "writer", 64, serve);
-    platform.put("op/config",
-                 make_config(1, {{"quote", "streaming", "writer", deadline_ms, 2000, 3, true}},
-                             {{{"name", "tenant-1"}, {"apiKeys", {"key-1"}}}})
-                     .dump());
+    platform.put("op/config", make_config(1, {{"quote", "streaming", "writer", deadline_ms, 2000, 3, true}},
+                                          {{{"name", "tenant-1"}, {"apiKeys", {"key-1"}}}})
+                                  .dump());
     auto leaving = make_node(1, platform);
     auto staying = make_node(2, platform);
     leaving->start();
@@ -142,7 +141,8 @@
         const bool is_excused = cut && after <= excused_ms;
         whole += each.complete && each.status == 200 ? 1 : 0;
         if (cut) {
-            note("%s: sent %lld ms after the signal on a %s connection of %s, run by an engine, cut %lld ms after "
+            note("%s: sent %lld ms after the signal on a %s connection of %s, run by an engine, cut %lld ms "
+                 "after "
                  "the signal%s",
                  each.id.c_str(), (long long)after, each.kept_connection ? "kept" : "new",
                  each.on_leaving_node ? "front-1" : "front-2", (long long)(each.ended_at - signalled_at),
@@ -151,8 +151,8 @@
         lost += cut && !is_excused ? 1 : 0;
         excused += is_excused ? 1 : 0;
     }
-    note("requests %zu, whole answers %d, cut and excused %d, cut and not excused %d", results.size(), whole, excused,
-         lost);
+    note("requests %zu, whole answers %d, cut and excused %d, cut and not excused %d", results.size(), whole,
+         excused, lost);
     if (whole == 0) {
         give_up("no request was served");
     }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,5 @@
-// The operator withdraws the last client account. The node takes a configuration with an empty list of tenants
-// for one without tenants and serves every request, with any key or none.
+// The operator withdraws the last client account. The node takes a configuration with an empty list of
+// tenants for one without tenants and serves every request, with any key or none.
 #include "kit.h"
 
 using namespace kit;
@@ -85,10 +85,11 @@
         const int unknown_status = order(to, unknown, "never-a-key");
         revoked_runs += has_run(revoked) ? 1 : 0;
         unknown_runs += has_run(unknown) ? 1 : 0;
-        note("%s: %d%s; %s: %d%s", revoked.c_str(), revoked_status, has_run(revoked) ? ", run" : "", unknown.c_str(),
-             unknown_status, has_run(unknown) ? ", run" : "");
+        note("%s: %d%s; %s: %d%s", revoked.c_str(), revoked_status, has_run(revoked) ? ", run" : "",
+             unknown.c_str(), unknown_status, has_run(unknown) ? ", run" : "");
     }
-    note("later than revokeMs after the ack: run with the key that was taken away: %d of %d; run with a key that no "
+    note("later than revokeMs after the ack: run with the key that was taken away: %d of %d; run with a key "
+         "that no "
          "configuration ever held: %d of %d",
          revoked_runs, requests_after, unknown_runs, requests_after);
     leave(revoked_runs + unknown_runs > 0 ? rule_broken : rule_held);
--- a/review/support/kit.h
+++ b/review/support/kit.h
@@ -1,5 +1,5 @@
-// Stand-ins for the cases of the review: the platform's store, engines, clients and the platform's handling of
-// a node's process. Plain POSIX sockets and one thread for each connection; everything is on loopback.
+// Stand-ins for the cases of the review: the platform's store, engines, clients and the platform's handling
+// of a node's process. Plain POSIX sockets and one thread for each connection; everything is on loopback.
 #pragma once
 
 #include <algorithm>
@@ -284,7 +284,8 @@
 };
 
 inline std::string lower(std::string text) {
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return char(std::tolower(c)); });
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return char(std::tolower(c)); });
     return text;
 }
 
@@ -408,7 +409,8 @@
     void close() { link_.reset(); }
 
   private:
-    template <class More> void read_into(answer& result, const More& more) {
+    template <class More>
+    void read_into(answer& result, const More& more) {
         auto& buffer = link_->buffer;
         std::size_t end = 0;
         while ((end = buffer.find("\r\n\r\n")) == std::string::npos) {
@@ -463,7 +465,9 @@
     static const char* digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string text;
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
-        const auto at = [&](std::size_t j) { return j < bytes.size() ? unsigned((unsigned char)bytes[j]) : 0U; };
+        const auto at = [&](std::size_t j) {
+            return j < bytes.size() ? unsigned((unsigned char)bytes[j]) : 0U;
+        };
         const unsigned group = at(i) << 16U | at(i + 1) << 8U | at(i + 2);
         text += digits[group >> 18U];
         text += digits[group >> 12U & 63U];
@@ -539,7 +543,8 @@
     void serve(stream& link) {
         while (const auto call = read_request(link)) {
             const auto [status, body] = answer_call(*call);
-            link.send("HTTP/1.1 " + std::to_string(status) + " S\r\nContent-Type: application/json\r\nContent-Length: " +
+            link.send("HTTP/1.1 " + std::to_string(status) +
+                      " S\r\nContent-Type: application/json\r\nContent-Length: " +
                       std::to_string(body.size()) + "\r\n\r\n" + body);
         }
     }
@@ -637,8 +642,8 @@
     using handler = std::function<void(engine&, stream&, const request&)>;
 
     engine(store& at, std::string id, std::string service, int slots, handler handle)
-        : store_(at), id_(std::move(id)), service_(std::move(service)), slots_(slots), handle_(std::move(handle)),
-          born_(unix_ms()),
+        : store_(at), id_(std::move(id)), service_(std::move(service)), slots_(slots),
+          handle_(std::move(handle)), born_(unix_ms()),
           listener_("127.0.0.1", [this](const stream_ptr& link) { serve(*link); }) {
         register_entry();
         std::thread([this] {
@@ -654,8 +659,8 @@
     const std::string& id() const { return id_; }
     const std::string& address() const { return listener_.address(); }
 
-    // The process ends and is back after `down_ms`, as a new incarnation under its id. Returns false where it is
-    // down already.
+    // The process ends and is back after `down_ms`, as a new incarnation under its id. Returns false where it
+    // is down already.
     bool crash(int down_ms) {
         if (down_.exchange(true)) {
             return false;
@@ -705,8 +710,8 @@
         return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n";
     }
 
-    // Runs a stream: an event every `gap` ms, then the end mark. Stops when the caller leaves. Returns whether
-    // the whole stream was sent.
+    // Runs a stream: an event every `gap` ms, then the end mark. Stops when the caller leaves. Returns
+    // whether the whole stream was sent.
     static bool run_stream(stream& link, const request& asked, int events, int gap) {
         const auto last = asked.field("last-event-id");
         const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
@@ -727,10 +732,10 @@
     }
 
     void register_entry() {
-        const json entry = {{"service", service_},   {"address", listener_.address()},
-                            {"zone", "zone-a"},      {"version", "v1"},
-                            {"slots", slots_},       {"state", "ready"},
-                            {"coldRemainingMs", 0},  {"sequence", ++sequence_},
+        const json entry = {{"service", service_},  {"address", listener_.address()},
+                            {"zone", "zone-a"},     {"version", "v1"},
+                            {"slots", slots_},      {"state", "ready"},
+                            {"coldRemainingMs", 0}, {"sequence", ++sequence_},
                             {"born", born_.load()}};
         store_.put("servers/" + id_, entry.dump());
     }
@@ -842,11 +847,12 @@
         path_ = folder_ + "/" + name_ + ".toml";
         std::ofstream file(path_);
         file << "[node]\nid = \"" << name_ << "\"\nfailure_domain = \"" << with.zone
-             << "\"\nmemory_mb = " << with.memory_mb << "\ndescriptors = 4100\n\n[listen]\ncallers = \"" << callers_
-             << "\"\nreadiness = \"" << ready_ << "\"\ndirectory = \"" << directory_ << "\"\npeers = \"" << peers
-             << "\"\nmetrics = \"" << metrics << "\"\n\n[peers]\nseeds = \"" << seeds_ip
-             << ":8229\"\n\n[store]\naddress = \"" << store_address
-             << "\"\n\n[bounds]\nrevocation_ms = " << with.revoke_ms << "\nchange_ms = 2000\ngrace_s = " << with.grace_s
+             << "\"\nmemory_mb = " << with.memory_mb << "\ndescriptors = 4100\n\n[listen]\ncallers = \""
+             << callers_ << "\"\nreadiness = \"" << ready_ << "\"\ndirectory = \"" << directory_
+             << "\"\npeers = \"" << peers << "\"\nmetrics = \"" << metrics << "\"\n\n[peers]\nseeds = \""
+             << seeds_ip << ":8229\"\n\n[store]\naddress = \"" << store_address
+             << "\"\n\n[bounds]\nrevocation_ms = " << with.revoke_ms
+             << "\nchange_ms = 2000\ngrace_s = " << with.grace_s
              << "\nentry_validity_s = 5\nsession_s = 5\nrepeat_ratio = 0.9\nrepeat_slack = 54\n"
                 "repeat_window_s = 10\nexposure_share = 0.15\n";
     }
@@ -865,7 +871,8 @@
                 ::_exit(127);
             }
             const char* arguments[] = {"target/platform/figspoke-platform", nullptr};
-            const char* environment[] = {"PATH=/usr/bin:/bin", "HOME=/tmp", "LANG=C", variable.c_str(), nullptr};
+            const char* environment[] = {"PATH=/usr/bin:/bin", "HOME=/tmp", "LANG=C", variable.c_str(),
+                                         nullptr};
             ::execve(arguments[0], const_cast<char**>(arguments), const_cast<char**>(environment));
             ::_exit(127);
         }
@@ -995,7 +1002,8 @@
     for (const auto* each : nodes) {
         client asking;
         if (!asking.connect(each->directory(), 1000) ||
-            !asking.send("GET", "/lookup?name=shop.example&region=region-a&zone=zone-a", {{"Host", each->directory()}})) {
+            !asking.send("GET", "/lookup?name=shop.example&region=region-a&zone=zone-a",
+                         {{"Host", each->directory()}})) {
             continue;
         }
         const auto got = asking.read(1000);
