--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -60,9 +60,7 @@
         } else {
             const int run = ++runs[id];
             lock.unlock();
-            if (run > 1) {
-                note("engine: runs %s for the time number %d", id.c_str(), run);
-            }
+            note("engine: runs %s%s", id.c_str(), run > 1 ? " AGAIN" : "");
             sleep_ms(work_ms);
             link.send(engine::whole(*asked, 200, "order placed, run " + std::to_string(run)));
         }
@@ -84,7 +82,9 @@
         const auto id = "order-" + std::to_string(number) + "-" + std::to_string(i);
         connection.send("POST", "/order/" + std::to_string(i), request_fields(id, "key-1", deadline_ms),
                         "two bales");
+        note("client: sent %s", id.c_str());
         const auto got = connection.read(deadline_ms + 1000);
+        note("client: %s answered %d", id.c_str(), got.status);
         connected = !connection.must_close(got);
         if (!connected) {
             connection.close();
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -37,6 +37,7 @@
         const std::lock_guard lock(results_mutex);
         ++runs[id];
     }
+    note("engine: runs %s", id.c_str());
     const bool whole = engine::run_stream(link, asked, stream_events, event_gap_ms);
     if (!whole) {
         note("engine: %s: the node closed the connection before the end of the stream", id.c_str());
@@ -70,7 +71,10 @@
         fields["X-Model"] = "small";
         fields["X-Token-Usage"] = "1460,80";
         connection.send("POST", "/quote/" + std::to_string(i), fields, "a survey");
+        note("client: sent %s to %s on a %s connection", result.id.c_str(),
+             result.on_leaving_node ? "front-1" : "front-2", kept ? "kept" : "new");
         const auto got = connection.read(deadline_ms + 1000);
+        note("client: %s answered %d, %s", result.id.c_str(), got.status, got.complete ? "whole" : "cut");
         result.ended_at = got.ended_at;
         result.status = got.status;
         result.complete = got.complete;
