Refuse long requests late in a planned stop instead of cutting them

Cause: the end of the time for new work was enforced for the listening socket and idle connections, not for requests. The log shows the signal handled within 50 ms and all cut requests on connections made before the listening socket closed, which excludes a late signal and late accepts.

Change: policy/stop_plan decides for each request. Requests that an engine is still at work on when the process is about to exit get a final answer. Answers of the product's own node announce the end of their connections while it is being stopped.

--- a/packages/adapters/http_server.cpp
+++ b/packages/adapters/http_server.cpp
@@ -93,9 +93,9 @@
 class beast_exchange final : public http_exchange {
   public:
     beast_exchange(beast::tcp_stream& stream, const asio::yield_context& yield, http_request request,
-                   bool keep_alive, std::chrono::milliseconds write_timeout)
+                   bool keep_alive, const std::atomic<bool>& closing, std::chrono::milliseconds write_timeout)
         : stream_(stream), yield_(yield), request_(std::move(request)), keep_alive_(keep_alive),
-          write_timeout_(write_timeout) {}
+          closing_(closing), write_timeout_(write_timeout) {}
 
     const http_request& request() const override { return request_; }
 
@@ -104,7 +104,7 @@
     bool send(const http_reply& reply) override {
         http::response<http::string_body> message{static_cast<http::status>(reply.status), 11};
         set_headers(message, reply.headers);
-        message.keep_alive(keep_alive_);
+        set_keep_alive(message);
         message.body() = reply.body;
         message.prepare_payload();
         beast::error_code code;
@@ -117,7 +117,7 @@
     bool begin_stream(const http_reply& head) override {
         http::response<http::empty_body> message{static_cast<http::status>(head.status), 11};
         set_headers(message, head.headers);
-        message.keep_alive(keep_alive_);
+        set_keep_alive(message);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
         beast::error_code code;
@@ -144,10 +144,17 @@
     bool may_continue() const { return finished_ && keep_alive_; }
 
   private:
+    template <class Message>
+    void set_keep_alive(Message& message) {
+        keep_alive_ = keep_alive_ && !closing_.load();
+        message.keep_alive(keep_alive_);
+    }
+
     beast::tcp_stream& stream_;
     const asio::yield_context& yield_;
     http_request request_;
     bool keep_alive_;
+    const std::atomic<bool>& closing_;
     std::chrono::milliseconds write_timeout_;
     bool finished_ = false;
 };
@@ -234,7 +241,7 @@
         }
         auto message = parser.release();
         const bool keep_alive = message.keep_alive();
-        beast_exchange exchange(stream, yield, convert_request(std::move(message)), keep_alive,
+        beast_exchange exchange(stream, yield, convert_request(std::move(message)), keep_alive, closing,
                                 limits.write_timeout);
         ++running;
         run_handler(exchange);
@@ -294,7 +301,7 @@
         if (code == http::error::end_of_stream || code == asio::error::connection_reset) {
             return;
         }
-        beast_exchange exchange(stream, yield, {}, false, limits.write_timeout);
+        beast_exchange exchange(stream, yield, {}, false, closing, limits.write_timeout);
         exchange.send(error_body(status_of(code), code.message()));
     }
 
@@ -306,6 +313,7 @@
     unsigned short port = 0;
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> running{0};
+    std::atomic<bool> closing{false};
 };
 
 http_server::http_server(asio::io_context& context, const std::string& address, http_handler handler,
@@ -323,6 +331,10 @@
     return state_->port;
 }
 
+void http_server::announce_close() {
+    state_->closing.store(true);
+}
+
 void http_server::stop_accepting() {
     asio::post(state_->acceptor.get_executor(), [self = state_] {
         beast::error_code code;
--- a/packages/adapters/http_server.h
+++ b/packages/adapters/http_server.h
@@ -67,6 +67,9 @@
     /// The port that the server listens on.
     unsigned short port() const;
 
+    /// From now on each answer that begins announces the end of its connection.
+    void announce_close();
+
     /// Stops accepting connections; requests that run are finished.
     void stop_accepting();
 
--- a/packages/node/shutdown.cpp
+++ b/packages/node/shutdown.cpp
@@ -58,6 +58,7 @@
     while (!node.draining.load()) {
         adapters::sleep_for(poll_period, yield);
     }
+    server.announce_close();
     adapters::sleep_for(refuse_after, yield);
     node.refuses_new_work.store(true);
     await_running_requests(server, yield);
--- a/packages/policy/relay_outcome.cpp
+++ b/packages/policy/relay_outcome.cpp
@@ -43,6 +43,8 @@
         return core::error_kind::deadline_unreachable;
     case end_cause::no_upstream:
         return core::error_kind::no_capacity;
+    case end_cause::node_stops:
+        return core::error_kind::draining;
     case end_cause::out_of_budget:
     case end_cause::no_more_attempts:
         break;
@@ -77,9 +79,11 @@
     case end_cause::no_more_attempts:
         return "no_more_attempts";
     case end_cause::refused_at_once:
+        return "refused_at_once";
+    case end_cause::node_stops:
         break;
     }
-    return "refused_at_once";
+    return "node_stops";
 }
 
 } // namespace figspoke::policy
--- a/packages/policy/relay_outcome.h
+++ b/packages/policy/relay_outcome.h
@@ -50,7 +50,7 @@
 bool may_send_again(const send_history& history);
 
 /// Why a request ends without a success.
-enum class end_cause { no_upstream, deadline, out_of_budget, no_more_attempts, refused_at_once };
+enum class end_cause { no_upstream, deadline, out_of_budget, no_more_attempts, refused_at_once, node_stops };
 
 /// Returns the error kind for a request that ends without an answer of an upstream. A kind that promises "not
 /// run" is returned only where `never_ran` holds.
--- a/packages/relay/caller_connection.cpp
+++ b/packages/relay/caller_connection.cpp
@@ -37,9 +37,10 @@
 constexpr core::milliseconds user_timeout{10000};
 // Pause after a failed accept, for example without free file descriptors.
 constexpr core::milliseconds accept_pause{20};
-// Time in which the first request of a new connection is expected when the server stops. The request may be
-// on its way, and closing the connection would lose it.
-constexpr core::milliseconds first_request_time{250};
+// Time in which a request is expected on a new connection, or after an answer that did not announce the end
+// of its connection, when the server stops. The request may be on its way, and closing the connection would
+// lose it.
+constexpr core::milliseconds next_request_time{250};
 // Time and bytes for which a closing connection goes on reading, so that its last answer isn't lost.
 constexpr core::milliseconds linger_time{500};
 constexpr std::size_t max_linger_bytes = 1024U * 1024;
@@ -121,7 +122,7 @@
 
     /// Returns whether the connection has neither a request that is being read or served nor one that may
     /// have arrived.
-    bool idle() { return !busy_ && !awaits_first_request() && !has_unread_input(); }
+    bool idle() { return !busy_ && !awaits_request() && !has_unread_input(); }
 
     void close() {
         beast::error_code ignored;
@@ -132,6 +133,7 @@
     const request_head& head() const override { return head_; }
     std::shared_ptr<const std::string> body() const override { return body_; }
     bool disconnected() const override { return disconnected_; }
+    bool first_on_connection() const override { return !served_any_; }
     void on_disconnect(std::function<void()> handler) override { on_disconnect_ = std::move(handler); }
     const asio::yield_context& yield() const override { return *yield_; }
 
@@ -178,9 +180,7 @@
   private:
     void set_options() { set_connection_options(socket_, user_timeout); }
 
-    bool awaits_first_request() const {
-        return !served_any_ && boot_now() - accepted_at_ < first_request_time;
-    }
+    bool awaits_request() const { return boot_now() - quiet_since_ < next_request_time; }
 
     bool has_unread_input() { return buffer_.size() > 0 || has_received_bytes(socket_); }
 
@@ -222,6 +222,7 @@
         --shared_->running;
         busy_ = false;
         served_any_ = true;
+        quiet_since_ = boot_now();
         return keep_open;
     }
 
@@ -387,7 +388,8 @@
     std::uint64_t watch_id_ = 0;
     bool watching_ = false;
     bool disconnected_ = false;
-    core::steady_time accepted_at_ = boot_now();
+    /// When the connection was accepted or its last answer ended.
+    core::steady_time quiet_since_ = boot_now();
     bool busy_ = false;
     bool served_any_ = false;
     bool finished_ = false;
--- a/packages/relay/caller_connection.h
+++ b/packages/relay/caller_connection.h
@@ -33,6 +33,9 @@
     /// Returns whether the caller has closed its connection.
     virtual bool disconnected() const = 0;
 
+    /// Returns whether the connection has carried no other request.
+    virtual bool first_on_connection() const = 0;
+
     /// Sets a handler that is called once when the caller closes its connection.
     virtual void on_disconnect(std::function<void()> handler) = 0;
 
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -16,9 +16,14 @@
 forward_run::forward_run(relay_state& node, caller_exchange& exchange)
     : node_(node), exchange_(exchange), arrived_(boot_now()), id_(node.next_request++) {}
 
+forward_run::~forward_run() {
+    node_.end_unanswered.erase(id_);
+}
+
 void forward_run::run() {
     request_ = node_.protocol.read_request(exchange_.head());
     exchange_.on_disconnect([this] { on_caller_disconnect(); });
+    node_.end_unanswered[id_] = [this] { on_node_end(); };
     if (const auto refusal = admit()) {
         finish_with_error(*refusal, "admission");
     } else {
@@ -64,6 +69,9 @@
 }
 
 std::optional<policy::end_cause> forward_run::reason_to_stop() {
+    if (ended_by_stop_) {
+        return policy::end_cause::node_stops;
+    }
     if (boot_now() >= deadline_) {
         return policy::end_cause::deadline;
     }
--- a/packages/relay/forward_admission.cpp
+++ b/packages/relay/forward_admission.cpp
@@ -33,8 +33,13 @@
                            "the configuration was not confirmed recently enough to accept keys",
                            std::nullopt};
     }
-    fingerprints_ = make_fingerprints();
     set_deadline();
+    if (node_.stop &&
+        !policy::accepts_request(*node_.stop, {boot_now(), deadline_, exchange_.first_on_connection()})) {
+        node_.metrics.add("relay_refused_while_stopping_total", {});
+        return core::error{core::error_kind::draining, "the node is being stopped", std::nullopt};
+    }
+    fingerprints_ = make_fingerprints();
     history_.retry = route_.retry;
     history_.max_attempts = route_.max_attempts;
     model_ = first_model();
--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -161,7 +161,7 @@
     const auto signal = std::make_shared<adapters::wakeup>(exchange_.yield().get_executor());
     node_.waiting[id_] = signal;
     std::optional<state::upstream_entry> found;
-    while (!found && !exchange_.disconnected() && boot_now() < queue_deadline) {
+    while (!found && !exchange_.disconnected() && !ended_by_stop_ && boot_now() < queue_deadline) {
         if (policy::next_waiting(node_.queue, {}, service, boot_now()) == id_) {
             choice_ = choose_upstream();
             if (!choice_.id.empty()) {
--- a/packages/relay/forward_end.cpp
+++ b/packages/relay/forward_end.cpp
@@ -15,6 +15,17 @@
 } // namespace
 
 void forward_run::on_caller_disconnect() {
+    interrupt();
+}
+
+void forward_run::on_node_end() {
+    if (!answer_started_ && status_ == 0) {
+        ended_by_stop_ = true;
+        interrupt();
+    }
+}
+
+void forward_run::interrupt() {
     if (current_link_) {
         current_link_->close();
     }
@@ -31,6 +42,10 @@
 void forward_run::finish_without_upstream() {
     const bool full = choice_.reason == policy::relay_reason::full;
     const bool late = boot_now() >= deadline_;
+    if (ended_by_stop_) {
+        finish_failed(policy::end_cause::node_stops);
+        return;
+    }
     finish_failed(late ? policy::end_cause::deadline
                        : (full ? policy::end_cause::refused_at_once : policy::end_cause::no_upstream));
 }
@@ -49,7 +64,8 @@
     if (error.message.empty()) {
         error.message = policy::to_string(cause);
     }
-    if (policy::never_ran(history_)) {
+    // Other nodes serve a request that is refused because this one stops, so its caller needn't wait.
+    if (policy::never_ran(history_) && cause != policy::end_cause::node_stops) {
         error.retry_after = retry_delay();
     }
     finish_with_error(error, std::string(policy::to_string(cause)));
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -18,6 +18,9 @@
 class forward_run {
   public:
     forward_run(relay_state& node, caller_exchange& exchange);
+    ~forward_run();
+    forward_run(const forward_run&) = delete;
+    forward_run& operator=(const forward_run&) = delete;
 
     /// Serves the request until it is answered or the caller disconnects.
     void run();
@@ -101,6 +104,8 @@
 
     // Final answers.
     void on_caller_disconnect();
+    void on_node_end();
+    void interrupt();
     void send_answer(const caller_answer& answer);
     void finish_without_upstream();
     void finish_failed(policy::end_cause cause);
@@ -143,6 +148,8 @@
     policy::relay_choice choice_;
     int unsent_attempts_ = 0;
     bool target_failed_ = false;
+    /// The node is about to exit and the answer had not begun.
+    bool ended_by_stop_ = false;
     upstream_link_ptr current_link_;
     std::optional<std::uint64_t> last_event_id_;
     bool answer_started_ = false;
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -347,7 +347,7 @@
     }
     history_.sends.push_back({entry.id, failure.result});
     last_failure_ = failure.message;
-    const bool closed_by_relay = exchange_.disconnected() || closed_for_crashes();
+    const bool closed_by_relay = exchange_.disconnected() || closed_for_crashes() || ended_by_stop_;
     if (failure.result != policy::send_result::not_sent && !send_settled_ &&
         (closed_by_relay || failure.cause == link_failure::timed_out)) {
         record_possible_crash(entry, true);
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -43,11 +43,6 @@
 constexpr std::uint64_t limit_ticks = 5;
 // A longer time between two ticks means that the VM was paused.
 constexpr core::milliseconds min_vm_pause{700};
-// Fraction of the grace period in which requests are still accepted. Later ones may take longer than the rest
-// of the period.
-constexpr double accept_fraction = 0.3;
-// The process exits this long before the platform would kill it.
-constexpr core::milliseconds end_margin{700};
 constexpr core::milliseconds drain_poll{50};
 // Connections that are idle for longer are closed, even if the upstream would keep them open.
 constexpr core::milliseconds max_pool_idle{10000};
@@ -208,7 +203,7 @@
         caller_server_hooks hooks;
         hooks.serve = [this](caller_exchange& exchange) { serve(exchange); };
         hooks.limits = [this] { return state_.routes ? state_.routes->limits : state::input_limits{}; };
-        hooks.leaving = [this] { return state_.leaving; };
+        hooks.leaving = [this] { return state_.stop.has_value(); };
         hooks.refused = [this](int status, std::string_view reason) {
             state_.metrics.add("relay_unreadable_requests_total", {{"status", std::to_string(status)}});
             state_.log.request({{"event", "request_unreadable"}, {"status", status}, {"reason", reason}});
@@ -330,7 +325,7 @@
                                                           state_.peers->size(), state_.peers->rank(),
                                                           registered, core::to_ms(boot_now() - read_at)},
                                                          {});
-            if (step == state::discovery_step::none || state_.leaving) {
+            if (step == state::discovery_step::none || state_.stop) {
                 pause = min_discovery_delay;
                 continue;
             }
@@ -388,27 +383,40 @@
     }
 
     // Callers that use an old lookup reply keep sending requests, which are served. After that time idle
-    // connections are closed, and running requests may finish.
+    // connections are closed, requests that may outlast the process are refused, and running ones may finish.
     void stop(const asio::yield_context& yield) {
-        const auto began = boot_now();
-        const auto end = began + state_.settings.bounds.grace - end_margin;
-        state_.leaving = true;
+        const auto plan = policy::plan_stop(boot_now(), state_.settings.bounds.grace, {});
+        state_.stop = plan;
         state_.peers->set_state(state::member_state::leaving);
         state_.peers->announce();
         state_.log.state("stopping", {{"running", callers_->running()}});
-        const auto grace = state_.settings.bounds.grace;
-        const auto accept_until =
-            began + core::milliseconds(std::int64_t(accept_fraction * double(grace.count())));
-        while (boot_now() < accept_until) {
+        while (boot_now() < plan.accept_until) {
             adapters::sleep_for(drain_poll, yield);
         }
         callers_->stop_accepting();
+        close_connections_until(plan.answer_until, yield);
+        end_unanswered();
+        close_connections_until(plan.end, yield);
+        finish();
+    }
+
+    // Closes connections as they become idle; returns early once none is left.
+    void close_connections_until(core::steady_time end, const asio::yield_context& yield) {
         callers_->close_idle();
         while (boot_now() < end && callers_->unfinished() > 0) {
             adapters::sleep_for(drain_poll, yield);
             callers_->close_idle();
         }
-        finish();
+    }
+
+    // A caller that gets no answer can't tell whether its request has run.
+    void end_unanswered() {
+        const auto handlers = state_.end_unanswered;
+        for (const auto& [id, handler] : handlers) {
+            if (state_.end_unanswered.count(id) > 0) {
+                handler();
+            }
+        }
     }
 
     void finish() {
--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -127,7 +127,7 @@
 }
 
 bool is_ready(const relay_state& node) {
-    return is_configured(node) && !node.leaving;
+    return is_configured(node) && !node.stop;
 }
 
 void wake_next(relay_state& node, const std::string& service) {
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,6 +22,7 @@
 #include "policy/repeat_budget.h"
 #include "policy/rollout_verdict.h"
 #include "policy/session_pins.h"
+#include "policy/stop_plan.h"
 #include "policy/stream_pace.h"
 #include "policy/trial_evidence.h"
 #include "policy/upstream_health.h"
@@ -151,8 +153,12 @@
     policy::relay_queue queue;
     std::map<std::uint64_t, std::shared_ptr<adapters::wakeup>> waiting;
     std::uint64_t next_request = 1;
-    /// The process was told to stop. It still serves requests, but callers are referred to other nodes.
-    bool leaving = false;
+    /// Set once the process was told to stop. It still serves requests, but callers are referred to other
+    /// nodes.
+    std::optional<policy::stop_plan> stop;
+    /// Ends the requests whose answers have not begun, by request number. Called shortly before the process
+    /// exits.
+    std::map<std::uint64_t, std::function<void()>> end_unanswered;
     /// The process is ending: no new work starts, and the loops end.
     bool stopped = false;
 };
--- a/packages/relay/rollouts.cpp
+++ b/packages/relay/rollouts.cpp
@@ -293,7 +293,7 @@
 }
 
 void write_rollout_states(relay_state& node, const boost::asio::yield_context& yield) {
-    if (node.leaving) {
+    if (node.stop) {
         return;
     }
     std::vector<std::pair<std::string, std::uint64_t>> open;
--- a/test/correctness/process/stop_test.cpp
+++ b/test/correctness/process/stop_test.cpp
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <csignal>
 #include <future>
+#include <thread>
 
 #include <doctest/doctest.h>
 
@@ -72,6 +73,38 @@
     CHECK(place_order(nodes, 1, "after").status == 200);
 }
 
+TEST_CASE("answers of a node that is being stopped announce the end of their connections") {
+    // Guards against callers that keep using a connection to a node that leaves, and against an order that
+    // runs on a kept connection after the node has stopped taking work.
+    fleet nodes(slow_fleet());
+    const raw_connection kept(nodes.node(0));
+    const raw_connection other(nodes.node(0));
+    REQUIRE(kept.send(raw_post("/v1/chat/completions", chat_body("long", true, 500).dump())));
+    REQUIRE(wait_until([&] { return nodes.executions().size() == 1; }));
+    nodes.node_process(0).send_signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    REQUIRE(other.send(raw_post("/v1/orders/parts_order", R"({"units":3})", "Idempotency-Key: early\r\n")));
+    const auto early = other.read_to_end();
+    CHECK(early.find("HTTP/1.1 200") == 0);
+    CHECK(early.find("Connection: close") != std::string::npos);
+    std::string stream;
+    const std::string last_chunk = "0\r\n\r\n";
+    while (stream.size() < last_chunk.size() ||
+           stream.compare(stream.size() - last_chunk.size(), last_chunk.size(), last_chunk) != 0) {
+        const auto piece = kept.read_some();
+        REQUIRE_FALSE(piece.empty());
+        stream += piece;
+    }
+    const auto before = nodes.executions().size();
+    REQUIRE(kept.send(raw_post("/v1/orders/parts_order", R"({"units":3})", "Idempotency-Key: late\r\n")));
+    const auto late = kept.read_to_end();
+    CHECK(late.find("HTTP/1.1 503") == 0);
+    CHECK(late.find("draining") != std::string::npos);
+    CHECK(late.find("Connection: close") != std::string::npos);
+    CHECK(nodes.executions().size() == before);
+    CHECK(nodes.node_process(0).wait_for_exit() == 0);
+}
+
 TEST_CASE("the shards of a killed node are taken over and serve orders again") {
     // Guards against shards without an owner after a failure.
     fleet nodes(slow_fleet());
--- a/test/correctness/relay_outcome_test.cpp
+++ b/test/correctness/relay_outcome_test.cpp
@@ -29,7 +29,7 @@
     // A wrong "not run" makes the caller send a request again that did run, such as an order.
     CHECK(rc::check([] {
         const auto history = arbitrary_history();
-        const auto cause = static_cast<end_cause>(*rc::gen::inRange(0, 5));
+        const auto cause = static_cast<end_cause>(*rc::gen::inRange(0, 6));
         const auto& answer = core::error_answer_for(final_error(history, cause));
         const bool says_not_run = answer.execution == core::execution::not_run;
         RC_ASSERT(says_not_run == never_ran(history));
