Never send one request twice on one connection to an upstream

Cause: an answer is identified by its connection and the id of its request. The pool gave the connection of the refused send to the next send of the same order, so a late copy of the refusal passed for the answer to that send. Copies of other requests' answers are excluded: the test with them passes before the change. So is the check for unread bytes, as the copy comes after the second send.

Change: a connection keeps the ids that it has carried and gets none of them again; it is closed after 256 requests, which bounds the history. The HTTP client of the product's own node refuses an answer that names another request.

Evidence: before the change each of 12 orders of "an order runs once although its refusal comes a second time" ran twice, and the client's test got the answer of another request.

--- a/packages/adapters/http_client.cpp
+++ b/packages/adapters/http_client.cpp
@@ -161,6 +161,16 @@
     if (code) {
         return tl::make_unexpected(failure(call_progress::sent, code, "read the answer of", call, deadline));
     }
+    // An upstream that names the request of its answer may send an earlier answer once more.
+    const std::string id_header = "x-request-id";
+    const auto& answer = parser.get();
+    const auto sent = call.headers.find(id_header);
+    const auto named = answer.find(id_header);
+    if (sent != call.headers.end() && named != answer.end() && named->value() != sent->second) {
+        return tl::make_unexpected(
+            http_failure{call_progress::sent, false, true,
+                         "the answer of " + call.address + call.target + " belongs to another request"});
+    }
     return {};
 }
 
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -52,7 +52,7 @@
                                                                upstream_link_ptr& current,
                                                                const std::function<void()>& on_sent,
                                                                const boost::asio::yield_context& yield) {
-    current = node.pool.take(plan.upstream.id, boot_now(), plan.max_idle);
+    current = node.pool.take(plan.upstream.id, plan.request_id, boot_now(), plan.max_idle);
     if (!current) {
         current = std::make_shared<upstream_link>(node.context);
         const auto connected = current->connect(plan.upstream.address, plan.connect_timeout, yield);
@@ -62,6 +62,7 @@
         }
     }
     const auto link = current;
+    state::record_request(link->history, plan.request_id);
     link->start_request(*plan.head, plan.headers, plan.body);
     on_sent();
     auto answer = read_matching_head(node, plan, link, yield);
--- a/packages/relay/upstream_link.cpp
+++ b/packages/relay/upstream_link.cpp
@@ -198,16 +198,20 @@
     close();
 }
 
-upstream_link_ptr upstream_pool::take(const std::string& upstream, core::steady_time now,
-                                      core::milliseconds max_idle) {
+upstream_link_ptr upstream_pool::take(const std::string& upstream, const std::string& request_id,
+                                      core::steady_time now, core::milliseconds max_idle) {
     const auto found = std::find_if(entries_.begin(), entries_.end(),
                                     [&](const entry& pooled) { return pooled.upstream == upstream; });
     if (found == entries_.end()) {
         return nullptr;
     }
-    while (!found->links.empty()) {
-        auto link = std::move(found->links.back());
-        found->links.pop_back();
+    auto& links = found->links;
+    for (auto i = links.size(); i-- > 0;) {
+        if (!state::may_carry(links.at(i)->history, request_id)) {
+            continue;
+        }
+        auto link = std::move(links.at(i));
+        links.erase(links.begin() + std::ptrdiff_t(i));
         const core::milliseconds allowed =
             link->idle_timeout
                 ? std::min(max_idle, core::milliseconds(*link->idle_timeout) - keep_alive_margin)
@@ -229,7 +233,7 @@
         entries_.push_back({upstream, {}});
         found = std::prev(entries_.end());
     }
-    if (found->links.size() >= max_idle_) {
+    if (found->links.size() >= max_idle_ || state::is_used_up(link->history)) {
         link->close();
         return;
     }
--- a/packages/relay/upstream_link.h
+++ b/packages/relay/upstream_link.h
@@ -12,6 +12,7 @@
 
 #include "core/time.h"
 #include "relay/wire_protocol.h"
+#include "state/link_history.h"
 
 namespace figspoke::relay {
 
@@ -84,6 +85,8 @@
     core::steady_time used_at{};
     std::optional<core::seconds> idle_timeout;
     bool reused = false;
+    /// The requests that the connection has carried.
+    state::link_history history;
 
   private:
     struct impl;
@@ -97,8 +100,9 @@
   public:
     explicit upstream_pool(std::size_t max_idle_per_upstream) : max_idle_(max_idle_per_upstream) {}
 
-    /// Returns an idle connection that was used at most `max_idle` ago, or null.
-    upstream_link_ptr take(const std::string& upstream, core::steady_time now, core::milliseconds max_idle);
+    /// Returns an idle connection that was used at most `max_idle` ago and may carry the request, or null.
+    upstream_link_ptr take(const std::string& upstream, const std::string& request_id, core::steady_time now,
+                           core::milliseconds max_idle);
 
     void keep(const std::string& upstream, upstream_link_ptr link, core::steady_time now);
 
--- a/test/platform/support/relay_cluster.cpp
+++ b/test/platform/support/relay_cluster.cpp
@@ -13,17 +13,9 @@
 constexpr int ports_per_node = 5;
 
 json make_route(const std::string& name, const std::string& kind, const std::string& service) {
-    return {{"name", name},
-            {"host", "h"},
-            {"pathPrefix", "/" + name + "/"},
-            {"kind", kind},
-            {"service", service},
-            {"timeoutMs", 8000},
-            {"targetLatencyMs", 300},
-            {"priority", 1},
-            {"maxAttempts", kind == "unsafe" ? 1 : 3},
-            {"resumable", false},
-            {"allowAnonymous", false}};
+    return {{"name", name},       {"host", "h"},        {"pathPrefix", "/" + name + "/"}, {"kind", kind},
+            {"service", service}, {"timeoutMs", 8000},  {"targetLatencyMs", 300},         {"priority", 1},
+            {"maxAttempts", 3},   {"resumable", false}, {"allowAnonymous", false}};
 }
 
 } // namespace
@@ -42,7 +34,13 @@
     store_.put("servers/" + id, entry.dump());
 }
 
-void relay_cluster::configure(int version, const std::vector<std::string>& keys) {
+void relay_cluster::configure(int version, const std::vector<std::string>& keys, int order_attempts) {
+    configure_tenants(version, {{{"name", "tenant-1"}, {"apiKeys", keys}}}, order_attempts);
+}
+
+void relay_cluster::configure_tenants(int version, const json& tenants, int order_attempts) {
+    auto order = make_route("order", "unsafe", "shop");
+    order["maxAttempts"] = order_attempts;
     auto open = make_route("open", "safe", "shop");
     open["allowAnonymous"] = true;
     auto chat = make_route("chat", "streaming", "model");
@@ -50,15 +48,14 @@
     const json config = {
         {"version", version},
         {"routes",
-         {make_route("order", "unsafe", "shop"), make_route("look", "safe", "shop"), open, chat,
-          make_route("once", "streaming", "model")}},
+         {order, make_route("look", "safe", "shop"), open, chat, make_route("once", "streaming", "model")}},
         {"services", {{{"name", "shop"}, {"maxConns", 50}}, {{"name", "model"}, {"maxConns", 50}}}},
         {"limits",
          {{"maxHeaderBytes", 4096},
           {"maxBodyBytes", 4194304},
           {"headerTimeoutMs", 1000},
           {"idleTimeoutMs", 9000}}},
-        {"tenants", {{{"name", "tenant-1"}, {"apiKeys", keys}}}}};
+        {"tenants", tenants}};
     store_.put("op/config", config.dump());
 }
 
--- a/test/platform/support/relay_cluster.h
+++ b/test/platform/support/relay_cluster.h
@@ -41,8 +41,11 @@
 
     /// Writes an operator's configuration in which `keys` are the API keys of one tenant. Routes: /order/
     /// (runs at most once), /look/ (idempotent), /open/ (idempotent, needs no key), /chat/ (resumable
-    /// stream), /once/ (stream that can't be resumed).
-    void configure(int version, const std::vector<std::string>& keys);
+    /// stream), /once/ (stream that can't be resumed). Requests to /order/ may be sent `order_attempts`
+    /// times.
+    void configure(int version, const std::vector<std::string>& keys, int order_attempts = 1);
+    /// The same with another value of `tenants`.
+    void configure_tenants(int version, const nlohmann::json& tenants, int order_attempts = 1);
 
     /// Starts a node and waits until it is ready; throws if the node exits or doesn't become ready in time.
     relay_process& start_node();
