--- a/packages/state/route_table.cpp
+++ b/packages/state/route_table.cpp
@@ -43,7 +43,8 @@
 }
 
 const relay_account* find_account(const route_table& table, std::string_view key) {
-    const auto found = table.account_of_key.find(key);
+    // A request without a key must not match an empty one that an account lists by mistake.
+    const auto found = key.empty() ? table.account_of_key.end() : table.account_of_key.find(key);
     return found == table.account_of_key.end() ? nullptr : &table.accounts.at(found->second);
 }
 
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -64,6 +64,33 @@
     CHECK(state::find_route(*table, "h", "/x")->anonymous);
 }
 
+TEST_CASE("a configuration whose tenants are empty or malformed opens no route") {
+    // Guards against a withdrawal of the last tenant that admits every request, with or without a key.
+    const std::vector<std::string> forms = {"[]",     "null",     "{}",           "5",
+                                            R"("t")", "[5,null]", R"([{"a":1}])", R"([{"apiKeys":"k1"}])"};
+    for (const auto& tenants : forms) {
+        const auto table = decode_routes(content_with("op/config", R"({"version":1,"routes":[
+                {"name":"r","host":"h","pathPrefix":"/","service":"s"},
+                {"name":"o","host":"h","pathPrefix":"/open/","service":"s","allowAnonymous":true}],"tenants":)" +
+                                                                       tenants + "}"));
+        CAPTURE(tenants);
+        REQUIRE(table.has_value());
+        CHECK_FALSE(state::find_route(*table, "h", "/x")->anonymous);
+        CHECK(state::find_route(*table, "h", "/open/x")->anonymous);
+        CHECK(state::find_account(*table, "k1") == nullptr);
+    }
+}
+
+TEST_CASE("an empty API key in the configuration admits no request") {
+    // Guards against requests without a key that run for a tenant whose list of keys holds an empty text.
+    const auto table = decode_routes(
+        content_with("op/config", R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/",
+            "service":"s"}],"tenants":[{"name":"t1","apiKeys":["","k1"]}]})"));
+    REQUIRE(table.has_value());
+    CHECK(state::find_account(*table, "") == nullptr);
+    CHECK(state::find_account(*table, "k1") != nullptr);
+}
+
 TEST_CASE("a malformed or missing configuration decodes to nothing") {
     CHECK_FALSE(decode_routes(content_with("op/config", "{")).has_value());
     CHECK_FALSE(decode_routes(content_with("op/config", R"({"routes":5})")).has_value());
--- a/test/platform/relay_process_test.cpp
+++ b/test/platform/relay_process_test.cpp
@@ -263,6 +263,17 @@
     CHECK(fixture.cluster.send(*fixture.node, "/order/1", "r3", "b", "k3").status == 200);
 }
 
+TEST_CASE("a key is refused once the last tenant is withdrawn") {
+    // Guards against a configuration with an empty list of tenants that admits every request.
+    cluster_fixture fixture(answer_ok);
+    CHECK(fixture.cluster.send(*fixture.node, "/order/1", "r1").status == 200);
+    fixture.cluster.configure_tenants(2, nlohmann::json::array());
+    CHECK(wait_until([&] { return fixture.cluster.send(*fixture.node, "/order/1", "r2").status == 401; },
+                     milliseconds(3000)));
+    CHECK(fixture.cluster.send(*fixture.node, "/order/1", "r3", "b", "never").status == 401);
+    CHECK(fixture.cluster.send(*fixture.node, "/open/1", "r4", "b", "").status == 200);
+}
+
 TEST_CASE("during a store outage requests with a key are refused after the revocation bound and others are "
           "served") {
     // A node that can't confirm its configuration doesn't know whether a key was revoked.
