Accept only a stream of events as the continuation of a stream

Cause: forward_stream drops events that the caller has, but let all that has no id pass, and wrote the incomplete rest at the end.

Change: a continuation must be a stream of events with ids or comments that ends between two events; anything else counts as a broken send.

--- a/packages/relay/event_splitter.cpp
+++ b/packages/relay/event_splitter.cpp
@@ -51,6 +51,21 @@
 
 } // namespace
 
+// Text that is no event, such as that of an error, ends like an event where it has an empty line.
+bool may_continue_stream(const stream_event& event) {
+    if (event.id) {
+        return true;
+    }
+    std::string_view text = event.bytes;
+    while (!text.empty()) {
+        const auto line = next_line(text);
+        if (!line.empty() && line.front() != ':') {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::vector<stream_event> event_splitter::feed(std::string_view bytes) {
     std::vector<stream_event> events;
     pending_.append(bytes);
--- a/packages/relay/event_splitter.h
+++ b/packages/relay/event_splitter.h
@@ -14,6 +14,10 @@
     std::optional<std::uint64_t> id;
 };
 
+/// Returns whether an event may follow in a stream that another upstream has begun: it has an id, or it
+/// consists of comments.
+bool may_continue_stream(const stream_event& event);
+
 /// Splits a stream of server-sent events into complete events, so that no partial event is forwarded.
 class event_splitter {
   public:
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -82,6 +82,7 @@
     bool begin_answer(const begun_answer& answer);
     next_step finish_stream(const state::upstream_entry& entry, begun_answer& answer,
                             event_splitter& splitter);
+    next_step reject_continuation(const state::upstream_entry& entry, const std::string& cause);
     next_step handle_send_failure(const state::upstream_entry& entry, const attempt_failure& failure);
 
     // Records of upstreams, versions and request fingerprints.
@@ -153,6 +154,8 @@
     upstream_link_ptr current_link_;
     std::optional<std::uint64_t> last_event_id_;
     bool answer_started_ = false;
+    /// The present send continues a stream of which the caller has a part.
+    bool continues_stream_ = false;
     std::optional<caller_answer> fallback_answer_;
     std::string last_failure_;
     std::string end_;
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -26,6 +26,14 @@
 // A repeatable plain request moves to another upstream after this multiple of its latency target.
 constexpr int plain_timeout_targets = 2;
 
+// Returns whether the body of an answer may be a stream of events.
+bool may_hold_events(const answer_head& head) {
+    constexpr std::string_view event_stream = "text/event-stream";
+    const auto* type = find_header(head.headers, "Content-Type");
+    return type == nullptr ||
+           same_header(std::string_view(*type).substr(0, event_stream.size()), event_stream);
+}
+
 } // namespace
 
 bool forward_run::attempts_remain() const {
@@ -152,6 +160,9 @@
     }
     const bool success = answer.head.status < 500;
     if (success && route_.streaming && answer.head.status == 200) {
+        if (answer_started_ && !may_hold_events(answer.head)) {
+            return reject_continuation(entry, "the continuation of a stream is no stream of events");
+        }
         return forward_stream(entry, answer, sent_at);
     }
     return forward_whole_answer(entry, answer, sent_at);
@@ -236,6 +247,7 @@
     const bool resumable = route_.retry == state::retry_policy::resumable;
     event_splitter splitter;
     bool first = true;
+    continues_stream_ = answer_started_;
     begin_stream_watch(entry, 0);
     while (true) {
         auto piece = answer.link->read_some(read_timeout(), exchange_.yield());
@@ -255,6 +267,9 @@
             return finish_stream(entry, answer, splitter);
         }
         const auto events = splitter.feed(*piece);
+        if (continues_stream_ && !std::all_of(events.begin(), events.end(), may_continue_stream)) {
+            return reject_continuation(entry, "an event of the continuation has no id");
+        }
         record_progress(events.size());
         judge_pace(entry);
         if (has_settled()) {
@@ -321,10 +336,11 @@
 
 forward_run::next_step forward_run::finish_stream(const state::upstream_entry& entry, begun_answer& answer,
                                                   event_splitter& splitter) {
-    const bool cut = answer.link->ends_with_connection() && !splitter.incomplete_event().empty();
+    const bool cut =
+        (continues_stream_ || answer.link->ends_with_connection()) && !splitter.incomplete_event().empty();
     if (cut) {
         return handle_send_failure(entry, {policy::send_result::unknown, link_failure::broken,
-                                           "the connection closed within a server-sent event"});
+                                           "the stream ended within a server-sent event"});
     }
     release_link(node_, entry.id, answer);
     record_sound_request();
@@ -340,6 +356,13 @@
     return next_step::finished;
 }
 
+// The caller must not get the text of an error in the middle of its stream, nor an end that looks complete.
+forward_run::next_step forward_run::reject_continuation(const state::upstream_entry& entry,
+                                                        const std::string& cause) {
+    node_.metrics.add("relay_rejected_continuations_total", {});
+    return handle_send_failure(entry, {policy::send_result::unknown, link_failure::malformed, cause});
+}
+
 forward_run::next_step forward_run::handle_send_failure(const state::upstream_entry& entry,
                                                         const attempt_failure& failure) {
     if (current_link_) {
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -167,6 +167,16 @@
     }));
 }
 
+TEST_CASE("only events with an id and comments may continue a stream") {
+    // Guards against the text of an error that reaches a caller as a part of its stream.
+    CHECK(may_continue_stream({"id: 3\ndata: x\n\n", 3}));
+    CHECK(may_continue_stream({": still here\n\n", std::nullopt}));
+    CHECK(may_continue_stream({"\r\n\r\n", std::nullopt}));
+    CHECK_FALSE(may_continue_stream({"data: x\n\n", std::nullopt}));
+    CHECK_FALSE(may_continue_stream({"HTTP/1.1 500 Failed\r\nContent-Length: 6\r\n\r\n", std::nullopt}));
+    CHECK_FALSE(may_continue_stream({": a comment\nthe engine failed\n\n", std::nullopt}));
+}
+
 TEST_CASE("heartbeats in a large fleet repeat old records and other nodes' reports only in some rounds") {
     // Guards against heartbeats that fill the network. During a roll-out, after the crash of many engines,
     // heartbeats of 16 KB to 17 peers several times a second filled 10 Mbit/s links, and load reports were
