Take no registry entry for an engine that can't be used

One odd entry of another writer ended the machines of another operator again and again. Here, processes went on beside such entries, but 17 of 20 of them named engines: ports that don't exist, slots cut to 32 bits, missing versions. Requests went there first (LOST where it lasts), and nothing bounded the memory of a deeply nested entry.

Cause: an entry was checked for what is read at once, and its size and depth by nothing.

--- a/packages/adapters/json_read.h
+++ b/packages/adapters/json_read.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,20 @@
     }
 }
 
+/// Bounds of a JSON text of a writer that is not trusted.
+struct json_bounds {
+    std::size_t bytes = 64U * 1024;
+    std::size_t depth = 16;
+};
+
+/// Parses a JSON text within the bounds. The value is discarded where the text isn't valid or exceeds them.
+/// Doesn't throw.
+nlohmann::json parse_bounded(const std::string& text, const json_bounds& bounds);
+
+/// Returns a whole number from 0 to `most`, or nothing where the object lacks the field or holds another
+/// value. Doesn't throw.
+std::optional<std::int64_t> find_number(const nlohmann::json& object, const char* field, std::int64_t most);
+
 /// Parses a text as a JSON object.
 nlohmann::json parse_object(const std::string& text);
 
