Count the pause of a conversation from the end of its last answer

Cause: a conversation was noted at the head of an answer. An answer may last for seconds, so the note expired before the conversation did.

Change: a request counts as running from the head of its answer to its end, and the note is renewed all the while.

--- a/packages/policy/session_pins.cpp
+++ b/packages/policy/session_pins.cpp
@@ -21,6 +21,27 @@
     }
 }
 
+// An answer may last for longer than the pause that ends a conversation, which begins only at its end.
+void begin_session_request(session_pins& pins, std::uint64_t request, const running_session& session,
+                           core::steady_time at) {
+    pins.running[request] = session;
+    record_session(pins, session.session, session.on_target, at);
+}
+
+void end_session_request(session_pins& pins, std::uint64_t request, core::steady_time at) {
+    const auto found = pins.running.find(request);
+    if (found != pins.running.end()) {
+        record_session(pins, found->second.session, found->second.on_target, at);
+        pins.running.erase(found);
+    }
+}
+
+void refresh_running_sessions(session_pins& pins, core::steady_time now) {
+    for (const auto& [request, running] : pins.running) {
+        record_session(pins, running.session, running.on_target, now);
+    }
+}
+
 void expire_sessions(session_pins& pins, core::milliseconds session_gap, core::steady_time now) {
     core::erase_where(
         pins.pins, [&](const session_pin& pin, std::uint64_t) { return now - pin.last_seen > session_gap; });
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -18,6 +18,7 @@
 
 forward_run::~forward_run() {
     node_.end_unanswered.erase(id_);
+    policy::end_session_request(node_.sessions, id_, boot_now());
 }
 
 void forward_run::run() {
--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -86,7 +86,7 @@
     }
     const auto found = node_.rollouts.find(entry.service);
     const bool on_target = found != node_.rollouts.end() && found->second.order.target == entry.version;
-    policy::record_session(node_.sessions, session_, on_target, boot_now());
+    policy::begin_session_request(node_.sessions, id_, {session_, on_target}, boot_now());
 }
 
 // A prompt without shared segments gets an owner too; the request's id selects it.
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -309,6 +309,7 @@
             update_rollouts(state_);
             write_rollout_states(state_, yield);
             state_.pool.expire(boot_now(), max_pool_idle);
+            policy::refresh_running_sessions(state_.sessions, boot_now());
             policy::expire_sessions(state_.sessions, state_.settings.bounds.session + tick, boot_now());
             policy::expire_crashes(state_.crashes, {}, boot_now());
         }
--- a/test/correctness/relay_routing_test.cpp
+++ b/test/correctness/relay_routing_test.cpp
@@ -137,6 +137,27 @@
     CHECK(uses_target_version(pins, 11, selection, at(4100)));
 }
 
+TEST_CASE("the pause of a conversation begins at the end of its last answer") {
+    // Guards against a conversation that counts as over while one of its answers is still arriving.
+    session_pins pins;
+    rollout_selection selection;
+    selection.bucket = 0.05;
+    selection.share = 0.09;
+    begin_session_request(pins, 1, {11, false}, at(0));
+    for (int now = 0; now <= 20000; now += 200) {
+        refresh_running_sessions(pins, at(now));
+        expire_sessions(pins, selection.session_gap, at(now));
+        CHECK_FALSE(uses_target_version(pins, 11, selection, at(now)));
+    }
+    end_session_request(pins, 1, at(20100));
+    refresh_running_sessions(pins, at(25000));
+    CHECK_FALSE(uses_target_version(pins, 11, selection, at(25100)));
+    CHECK(uses_target_version(pins, 11, selection, at(25101)));
+    CHECK(pins.running.empty());
+    end_session_request(pins, 1, at(26000));
+    CHECK(uses_target_version(pins, 11, selection, at(26000)));
+}
+
 TEST_CASE("a conversation on the target version stays there, and late records of the old one are ignored") {
     session_pins pins;
     rollout_selection selection;
