Note the version itself that a conversation ran on

Cause: a conversation was noted as running on "the target" or not. The target of a completed roll-out is the old version of the next one, so conversations that stayed on it counted as moved. The new `session` part of a request's log line shows it: all requests that changed had a note of age 0 that said "target", while late notes and shares that differ between nodes are not seen.

Change: a note belongs to a conversation on a version; whether that is the target is asked when a request comes. A heartbeat holds the 200 conversations that were seen last instead of those with the lowest hashes. Heartbeats keep their format.

--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -64,7 +64,7 @@
     session_bucket_ = session_ == 0 ? draw(node_) : policy::session_bucket(session_);
 }
 
-bool forward_run::wants_target_version() const {
+bool forward_run::wants_target_version() {
     const auto found = node_.rollouts.find(service_);
     if (found == node_.rollouts.end() || found->second.stopped) {
         return false;
@@ -75,7 +75,13 @@
     }
     const policy::rollout_selection selection{session_bucket_, found->second.share,
                                               policy::in_trial(timing, {}), node_.settings.bounds.session};
-    return policy::uses_target_version(node_.sessions, session_, selection, boot_now());
+    if (session_ != 0 && session_bucket_ < selection.share) {
+        seen_pin_ =
+            policy::find_session(node_.sessions, service_, request_.session,
+                                 state::versions_of(node_.registry, service_), found->second.order.target);
+        seen_pin_at_ = boot_now();
+    }
+    return policy::uses_target_version(seen_pin_, selection, boot_now());
 }
 
 // Peers need only the conversations whose bucket is in the trial share.
@@ -84,9 +90,9 @@
     if (session_ == 0 || session_bucket_ >= trial) {
         return;
     }
-    const auto found = node_.rollouts.find(entry.service);
-    const bool on_target = found != node_.rollouts.end() && found->second.order.target == entry.version;
-    policy::begin_session_request(node_.sessions, id_, {session_, on_target}, boot_now());
+    policy::begin_session_request(node_.sessions, id_,
+                                  policy::make_session_key(entry.service, request_.session, entry.version),
+                                  boot_now());
 }
 
 // A prompt without shared segments gets an owner too; the request's id selects it.
--- a/packages/relay/forward_log.cpp
+++ b/packages/relay/forward_log.cpp
@@ -28,6 +28,16 @@
                          {"ms", core::to_ms(boot_now() - sent_at).count()}});
 }
 
+// What this node knew of the request's conversation when it chose a version.
+nlohmann::json forward_run::session_log() const {
+    nlohmann::json line = {{"id", std::to_string(session_)}, {"bucket", session_bucket_}};
+    if (seen_pin_) {
+        line["pin"] = seen_pin_->on_target ? "target" : "old";
+        line["pin_age_ms"] = core::to_ms(seen_pin_at_ - seen_pin_->last_seen).count();
+    }
+    return line;
+}
+
 void forward_run::write_log() {
     const auto total = core::to_ms(boot_now() - arrived_);
     nlohmann::json line = {{"event", "request"},
@@ -50,6 +60,9 @@
     if (request_.prompt.size() > 1) {
         line["shared_parts"] = shared_part_ids();
     }
+    if (session_ != 0) {
+        line["session"] = session_log();
+    }
     if (!last_failure_.empty()) {
         line["failure"] = last_failure_;
     }
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -45,7 +45,7 @@
     upstream_requirements requirements_for(bool target_version) const;
     upstream_requirements any_version_requirements() const;
     void assign_session_bucket();
-    bool wants_target_version() const;
+    bool wants_target_version();
     void record_session(const state::upstream_entry& entry);
     std::vector<policy::prompt_segment> shared_segments() const;
     std::uint64_t prefix_key(const std::vector<policy::prompt_segment>& shared) const;
@@ -117,6 +117,7 @@
     // Log.
     std::string shared_part_ids() const;
     void log_send(const state::upstream_entry& entry, core::steady_time sent_at);
+    nlohmann::json session_log() const;
     void write_log();
 
     relay_state& node_;
@@ -136,6 +137,9 @@
     std::optional<std::size_t> trial_send_;
     std::uint64_t session_ = 0;
     double session_bucket_ = 0;
+    /// The record of the conversation at the last choice of a version.
+    std::optional<policy::session_pin> seen_pin_;
+    core::steady_time seen_pin_at_{};
     double service_draw_ = 0;
     bool counted_in_budget_ = false;
     use_guard* use_ = nullptr;
--- a/packages/relay/heartbeat_message.cpp
+++ b/packages/relay/heartbeat_message.cpp
@@ -18,6 +18,9 @@
 constexpr std::uint8_t stopped_flag = 1;
 constexpr std::uint8_t written_flag = 2;
 
+// Nodes of earlier builds read a flag here. The byte keeps the format, so that they take these heartbeats.
+constexpr char unused_session_byte = 0;
+
 // Fewest bytes of a list's entry, which bound the number of entries that a received message can announce.
 constexpr std::size_t min_trial_bytes = 15;
 constexpr std::size_t min_crash_bytes = 10;
@@ -157,7 +160,7 @@
     core::append_varint(out, sessions.size());
     for (const auto& record : sessions) {
         core::append_fixed64(out, record.session);
-        out.push_back(record.on_target ? '\1' : '\0');
+        out.push_back(unused_session_byte);
         append_age(out, record.age);
     }
 }
@@ -166,7 +169,7 @@
     for (auto left = core::read_count(reader, min_session_bytes); left > 0 && reader.is_valid; --left) {
         session_record record;
         record.session = core::read_fixed64(reader);
-        record.on_target = core::read_byte(reader) != 0;
+        core::read_byte(reader);
         record.age = read_age(reader);
         sessions.push_back(record);
     }
--- a/packages/relay/heartbeat_message.h
+++ b/packages/relay/heartbeat_message.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/time.h"
+#include "policy/session_pins.h"
 #include "policy/trial_evidence.h"
 #include "policy/upstream_use.h"
 #include "relay/crash_record.h"
@@ -26,10 +27,9 @@
 using policy::add_use;
 using policy::upstream_use;
 
-/// A recent conversation and the version of the service that it used.
+/// A recent conversation.
 struct session_record {
-    std::uint64_t session = 0;
-    bool on_target = false;
+    policy::session_key session = 0;
     core::milliseconds age{0};
 };
 
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -132,8 +132,7 @@
         };
         hooks.on_sessions = [this](const std::vector<session_record>& records) {
             for (const auto& record : records) {
-                policy::record_session(state_.sessions, record.session, record.on_target,
-                                       boot_now() - record.age);
+                policy::record_session(state_.sessions, record.session, boot_now() - record.age);
             }
         };
         hooks.on_load_message = [this](std::string_view bytes, const std::string& from) {
@@ -176,11 +175,10 @@
         }
         message.trials = trial_records(state_, max_trial_record_age + spread);
         message.rollouts = rollout_records(state_);
-        for (const auto& [session, pin] : state_.sessions.pins) {
-            const auto age = boot_now() - pin.last_seen;
-            if (age < max_session_record_age + spread && message.sessions.size() < max_session_records) {
-                message.sessions.push_back({session, pin.on_target, core::to_ms(age)});
-            }
+        const auto now = boot_now();
+        for (const auto& recent : policy::recent_sessions(state_.sessions, max_session_record_age + spread,
+                                                          max_session_records, now)) {
+            message.sessions.push_back({recent.session, core::to_ms(now - recent.last_seen)});
         }
         message.crashes = crash_records(state_.crashes, max_crash_record_age + spread, boot_now());
     }
--- a/packages/state/upstream_registry.cpp
+++ b/packages/state/upstream_registry.cpp
@@ -86,6 +86,16 @@
     return changes;
 }
 
+std::set<std::string> versions_of(const upstream_registry& registry, const std::string& service) {
+    std::set<std::string> versions;
+    for (const auto& [id, record] : registry.upstreams) {
+        if (record.entry.service == service) {
+            versions.insert(record.entry.version);
+        }
+    }
+    return versions;
+}
+
 std::vector<const upstream_entry*> serving_upstreams(const upstream_registry& registry,
                                                      const std::string& service) {
     std::vector<const upstream_entry*> serving;
--- a/packages/state/upstream_registry.h
+++ b/packages/state/upstream_registry.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,9 @@
 registry_changes confirm_list(upstream_registry& registry, core::steady_time confirmed_at,
                               core::steady_time now, const registry_timeouts& timeouts);
 
+/// Returns the versions of all registered upstreams of a service.
+std::set<std::string> versions_of(const upstream_registry& registry, const std::string& service);
+
 /// Returns the upstreams of a service that may receive new requests.
 std::vector<const upstream_entry*> serving_upstreams(const upstream_registry& registry,
                                                      const std::string& service);
--- a/test/correctness/relay_routing_test.cpp
+++ b/test/correctness/relay_routing_test.cpp
@@ -31,6 +31,17 @@
     return table;
 }
 
+// Whether the next request of a conversation of service "s" in the trial share goes to `target`.
+bool goes_to_target(const session_pins& pins, const std::string& session, const std::string& target,
+                    core::steady_time now, bool trial) {
+    rollout_selection selection;
+    selection.bucket = 0.05;
+    selection.share = 0.09;
+    selection.trial = trial;
+    const auto pin = find_session(pins, "s", session, {"v1", "v2", "v3"}, target);
+    return uses_target_version(pin, selection, now);
+}
+
 } // namespace
 
 TEST_CASE("the route with the longest matching prefix of a host is chosen") {
@@ -124,48 +135,68 @@
 TEST_CASE("a conversation that runs on the old version stays there during the trial") {
     // Otherwise conversations that are running when a roll-out is ordered would change their version.
     session_pins pins;
-    rollout_selection selection;
-    selection.bucket = 0.05;
-    selection.share = 0.09;
-    record_session(pins, 11, false, at(0));
-    CHECK_FALSE(uses_target_version(pins, 11, selection, at(1000)));
-    CHECK(uses_target_version(pins, 12, selection, at(1000)));
-    record_session(pins, 11, false, at(4000));
-    CHECK_FALSE(uses_target_version(pins, 11, selection, at(8000)));
-    CHECK(uses_target_version(pins, 11, selection, at(9500)));
-    selection.trial = false;
-    CHECK(uses_target_version(pins, 11, selection, at(4100)));
+    const auto on_target = [&](const std::string& session, core::steady_time now, bool trial = true) {
+        return goes_to_target(pins, session, "v2", now, trial);
+    };
+    record_session(pins, make_session_key("s", "a", "v1"), at(0));
+    CHECK_FALSE(on_target("a", at(1000)));
+    CHECK(on_target("b", at(1000)));
+    record_session(pins, make_session_key("s", "a", "v1"), at(4000));
+    CHECK_FALSE(on_target("a", at(8000)));
+    CHECK(on_target("a", at(9500)));
+    CHECK(on_target("a", at(4100), false));
+}
+
+TEST_CASE("the target of one roll-out is the old version of the next") {
+    // Guards against conversations that ran on the target of a completed roll-out and count as moved already
+    // when the next one is ordered.
+    session_pins pins;
+    record_session(pins, make_session_key("s", "a", "v1"), at(0));
+    record_session(pins, make_session_key("s", "a", "v2"), at(1000));
+    CHECK(goes_to_target(pins, "a", "v2", at(1100), true));
+    CHECK_FALSE(goes_to_target(pins, "a", "v3", at(1100), true));
+    record_session(pins, make_session_key("s", "a", "v3"), at(1200));
+    CHECK(goes_to_target(pins, "a", "v3", at(1300), true));
 }
 
 TEST_CASE("the pause of a conversation begins at the end of its last answer") {
     // Guards against a conversation that counts as over while one of its answers is still arriving.
     session_pins pins;
-    rollout_selection selection;
-    selection.bucket = 0.05;
-    selection.share = 0.09;
-    begin_session_request(pins, 1, {11, false}, at(0));
+    begin_session_request(pins, 1, make_session_key("s", "a", "v1"), at(0));
     for (int now = 0; now <= 20000; now += 200) {
         refresh_running_sessions(pins, at(now));
-        expire_sessions(pins, selection.session_gap, at(now));
-        CHECK_FALSE(uses_target_version(pins, 11, selection, at(now)));
+        expire_sessions(pins, core::milliseconds(5000), at(now));
+        CHECK_FALSE(goes_to_target(pins, "a", "v2", at(now), true));
     }
     end_session_request(pins, 1, at(20100));
     refresh_running_sessions(pins, at(25000));
-    CHECK_FALSE(uses_target_version(pins, 11, selection, at(25100)));
-    CHECK(uses_target_version(pins, 11, selection, at(25101)));
+    CHECK_FALSE(goes_to_target(pins, "a", "v2", at(25100), true));
+    CHECK(goes_to_target(pins, "a", "v2", at(25101), true));
     CHECK(pins.running.empty());
     end_session_request(pins, 1, at(26000));
-    CHECK(uses_target_version(pins, 11, selection, at(26000)));
+    CHECK(goes_to_target(pins, "a", "v2", at(26000), true));
+}
+
+TEST_CASE("the conversations that a message has room for are those seen last") {
+    // Guards against conversations that are never told to other nodes, since others come first in the table.
+    session_pins pins;
+    for (int i = 0; i < 300; ++i) {
+        record_session(pins, session_key(i), at(i));
+    }
+    const auto recent = recent_sessions(pins, core::milliseconds(280), 200, at(300));
+    CHECK(recent.size() == 200);
+    for (const auto& one : recent) {
+        CHECK(one.last_seen >= at(100));
+    }
+    CHECK(recent_sessions(pins, core::milliseconds(280), 1000, at(300)).size() == 279);
 }
 
 TEST_CASE("a conversation on the target version stays there, and late records of the old one are ignored") {
     session_pins pins;
-    rollout_selection selection;
-    selection.bucket = 0.05;
-    selection.share = 0.09;
-    record_session(pins, 11, true, at(2000));
-    record_session(pins, 11, false, at(1000));
-    CHECK(uses_target_version(pins, 11, selection, at(2100)));
+    record_session(pins, make_session_key("s", "a", "v2"), at(2000));
+    record_session(pins, make_session_key("s", "a", "v1"), at(1000));
+    CHECK(goes_to_target(pins, "a", "v2", at(2100), true));
+    CHECK(goes_to_target(pins, "a", "v2", at(2100), false));
 }
 
 TEST_CASE("the bucket of a conversation is fixed, and buckets are uniformly distributed") {
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -60,7 +60,7 @@
     message.trials.push_back({"s", 12, report, core::milliseconds(15)});
     message.crashes.push_back({42, "u1", core::milliseconds(10)});
     message.rollouts.push_back({"s", 12, rollout_state::reverted, true, true, core::milliseconds(1000)});
-    message.sessions.push_back({77, true, core::milliseconds(20)});
+    message.sessions.push_back({77, core::milliseconds(20)});
     message.members.push_back({message.sender, core::milliseconds(30)});
     message.compact_members.push_back(
         {0xfffffff0U, 70000, state::member_state::leaving, core::milliseconds(250)});
@@ -105,7 +105,8 @@
     CHECK(decoded->trials.at(0).age == core::milliseconds(15));
     CHECK(decoded->crashes.at(0).fingerprint == 42);
     CHECK(decoded->rollouts.at(0).state == rollout_state::reverted);
-    CHECK(decoded->sessions.at(0).on_target);
+    CHECK(decoded->sessions.at(0).session == 77);
+    CHECK(decoded->sessions.at(0).age == core::milliseconds(20));
     CHECK(decoded->members.at(0).silence == core::milliseconds(30));
     CHECK(decoded->compact_members.at(0).tag == 0xfffffff0U);
     CHECK(decoded->compact_members.at(0).heartbeat == 70000U);
@@ -191,12 +192,12 @@
     }
     for (std::uint64_t i = 0; i < 200; ++i) {
         message.crashes.push_back({i * 0x123456789ABCDEF, "u" + std::to_string(i), core::milliseconds(2000)});
-        message.sessions.push_back({i * 0x123456789ABCDEF, true, core::milliseconds(1500)});
+        message.sessions.push_back({i * 0x123456789ABCDEF, core::milliseconds(1500)});
     }
     // A second crash of one fingerprint, a new crash and a new conversation.
     message.crashes.push_back({0x123456789ABCDEF, "u7", core::milliseconds(2000)});
     message.crashes.push_back({7, "u8", core::milliseconds(100)});
-    message.sessions.push_back({8, true, core::milliseconds(100)});
+    message.sessions.push_back({8, core::milliseconds(100)});
     auto in_turn = message;
     filter_heartbeat(in_turn, {true, true});
     CHECK(encode_heartbeat(in_turn) == encode_heartbeat(message));
