Name the handlers of a stop and look conversations up in trials only

Found in the last reading: a map was named after what its functions do, a request that was between a choice and its send when the process was about to exit still went out, and the conversation of a request was looked up after the trial of a roll-out, where the result isn't used.

--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -17,14 +17,14 @@
     : node_(node), exchange_(exchange), arrived_(boot_now()), id_(node.next_request++) {}
 
 forward_run::~forward_run() {
-    node_.end_unanswered.erase(id_);
+    node_.stop_handlers.erase(id_);
     policy::end_session_request(node_.sessions, id_, boot_now());
 }
 
 void forward_run::run() {
     request_ = node_.protocol.read_request(exchange_.head());
     exchange_.on_disconnect([this] { on_caller_disconnect(); });
-    node_.end_unanswered[id_] = [this] { on_node_end(); };
+    node_.stop_handlers[id_] = [this] { on_node_end(); };
     if (const auto refusal = admit()) {
         finish_with_error(*refusal, "admission");
     } else {
@@ -43,7 +43,7 @@
         if (exchange_.disconnected()) {
             break;
         }
-        if (!choice) {
+        if (!choice || ended_by_stop_) {
             finish_without_upstream();
             return;
         }
--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -75,7 +75,7 @@
     }
     const policy::rollout_selection selection{session_bucket_, found->second.share,
                                               policy::in_trial(timing, {}), node_.settings.bounds.session};
-    if (session_ != 0 && session_bucket_ < selection.share) {
+    if (session_ != 0 && selection.trial && selection.bucket < selection.share) {
         seen_pin_ =
             policy::find_session(node_.sessions, service_, request_.session,
                                  state::versions_of(node_.registry, service_), found->second.order.target);
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -410,9 +410,9 @@
 
     // A caller that gets no answer can't tell whether its request has run.
     void end_unanswered() {
-        const auto handlers = state_.end_unanswered;
+        const auto handlers = state_.stop_handlers;
         for (const auto& [id, handler] : handlers) {
-            if (state_.end_unanswered.count(id) > 0) {
+            if (state_.stop_handlers.count(id) > 0) {
                 handler();
             }
         }
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -156,9 +156,9 @@
     /// Set once the process was told to stop. It still serves requests, but callers are referred to other
     /// nodes.
     std::optional<policy::stop_plan> stop;
-    /// Ends the requests whose answers have not begun, by request number. Called shortly before the process
-    /// exits.
-    std::map<std::uint64_t, std::function<void()>> end_unanswered;
+    /// Handlers of the requests that are served, by request number, which end those whose answers have not
+    /// begun. Called shortly before the process exits.
+    std::map<std::uint64_t, std::function<void()>> stop_handlers;
     /// The process is ending: no new work starts, and the loops end.
     bool stopped = false;
 };
