Read load, cold time, leaving, quiet time, regions and evacuations

Cause: nothing of the project read X-Engine-Load, X-Cold-Remaining-Ms, coldRemainingMs, coldStartS, coldPerS, Server-Leaving, Retry-After of engines, evacuation orders, allowed regions, pauses between events and costs of models. Change: each is decoded once in platform/ into typed fields; unusable values are counted and ignored. No decision uses them yet.

--- a/packages/core/relay_settings.cpp
+++ b/packages/core/relay_settings.cpp
@@ -11,12 +11,13 @@
 namespace figspoke::core {
 namespace {
 
-const std::set<std::string> known_sections = {"node", "listen", "peers", "store", "bounds", "log"};
+const std::set<std::string> known_sections = {"node", "regions", "listen", "peers", "store", "bounds", "log"};
 
 void read_places(const toml::table& root, relay_settings& into, std::optional<error>& first) {
     section_reader node(root, "node", first);
     node.required_text("id", into.node_id);
     node.required_text("failure_domain", into.failure_domain);
+    node.text("region", into.region);
     node.integer("memory_mb", 16, 1 << 20, into.memory_mb);
     node.integer("descriptors", 64, 1 << 20, into.descriptors);
     section_reader listen(root, "listen", first);
@@ -33,6 +34,19 @@
     store.required_text("address", into.store_address);
 }
 
+// The keys are the names of the failure domains.
+void read_regions(const toml::table& root, std::map<std::string, std::string>& into,
+                  std::optional<error>& first) {
+    section_reader reader(root, "regions", first);
+    const auto* section = root["regions"].as_table();
+    if (section == nullptr) {
+        return;
+    }
+    for (const auto& [domain, region] : *section) {
+        reader.text(std::string(domain.str()), into[std::string(domain.str())]);
+    }
+}
+
 void read_bounds(const toml::table& root, relay_bounds& into, std::optional<error>& first) {
     constexpr double most_seconds = 3600;
     constexpr std::int64_t most_ms = 3600 * 1000;
@@ -46,6 +60,10 @@
     reader.number("repeat_slack", 0, 1e6, into.repeat_slack);
     reader.fractional_seconds("repeat_window_s", 0.1, most_seconds, into.repeat_window);
     reader.number("exposure_share", 0, 1, into.exposure_share);
+    reader.number("cold_ratio", 0, 100, into.cold_ratio);
+    reader.number("cold_slack", 0, 1e6, into.cold_slack);
+    reader.duration("evacuation_ms", 100, most_ms, into.evacuation);
+    reader.duration("drain_ms", 100, most_ms, into.drain);
 }
 
 } // namespace
@@ -54,6 +72,7 @@
     relay_settings parsed;
     const auto read = [&](const toml::table& root, std::optional<error>& first) {
         read_places(root, parsed, first);
+        read_regions(root, parsed.regions, first);
         read_bounds(root, parsed.bounds, first);
         section_reader log(root, "log", first);
         log.choice("level", {"debug", "info", "warn", "error"}, parsed.log_level);
--- a/packages/core/relay_settings.h
+++ b/packages/core/relay_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,12 +38,23 @@
     milliseconds repeat_window{10000};
     /// Part of a service's requests that a version under roll-out may get while it isn't proven good.
     double exposure_share = 0.1;
+    /// Requests a second that a cold upstream may get, as a multiple of what it takes, and those allowed
+    /// besides, for the whole fleet.
+    double cold_ratio = 1.0;
+    double cold_slack = 0;
+    /// A failure domain must get no more requests this long after its evacuation was accepted.
+    milliseconds evacuation{5000};
+    /// An upstream must get no more requests this long after it said that it is leaving.
+    milliseconds drain{2000};
 };
 
 /// Settings of a relay node.
 struct relay_settings {
     std::string node_id;
     std::string failure_domain;
+    std::string region;
+    /// Region of each failure domain.
+    std::map<std::string, std::string> regions;
     relay_listen listen;
     /// Addresses of nodes that may be up; only the IP counts.
     std::vector<std::string> seeds;
--- a/packages/policy/upstream_load.h
+++ b/packages/policy/upstream_load.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <optional>
 #include <utility>
 
 #include "core/time.h"
@@ -15,6 +16,15 @@
     core::steady_time at;
 };
 
+/// Load figures that an upstream states in an answer.
+struct load_statement {
+    int running = 0;
+    int waiting = 0;
+    int slots = 1;
+    /// How long work takes at this moment relative to the usual time; empty if the upstream doesn't say.
+    std::optional<double> work_factor;
+};
+
 /// This node's requests in flight on one upstream, with enough history to tell how many a report includes.
 struct local_requests {
     int in_flight = 0;
--- a/packages/relay/document_source.h
+++ b/packages/relay/document_source.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,8 @@
     std::function<std::optional<state::route_table>(const state::document_content&)> decode_routes;
     std::function<std::vector<rollout_order>(const state::document_content&)> decode_rollouts;
     std::function<std::vector<state::upstream_entry>(const state::document_content&)> decode_upstreams;
+    /// Returns the failure domains whose upstreams may get no new requests.
+    std::function<std::set<std::string>(const state::document_content&)> decode_evacuations;
 
     /// Reads the status of a service's roll-out; the revision is 0 if there is none.
     std::function<store_result<rollout_status>(const std::string& service, const yield_context&)>
--- a/packages/relay/wire_protocol.h
+++ b/packages/relay/wire_protocol.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/time.h"
+#include "policy/upstream_load.h"
 
 namespace figspoke::relay {
 
@@ -86,6 +87,16 @@
     std::optional<int> confidence;
     /// Requests a second that the upstream takes from all nodes together, if it names a limit.
     std::optional<double> limit_per_second;
+    /// The load that the upstream states.
+    std::optional<policy::load_statement> load;
+    /// How long the upstream stays cold: slow, and able to take only few requests a second.
+    std::optional<core::milliseconds> cold_for;
+    /// The upstream is leaving and should get no new requests.
+    bool leaving = false;
+    /// Time for which the upstream, with a refusal, asks this node for silence.
+    std::optional<core::milliseconds> quiet_for;
+    /// Number of fields of these kinds whose values can't be used. They are ignored.
+    int unusable_fields = 0;
     bool keep_alive = true;
 };
 
--- a/packages/state/route_table.h
+++ b/packages/state/route_table.h
@@ -51,6 +51,10 @@
     bool shares_prefixes = false;
     /// Models to choose from, smallest first; empty if the caller names the model.
     std::vector<std::string> models;
+    /// Longest pause between two events of a stream that is on time; zero if the operator names none.
+    core::milliseconds target_gap{0};
+    /// Regions in which requests may run; empty for all.
+    std::vector<std::string> regions;
 };
 
 /// Capacity of each model engine of a service.
@@ -65,6 +69,12 @@
     int max_connections = 64;
     /// Empty for services that don't run model engines.
     std::optional<engine_profile> engine;
+    /// Time after its start in which an upstream is cold, and the requests a second that it takes from all
+    /// nodes together meanwhile; zero if its upstreams are never cold.
+    core::milliseconds cold_start{0};
+    double cold_per_second = 0;
+    /// Cost of 1,000 generated tokens, by model.
+    std::map<std::string, double> model_costs;
 };
 
 /// The part of a client account that the relay uses.
@@ -72,6 +82,8 @@
     std::string name;
     /// Overrides the rank of the route.
     std::optional<int> rank;
+    /// Regions in which its requests may run; empty for all.
+    std::vector<std::string> regions;
 };
 
 /// Limits on the size and the timing of a caller's requests.
--- a/packages/state/upstream_registry.cpp
+++ b/packages/state/upstream_registry.cpp
@@ -11,7 +11,7 @@
 
 auto fields_of(const upstream_entry& entry) {
     return std::tie(entry.id, entry.service, entry.address, entry.failure_domain, entry.version, entry.slots,
-                    entry.draining, entry.incarnation, entry.models);
+                    entry.draining, entry.incarnation, entry.cold_for, entry.models);
 }
 
 // A confirmation after an outage starts the grace period in which expired entries are kept.
--- a/packages/state/upstream_registry.h
+++ b/packages/state/upstream_registry.h
@@ -23,6 +23,8 @@
     bool draining = false;
     /// Distinguishes two starts under the same id; not used as a time.
     std::int64_t incarnation = 0;
+    /// How long it stayed cold when it wrote this entry; see `relay_service::cold_start`.
+    core::milliseconds cold_for{0};
     /// Models that it has loaded; empty for plain services.
     std::vector<std::string> models;
 };
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -272,3 +272,82 @@
     protocol.read_answer(misdirected);
     CHECK(misdirected.wrong_upstream);
 }
+
+TEST_CASE("an answer's load, cold time, leaving and quiet time are read") {
+    // Unread, a leaving or resting engine goes on getting requests and a cold one crashes.
+    relay::answer_head head;
+    head.status = 503;
+    head.headers = {{"X-Engine-Load", "3,1,8,250"},
+                    {"X-Cold-Remaining-Ms", "1500"},
+                    {"Server-Leaving", "1"},
+                    {"Retry-After", "2.5"}};
+    make_wire_protocol().read_answer(head);
+    REQUIRE(head.load.has_value());
+    CHECK(head.load->running == 3);
+    CHECK(head.load->waiting == 1);
+    CHECK(head.load->slots == 8);
+    CHECK(head.load->work_factor == 2.5);
+    CHECK(head.cold_for == core::milliseconds(1500));
+    CHECK(head.leaving);
+    CHECK(head.quiet_for == core::milliseconds(2500));
+    CHECK(head.unusable_fields == 0);
+}
+
+TEST_CASE("unusable values of an answer's fields are counted and ignored") {
+    // A wrong figure must neither fail the caller's request nor exclude an engine for good.
+    for (const auto* load : {"", "3", "3,1", "3,1,8,9,9", "-1,0,8", "3,1,0", "3,1,8,0", "3,1,x", "1e9,0,8",
+                             "99999999999999999999,0,8"}) {
+        CAPTURE(load);
+        relay::answer_head head;
+        head.status = 200;
+        head.headers = {{"X-Engine-Load", load}};
+        make_wire_protocol().read_answer(head);
+        CHECK_FALSE(head.load.has_value());
+        CHECK(head.unusable_fields == 1);
+    }
+    for (const auto* time : {"", "-1", "Wed, 21 Oct 2026 07:28:00 GMT", "nan", "inf", "soon"}) {
+        CAPTURE(time);
+        relay::answer_head head;
+        head.status = 503;
+        head.headers = {{"Retry-After", time}, {"X-Cold-Remaining-Ms", time}, {"Server-Leaving", time}};
+        make_wire_protocol().read_answer(head);
+        CHECK_FALSE(head.quiet_for.has_value());
+        CHECK_FALSE(head.cold_for.has_value());
+        CHECK_FALSE(head.leaving);
+        CHECK(head.unusable_fields == 3);
+    }
+    relay::answer_head repeated;
+    repeated.status = 200;
+    repeated.headers = {{"X-Engine-Load", "1,0,8"}, {"X-Engine-Load", "2,0,8"}};
+    make_wire_protocol().read_answer(repeated);
+    CHECK_FALSE(repeated.load.has_value());
+    CHECK(repeated.unusable_fields == 1);
+    relay::answer_head huge;
+    huge.status = 503;
+    huge.headers = {{"Retry-After", "1e12"}, {"X-Cold-Remaining-Ms", "999999999999"}};
+    make_wire_protocol().read_answer(huge);
+    CHECK(huge.quiet_for == core::milliseconds(60000));
+    CHECK(huge.cold_for == core::milliseconds(60000));
+}
+
+TEST_CASE("evacuation orders name failure domains and cold services state their rate") {
+    state::document_content content;
+    content.items = {
+        {"op/evacuate/z1", "{}", 4},
+        {"op/evacuate/", "{}", 4},
+        {"op/config",
+         R"({"version":7,"tenants":[],"routes":[{"host":"h","targetGapMs":1200,"allowedRegions":["r1"]}],
+             "services":[{"name":"s","coldStartS":3.5,"coldPerS":6.7,
+                          "engine":{"slots":4,"models":[{"name":"m","cost":0.25},{"name":"n","cost":-1}]}}]})",
+         5}};
+    CHECK(decode_evacuations(content) == std::set<std::string>{"z1"});
+    const auto table = decode_routes(content);
+    REQUIRE(table.has_value());
+    const auto& service = table->services.at("s");
+    CHECK(service.cold_start == core::milliseconds(3500));
+    CHECK(service.cold_per_second == 6.7);
+    CHECK(service.model_costs == std::map<std::string, double>{{"m", 0.25}});
+    const auto& route = table->hosts.at("h").front();
+    CHECK(route.target_gap == core::milliseconds(1200));
+    CHECK(route.regions == std::vector<std::string>{"r1"});
+}
