Find versions that answer slowly or turn bad late

Cause: the mean time between events moves with prefills beside a stream, so that a version several times slower wasn't flagged; and the sequential test sums over the whole roll-out, so that a good trial outweighs later failures. Change: streams are compared by the median of their gaps, and a cumulative sum that starts anew finds a version that turns bad.

--- a/packages/policy/rollout_verdict.cpp
+++ b/packages/policy/rollout_verdict.cpp
@@ -33,12 +33,22 @@
 
 } // namespace
 
+void update_trend(failure_trend& trend, const version_counts& target, const version_counts& old,
+                  const rollout_verdict_settings& settings) {
+    const auto more = [](std::uint64_t now, std::uint64_t before) { return now > before ? now - before : 0; };
+    version_counts latest;
+    latest.good = more(target.good, trend.seen.good);
+    latest.bad = more(target.bad, trend.seen.bad);
+    trend.sum = std::max(trend.sum + log_likelihood_ratio(latest, old, settings), 0.0);
+    trend.seen = target;
+}
+
 rollout_evaluation evaluate_version(const version_counts& target, const version_counts& old,
-                                    const rollout_verdict_settings& settings) {
+                                    const rollout_verdict_settings& settings, const failure_trend& trend) {
     rollout_evaluation evaluation;
     evaluation.log_likelihood_ratio = log_likelihood_ratio(target, old, settings);
     evaluation.slowdown = slowdown_of(target, old, settings);
-    if (evaluation.log_likelihood_ratio >= settings.threshold ||
+    if (evaluation.log_likelihood_ratio >= settings.threshold || trend.sum >= settings.trend_threshold ||
         evaluation.slowdown >= settings.max_slowdown) {
         evaluation.verdict = rollout_verdict::bad;
     } else if (double(target.good + target.bad) >= settings.min_answers_for_good &&
--- a/packages/policy/rollout_verdict.h
+++ b/packages/policy/rollout_verdict.h
@@ -23,8 +23,24 @@
     double min_timed_answers = 12;
     /// Number of answers from which a version with a negative log likelihood ratio is good.
     double min_answers_for_good = 30;
+    /// Cumulative sum of the log likelihood ratio from which a version has turned bad. It is above
+    /// `threshold`, since the sum starts anew with each run of failures of a good version.
+    double trend_threshold = 8;
 };
 
+/// Detects that a version turns bad after it was good, for example once it gets the whole load. In the total
+/// of the roll-out its earlier good answers would outweigh the failures for long.
+struct failure_trend {
+    /// Counts at the last update.
+    version_counts seen;
+    /// Log likelihood ratio of the answers since it was last negative.
+    double sum = 0;
+};
+
+/// Adds the answers since the last update.
+void update_trend(failure_trend& trend, const version_counts& target, const version_counts& old,
+                  const rollout_verdict_settings& settings);
+
 struct rollout_evaluation {
     rollout_verdict verdict = rollout_verdict::unknown;
     /// Log likelihood ratio of bad against good, from the failures.
@@ -33,9 +49,11 @@
     double slowdown = 1;
 };
 
-/// Compares two versions by their counts in the whole fleet since the start of the roll-out.
+/// Compares two versions by their counts in the whole fleet since the start of the roll-out and by the trend
+/// of the target's failures.
 rollout_evaluation evaluate_version(const version_counts& target, const version_counts& old,
-                                    const rollout_verdict_settings& settings);
+                                    const rollout_verdict_settings& settings,
+                                    const failure_trend& trend = {});
 
 std::string_view to_string(rollout_verdict value);
 
--- a/packages/policy/stream_pace.cpp
+++ b/packages/policy/stream_pace.cpp
@@ -5,8 +5,10 @@
 namespace figspoke::policy {
 namespace {
 
+// Prefills of other prompts delay single events by many times the usual gap. The median doesn't move with
+// them, as the mean does.
 double ms_per_event(const paced_events& progress) {
-    return double(progress.duration.count()) / double(progress.events - 1);
+    return progress.median_gap_ms.value_or(double(progress.duration.count()) / double(progress.events - 1));
 }
 
 std::size_t load_range(int load) {
@@ -19,6 +21,26 @@
 
 } // namespace
 
+void record_gap(event_gaps& gaps, std::chrono::microseconds since_last, std::size_t events) {
+    if (events == 0) {
+        return;
+    }
+    const double gap = double(since_last.count()) / 1000 / double(events);
+    gaps.latest.at(gaps.count % gaps.latest.size()) = gap;
+    ++gaps.count;
+}
+
+std::optional<double> median_gap_ms(const event_gaps& gaps) {
+    const auto known = std::min(gaps.count, gaps.latest.size());
+    if (known == 0) {
+        return std::nullopt;
+    }
+    auto sorted = gaps.latest;
+    const auto middle = sorted.begin() + std::ptrdiff_t(known / 2);
+    std::nth_element(sorted.begin(), middle, sorted.begin() + std::ptrdiff_t(known));
+    return *middle;
+}
+
 void learn_pace(stream_paces& paces, const stream_pace_settings& settings, const std::string& model,
                 const paced_events& progress) {
     const bool known = paces.models.count(model) > 0;
--- a/packages/policy/stream_pace.h
+++ b/packages/policy/stream_pace.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "core/time.h"
@@ -34,12 +35,26 @@
     std::map<std::string, std::array<pace, load_ranges>> models;
 };
 
+/// The latest times between events of a stream, in milliseconds.
+struct event_gaps {
+    std::array<double, 16> latest{};
+    std::size_t count = 0;
+};
+
+/// Records that `events` events arrived `since_last` after the ones before them.
+void record_gap(event_gaps& gaps, std::chrono::microseconds since_last, std::size_t events);
+
+/// Returns the median of the latest times between events; empty without any.
+std::optional<double> median_gap_ms(const event_gaps& gaps);
+
 /// Events of a stream, the time from the first to the last of them, and the number of requests on its
 /// upstream.
 struct paced_events {
     std::size_t events = 0;
     core::milliseconds duration{0};
     int load = 0;
+    /// Median time between events; empty where only the mean is known.
+    std::optional<double> median_gap_ms = std::nullopt;
 };
 
 /// Records a stream of the version that others are compared with.
--- a/packages/relay/forward_evidence.cpp
+++ b/packages/relay/forward_evidence.cpp
@@ -45,7 +45,8 @@
 }
 
 policy::paced_events forward_run::send_progress() const {
-    return {send_events_, core::to_ms(boot_now() - send_first_event_at_), send_load_};
+    return {send_events_, core::to_ms(boot_now() - send_first_event_at_), send_load_,
+            policy::median_gap_ms(send_gaps_)};
 }
 
 std::string forward_run::pace_key(const state::upstream_entry& entry) const {
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -170,6 +170,8 @@
     std::optional<core::milliseconds> send_head_after_;
     core::steady_time send_head_at_{};
     core::steady_time send_first_event_at_{};
+    core::steady_time send_last_event_at_{};
+    policy::event_gaps send_gaps_;
     /// Number of requests on the upstream at the start of the present send.
     int send_load_ = 0;
     /// The present send was counted as a slow one.
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -83,6 +83,7 @@
     policy::count_send(node_.limits, entry.id);
     const auto plan = plan_for(entry);
     send_events_ = 0;
+    send_gaps_ = {};
     send_head_after_.reset();
     send_settled_ = false;
     send_slow_ = false;
@@ -126,6 +127,14 @@
     if (send_events_ == 0 && events > 0) {
         send_first_event_at_ = boot_now();
     }
+    if (send_events_ > 0) {
+        policy::record_gap(
+            send_gaps_,
+            std::chrono::duration_cast<std::chrono::microseconds>(boot_now() - send_last_event_at_), events);
+    }
+    if (events > 0) {
+        send_last_event_at_ = boot_now();
+    }
     send_events_ += events;
     const auto found = node_.streams.find(id_);
     if (found == node_.streams.end() || events == 0) {
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -53,6 +53,7 @@
     /// Fraction of new requests that use the target version.
     double share = 0;
     policy::rollout_verdict verdict = policy::rollout_verdict::unknown;
+    policy::failure_trend trend;
     /// Time at which the share reached 1.
     std::optional<core::steady_time> full_share_since;
     /// The target version was found bad and gets no more requests, even if the store doesn't say so yet.
--- a/packages/relay/rollouts.cpp
+++ b/packages/relay/rollouts.cpp
@@ -67,7 +67,8 @@
 policy::rollout_evaluation evaluate(const relay_state& node, rollout_progress& progress) {
     refresh_own_report(node, progress);
     const auto totals = totals_of(node, progress);
-    return policy::evaluate_version(totals.target, totals.old, {});
+    policy::update_trend(progress.trend, totals.target, totals.old, {});
+    return policy::evaluate_version(totals.target, totals.old, {}, progress.trend);
 }
 
 policy::rollout_timing timing_of(const rollout_progress& progress) {
@@ -266,8 +267,9 @@
         const auto evaluation = evaluate(node, progress);
         if (evaluation.verdict == policy::rollout_verdict::bad) {
             stop_version(node, progress,
-                         "failures, ratio " + std::to_string(evaluation.log_likelihood_ratio) +
-                             ", slowdown " + std::to_string(evaluation.slowdown));
+                         "failures, ratio " + std::to_string(evaluation.log_likelihood_ratio) + ", trend " +
+                             std::to_string(progress.trend.sum) + ", slowdown " +
+                             std::to_string(evaluation.slowdown));
             node.peers->announce();
             continue;
         }
--- a/test/correctness/policy_stream_pace_test.cpp
+++ b/test/correctness/policy_stream_pace_test.cpp
@@ -56,3 +56,24 @@
     CHECK_FALSE(is_slow_stream(paces, {}, "small", {3, milliseconds(7000)}));
     CHECK(is_slow_stream(paces, {}, "small", {10, milliseconds(900)}));
 }
+
+TEST_CASE("single delayed events make no stream slow, and don't hide one that is") {
+    // Guards against a slow version among streams that prefills of other prompts delay now and then.
+    stream_paces paces;
+    const auto stream = [](int usual_ms, int delayed_ms) {
+        event_gaps gaps;
+        std::int64_t total = 0;
+        for (int i = 0; i < 12; ++i) {
+            const int gap = i % 6 == 5 ? delayed_ms : usual_ms;
+            record_gap(gaps, milliseconds(gap), 1);
+            total += gap;
+        }
+        return paced_events{13, milliseconds(total), 4, median_gap_ms(gaps)};
+    };
+    for (int i = 0; i < 10; ++i) {
+        learn_pace(paces, {}, "m", stream(20, 500));
+    }
+    CHECK_FALSE(is_slow_stream(paces, {}, "m", stream(22, 900)));
+    CHECK(is_slow_stream(paces, {}, "m", stream(80, 80)));
+    CHECK_FALSE(median_gap_ms({}).has_value());
+}
--- a/test/correctness/relay_routing_test.cpp
+++ b/test/correctness/relay_routing_test.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <map>
+#include <random>
 #include <set>
 
 #include <doctest/doctest.h>
@@ -280,3 +282,38 @@
     CHECK_FALSE(may_complete(late, rollout_verdict::unknown, full, 0, {}));
     CHECK_FALSE(may_complete(late, rollout_verdict::good, milliseconds(100), 0, {}));
 }
+
+TEST_CASE("a version that turns bad after many good answers is stopped within a few failures") {
+    // Guards against a version that fails only under the whole load, after a good trial (EXPOSURE).
+    const version_counts old{1000, 970, 30, 97000};
+    version_counts target{400, 392, 8, 39200};
+    failure_trend trend;
+    update_trend(trend, target, old, {});
+    REQUIRE(evaluate_version(target, old, {}, trend).verdict == rollout_verdict::good);
+    int answers = 0;
+    while (evaluate_version(target, old, {}, trend).verdict != rollout_verdict::bad && answers < 200) {
+        ++(++answers % 2 == 0 ? target.bad : target.good);
+        update_trend(trend, target, old, {});
+    }
+    CHECK(answers <= 20);
+}
+
+TEST_CASE("a good version keeps its verdict through thousands of answers with scattered failures") {
+    // Guards against a good version that is stopped for failures that the old one has as well.
+    std::mt19937 random(7);
+    std::bernoulli_distribution fails(0.03);
+    const version_counts old{10000, 9700, 300, 970000};
+    int stopped = 0;
+    for (int run = 0; run < 100; ++run) {
+        version_counts target;
+        failure_trend trend;
+        bool bad = false;
+        for (int i = 0; i < 1000 && !bad; ++i) {
+            ++(fails(random) ? target.bad : target.good);
+            update_trend(trend, target, old, {});
+            bad = trend.sum >= rollout_verdict_settings{}.trend_threshold;
+        }
+        stopped += bad ? 1 : 0;
+    }
+    CHECK(stopped <= 2);
+}
