Hold back requests from upstreams that must get none or few

Cause: requests went on to upstreams of an evacuated failure domain, to upstreams that had said that they are leaving or wanted silence, at full rate to upstreams that had just come back cold, and to upstreams outside the regions that a route or an account allows. Change: policy/upstream_restrictions gives one reason for each upstream and request, and the time at which it ends; candidates and the queue go by it. policy/cold_limits divides the rate of a cold upstream among a few nodes by the same parts (policy/rate_parts) as limits that upstreams name. An upstream that refused a connection counts as cold until the registry tells otherwise, and peers hear of it on the next tick. A request that no upstream may take in time is refused at once.

--- a/packages/policy/named_limits.cpp
+++ b/packages/policy/named_limits.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "core/erase_where.h"
-#include "core/hash.h"
 
 namespace figspoke::policy {
 namespace {
@@ -22,7 +21,7 @@
         if (!statement.per_second || limits.upstreams.size() >= settings.max_upstreams) {
             return false;
         }
-        limits.upstreams[upstream] = {statement, 0, statement.stated_at, 0, std::nullopt};
+        limits.upstreams[upstream] = {statement, {0, statement.stated_at, 0, std::nullopt}};
         return true;
     }
     auto& known = found->second.statement;
@@ -32,46 +31,42 @@
     const bool changed = known.per_second != statement.per_second;
     known = statement;
     if (changed) {
-        found->second.share_version.reset();
+        found->second.part.share_version.reset();
     }
     return changed;
 }
 
 double limit_share(const named_limit_settings& settings, const std::string& upstream, double per_second,
                    const sender_place& place) {
-    const auto senders = std::min(std::size_t(per_second) + settings.spare_senders, place.nodes.size());
-    if (senders <= 1 && place.nodes.size() <= 1) {
-        return per_second;
-    }
-    const auto ordered = core::rendezvous_order(upstream, place.nodes);
-    const auto position = std::find(ordered.begin(), ordered.end(), place.self) - ordered.begin();
-    return std::size_t(position) < senders ? per_second / double(senders) : 0;
+    return share_of_rate(upstream, per_second, std::size_t(per_second) + settings.spare_senders, place);
 }
 
-bool may_send_within_limit(named_limits& limits, const named_limit_settings& settings,
-                           const std::string& upstream, const sender_place& place, core::steady_time now) {
+core::steady_time next_send_within_limit(named_limits& limits, const named_limit_settings& settings,
+                                         const std::string& upstream, const sender_place& place,
+                                         core::steady_time now) {
     const auto found = limits.upstreams.find(upstream);
     if (found == limits.upstreams.end() || !found->second.statement.per_second ||
         is_expired(settings, found->second.statement, now)) {
-        return true;
+        return now;
     }
     auto& entry = found->second;
-    if (entry.share_version != place.version) {
-        entry.share = limit_share(settings, upstream, *entry.statement.per_second, place);
-        entry.share_version = place.version;
-    }
-    if (now > entry.updated_at) {
-        entry.saved += entry.share * core::to_seconds(now - entry.updated_at);
-        entry.saved = std::min(entry.saved, 1 + entry.share * core::to_seconds(settings.saved_time));
-        entry.updated_at = now;
+    if (entry.part.share_version != place.version) {
+        entry.part.share = limit_share(settings, upstream, *entry.statement.per_second, place);
+        entry.part.share_version = place.version;
     }
-    return entry.share > 0 && entry.saved >= 1;
+    refill(entry.part, 1 + entry.part.share * core::to_seconds(settings.saved_time), now);
+    return next_take(entry.part, now);
+}
+
+bool may_send_within_limit(named_limits& limits, const named_limit_settings& settings,
+                           const std::string& upstream, const sender_place& place, core::steady_time now) {
+    return next_send_within_limit(limits, settings, upstream, place, now) <= now;
 }
 
 void count_send(named_limits& limits, const std::string& upstream) {
     const auto found = limits.upstreams.find(upstream);
     if (found != limits.upstreams.end()) {
-        found->second.saved = std::max(found->second.saved - 1, 0.0);
+        take(found->second.part);
     }
 }
 
--- a/packages/policy/named_limits.h
+++ b/packages/policy/named_limits.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <cstdint>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "core/time.h"
+#include "policy/rate_parts.h"
 
 namespace figspoke::policy {
 
@@ -34,25 +34,11 @@
 struct named_limits {
     struct entry {
         limit_statement statement;
-        double saved = 0;
-        core::steady_time updated_at{};
-        /// This node's part of the limit, as of `share_version` of the list of nodes; to be computed anew
-        /// where that is empty.
-        double share = 0;
-        std::optional<std::uint64_t> share_version;
+        rate_part part;
     };
     std::map<std::string, entry> upstreams;
 };
 
-/// This node's place among the nodes that serve requests.
-struct sender_place {
-    std::string self;
-    /// Ids of all nodes that send requests, including this one.
-    std::vector<std::string> nodes;
-    /// Differs whenever `nodes` does.
-    std::uint64_t version = 0;
-};
-
 /// Records a statement, unless a later one is known. Returns whether the limit has changed by it. An upstream
 /// that never named a limit isn't recorded.
 bool record_limit(named_limits& limits, const named_limit_settings& settings, const std::string& upstream,
@@ -63,6 +49,12 @@
 double limit_share(const named_limit_settings& settings, const std::string& upstream, double per_second,
                    const sender_place& place);
 
+/// Returns the time from which the limit lets this node send the next request to the upstream: `now` if it
+/// may send at once, `steady_time::max()` if other nodes send in its place.
+core::steady_time next_send_within_limit(named_limits& limits, const named_limit_settings& settings,
+                                         const std::string& upstream, const sender_place& place,
+                                         core::steady_time now);
+
 /// Returns whether a request may be sent to the upstream now.
 bool may_send_within_limit(named_limits& limits, const named_limit_settings& settings,
                            const std::string& upstream, const sender_place& place, core::steady_time now);
--- a/packages/relay/candidates.cpp
+++ b/packages/relay/candidates.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "relay/boot_clock.h"
-#include "relay/limits.h"
+#include "relay/restrictions.h"
 
 namespace figspoke::relay {
 namespace {
@@ -74,14 +74,15 @@
     candidate.pending_ms = policy::pending_ms_ahead(use.pending, requirements.rank);
     candidate.own_prefill_ms = prefill_after(cached);
     candidate.cached_prefill_ms = prefill_after(shared);
-    candidate.suspect =
-        (kept && kept->suspect) || !policy::is_usable(node.health, entry.id, now, requirements.may_probe);
+    const auto verdict = restriction_now(node, entry, requirements.regions);
+    candidate.suspect = verdict.avoid || (kept && kept->suspect) ||
+                        !policy::is_usable(node.health, entry.id, now, requirements.may_probe);
     const auto full = node.full_until.find(entry.id);
     const bool connections_exhausted =
         own_requests(node, entry.id) >= connection_share(node, requirements.service);
     const bool reported_full = (kept && kept->full) || (full != node.full_until.end() && full->second > now);
     candidate.at_capacity = reported_full || connections_exhausted ||
-                            !may_send_within_limit(node, entry.id) ||
+                            verdict.reason != policy::restriction::none ||
                             !has_memory_for(node, requirements.service, use.tokens, requirements.tokens);
     return candidate;
 }
@@ -99,8 +100,8 @@
     return use;
 }
 
-std::vector<const state::upstream_entry*> matching_upstreams(const relay_state& node,
-                                                             const upstream_requirements& requirements) {
+std::vector<const state::upstream_entry*> registered_upstreams(const relay_state& node,
+                                                               const upstream_requirements& requirements) {
     std::vector<const state::upstream_entry*> matching;
     for (const auto* entry : state::serving_upstreams(node.registry, requirements.service)) {
         const bool right_version =
@@ -113,6 +114,27 @@
     return matching;
 }
 
+// Restrictions that the passing of time doesn't end take an upstream out of the choice, so that another
+// version is looked for. The others make it one without capacity.
+std::vector<const state::upstream_entry*> matching_upstreams(relay_state& node,
+                                                             const upstream_requirements& requirements) {
+    auto matching = registered_upstreams(node, requirements);
+    matching.erase(std::remove_if(matching.begin(), matching.end(),
+                                  [&](const auto* entry) {
+                                      const auto reason =
+                                          restriction_now(node, *entry, requirements.regions).reason;
+                                      return reason == policy::restriction::evacuated ||
+                                             reason == policy::restriction::leaving ||
+                                             reason == policy::restriction::wrong_region;
+                                  }),
+                   matching.end());
+    return matching;
+}
+
+bool any_upstream_matches(const relay_state& node, const upstream_requirements& requirements) {
+    return !registered_upstreams(node, requirements).empty();
+}
+
 std::vector<policy::relay_candidate>
 make_candidates(relay_state& node, const std::vector<const state::upstream_entry*>& upstreams,
                 const upstream_requirements& requirements) {
@@ -141,14 +163,16 @@
     }
     // In a large fleet most nodes may not send to an upstream with a limit; it would only take a place on the
     // shortlist. Where all are at their limits, the choice must still find that they are at capacity.
-    std::vector<std::string> within_limits;
-    for (const auto& id : untried) {
-        if (may_send_within_limit(node, id)) {
-            within_limits.push_back(id);
+    std::vector<std::string> unrestricted;
+    for (const auto* entry : matching) {
+        const bool is_untried = std::find(untried.begin(), untried.end(), entry->id) != untried.end();
+        if (is_untried &&
+            restriction_now(node, *entry, requirements.regions).reason == policy::restriction::none) {
+            unrestricted.push_back(entry->id);
         }
     }
-    if (!within_limits.empty()) {
-        untried = std::move(within_limits);
+    if (!unrestricted.empty()) {
+        untried = std::move(unrestricted);
     }
     const policy::shortlist_settings settings;
     std::vector<double> draws;
--- a/packages/relay/candidates.h
+++ b/packages/relay/candidates.h
@@ -7,6 +7,7 @@
 
 #include "policy/relay_choice.h"
 #include "relay/relay_state.h"
+#include "relay/restrictions.h"
 
 namespace figspoke::relay {
 
@@ -24,6 +25,7 @@
     std::vector<policy::prompt_segment> shared;
     std::int64_t prompt_tokens = 0;
     int rank = 0;
+    request_regions regions;
     /// Whether the request may probe an upstream that failed before.
     bool may_probe = true;
 };
@@ -35,6 +37,9 @@
                                                       const policy::placement_request& placement,
                                                       const boost::asio::yield_context& yield);
 
+/// Returns whether any upstream matches the requirements, be it restricted or not.
+bool any_upstream_matches(const relay_state& node, const upstream_requirements& requirements);
+
 /// Returns the use of an upstream by all nodes, from its load aggregator if that answered recently.
 upstream_use total_use(const relay_state& node, const std::string& upstream);
 
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -5,6 +5,7 @@
 #include "adapters/await.h"
 #include "relay/boot_clock.h"
 #include "relay/document_codec.h"
+#include "relay/restrictions.h"
 #include "relay/rollouts.h"
 
 namespace figspoke::relay {
@@ -82,6 +83,7 @@
     if (kind == document_kind::operator_config) {
         if (changed) {
             apply_routes(node, *document.content);
+            apply_evacuations(node, node.platform.decode_evacuations(*document.content));
             update_rollout_orders(node, node.platform.decode_rollouts(*document.content));
         }
         return;
@@ -93,6 +95,7 @@
                 : state::confirm_list(node.registry, document.confirmed_at, now, {});
     log_registry_changes(node, changes);
     drop_upstream_state(node, changes);
+    apply_registered_cold_times(node);
 }
 
 void update_readiness(relay_state& node) {
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -34,6 +34,8 @@
 constexpr std::size_t max_full_members = 400;
 // Size of the receive buffer; longer datagrams are truncated.
 constexpr std::size_t max_datagram_bytes = 60U * 1024;
+// A member that was silent for longer has ended, or the partition that hides it lasts.
+constexpr core::milliseconds max_partition{30000};
 // Delay after a failed receive, so that a broken socket doesn't cause a busy loop.
 constexpr core::milliseconds receive_pause{50};
 
@@ -133,6 +135,7 @@
 void fleet::update_live_members(core::steady_time now) {
     std::vector<std::string> live;
     std::vector<std::string> sending;
+    std::vector<std::string> steady;
     live_count_ = 0;
     const auto limits = timeouts();
     for (const auto& [id, member] : members_.members) {
@@ -141,6 +144,10 @@
         if (alive && member.entry.state == state::member_state::serving) {
             live.push_back(id);
         }
+        if (id == members_.self ||
+            (now - member.last_advanced < max_partition && member.entry.state != state::member_state::left)) {
+            steady.push_back(id);
+        }
         if (id == members_.self || (alive && (member.entry.state == state::member_state::serving ||
                                               member.entry.state == state::member_state::leaving))) {
             sending.push_back(id);
@@ -149,6 +156,9 @@
     if (sending != sender_place_.nodes) {
         sender_place_ = {members_.self, std::move(sending), sender_place_.version + 1};
     }
+    if (steady != steady_place_.nodes) {
+        steady_place_ = {members_.self, std::move(steady), steady_place_.version + 1};
+    }
     if (live != live_ids_) {
         live_ids_ = std::move(live);
         aggregators_.clear();
--- a/packages/relay/fleet.h
+++ b/packages/relay/fleet.h
@@ -102,6 +102,10 @@
     /// that are stopping.
     const policy::sender_place& sender_place() const { return sender_place_; }
 
+    /// Returns this node's place among all members that have not left, including those that were not heard of
+    /// for some seconds: they may still send to upstreams on the other side of a partition.
+    const policy::sender_place& steady_place() const { return steady_place_; }
+
     /// Sends bytes to the members of the cell and the linked members of others.
     void broadcast(const std::string& bytes);
 
@@ -187,6 +191,7 @@
     /// Ids of the live members, and the load aggregators chosen among them so far, by upstream.
     std::vector<std::string> live_ids_;
     policy::sender_place sender_place_;
+    policy::sender_place steady_place_;
     std::size_t live_count_ = 1;
     std::unordered_map<std::string, std::string> aggregators_;
     /// The membership's stamp at each of the latest rounds, so that recently changed members are sent in
--- a/packages/relay/forward_admission.cpp
+++ b/packages/relay/forward_admission.cpp
@@ -60,15 +60,18 @@
     }
     rank_ = route->rank;
     account_.clear();
+    account_regions_.clear();
     if (!route->anonymous) {
         const auto* account = state::find_account(*table, request_.api_key);
         if (account == nullptr) {
             return lookup_error(current, core::error_kind::unauthorized, "the API key is not known");
         }
         account_ = account->name;
+        account_regions_ = account->regions;
         rank_ = account->rank.value_or(route->rank);
     } else if (const auto* account = state::find_account(*table, request_.api_key)) {
         account_ = account->name;
+        account_regions_ = account->regions;
     }
     route_ = *route;
     return std::nullopt;
--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -39,6 +39,7 @@
     requirements.shared = shared_segments();
     requirements.prompt_tokens = prompt_tokens();
     requirements.rank = rank_;
+    requirements.regions = regions();
     requirements.may_probe = route_.retry != state::retry_policy::at_most_once;
     if (const auto found = node_.rollouts.find(service_); found != node_.rollouts.end()) {
         auto& version = target_version ? requirements.only_version : requirements.excluded_version;
@@ -122,7 +123,8 @@
     if (choice.reason == policy::relay_reason::none && target) {
         choice = choose_for(requirements_for(false));
     }
-    if (choice.reason == policy::relay_reason::none && placement.tried.empty()) {
+    if (choice.reason == policy::relay_reason::none && placement.tried.empty() &&
+        !any_upstream_matches(node_, requirements_for(false))) {
         choice = choose_for(any_version_requirements());
     }
     if (choice.reason == policy::relay_reason::none && !placement.tried.empty()) {
@@ -159,6 +161,9 @@
     // abandon the stream.
     const auto queue_deadline =
         std::min(deadline_, answer_started_ ? boot_now() + max_stream_gap : arrived_ + max_queue_wait());
+    if (is_restricted_until(queue_deadline)) {
+        return std::nullopt;
+    }
     const auto service = service_;
     const policy::queued_request waiting{id_, rank_, arrived_, route_.latency_target};
     if (boot_now() >= queue_deadline || !policy::add_waiting(node_.queue, {}, service, waiting)) {
@@ -174,6 +179,9 @@
                 found = find_upstream(choice_.id);
                 break;
             }
+            if (is_restricted_until(queue_deadline)) {
+                break;
+            }
         }
         const auto left = std::min<core::nanoseconds>(queue_poll_interval, queue_deadline - boot_now());
         signal->wait_until(std::chrono::steady_clock::now() + left, exchange_.yield());
@@ -185,6 +193,19 @@
     return found;
 }
 
+request_regions forward_run::regions() const {
+    return {route_.regions, account_regions_};
+}
+
+// A request that no upstream may take in time is refused at once, so that its caller can still use the time.
+bool forward_run::is_restricted_until(core::steady_time end) {
+    restriction_ = service_restriction(node_, service_, regions());
+    if (restriction_ && restriction_->until <= end) {
+        restriction_.reset();
+    }
+    return restriction_.has_value();
+}
+
 core::milliseconds forward_run::max_queue_wait() const {
     const double fraction = route_.streaming ? max_stream_wait_fraction : max_plain_wait_fraction;
     return core::milliseconds(std::int64_t(fraction * double(route_.latency_target.count())));
--- a/packages/relay/forward_end.cpp
+++ b/packages/relay/forward_end.cpp
@@ -42,12 +42,18 @@
 void forward_run::finish_without_upstream() {
     const bool full = choice_.reason == policy::relay_reason::full;
     const bool late = boot_now() >= deadline_;
+    if (restriction_) {
+        const std::string reason(policy::to_string(restriction_->reason));
+        last_failure_ = "no upstream may take the request: " + reason;
+        node_.metrics.add("relay_restricted_requests_total", {{"service", service_}, {"reason", reason}});
+    }
     if (ended_by_stop_) {
         finish_failed(policy::end_cause::node_stops);
         return;
     }
-    finish_failed(late ? policy::end_cause::deadline
-                       : (full ? policy::end_cause::refused_at_once : policy::end_cause::no_upstream));
+    finish_failed(
+        late ? policy::end_cause::deadline
+             : (full || restriction_ ? policy::end_cause::refused_at_once : policy::end_cause::no_upstream));
 }
 
 void forward_run::finish_failed(policy::end_cause cause) {
@@ -83,7 +89,13 @@
 // Spreads callers' retries over a part of the time until the deadline.
 core::milliseconds forward_run::retry_delay() {
     const double left = double(std::max<std::int64_t>(core::to_ms(deadline_ - boot_now()).count(), 0));
-    return core::milliseconds(std::int64_t(std::min(left * (0.08 + 0.17 * draw(node_)), 1500.0)));
+    const auto spread =
+        core::milliseconds(std::int64_t(std::min(left * (0.08 + 0.17 * draw(node_)), 1500.0)));
+    const auto now = boot_now();
+    if (!restriction_ || restriction_->until == core::steady_time::max() || restriction_->until <= now) {
+        return spread;
+    }
+    return core::to_ms(restriction_->until - now) + spread / 2;
 }
 
 void forward_run::finish_with_error(const core::error& error, const std::string& end) {
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -8,6 +8,7 @@
 #include "relay/candidates.h"
 #include "relay/event_splitter.h"
 #include "relay/relay_state.h"
+#include "relay/restrictions.h"
 #include "relay/send_attempt.h"
 #include "relay/use_guard.h"
 
@@ -54,6 +55,8 @@
     policy::repeat_budget_settings budget_settings() const;
     std::optional<state::upstream_entry> wait_in_queue();
     core::milliseconds max_queue_wait() const;
+    request_regions regions() const;
+    bool is_restricted_until(core::steady_time end);
     std::optional<state::upstream_entry> find_upstream(const std::string& id) const;
     double unshared_tokens() const;
     std::int64_t prompt_tokens() const;
@@ -127,6 +130,7 @@
     caller_request request_;
     state::relay_route route_;
     std::string account_;
+    std::vector<std::string> account_regions_;
     std::string service_;
     int rank_ = 0;
     core::steady_time deadline_{};
@@ -152,6 +156,8 @@
     policy::send_history history_;
     policy::relay_choice choice_;
     int unsent_attempts_ = 0;
+    /// Why no upstream of the service can take the request before it would have waited for too long.
+    std::optional<policy::restriction_verdict> restriction_;
     bool target_failed_ = false;
     /// The node is about to exit and the answer had not begun.
     bool ended_by_stop_ = false;
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -7,6 +7,7 @@
 #include "policy/session_pins.h"
 #include "relay/boot_clock.h"
 #include "relay/limits.h"
+#include "relay/restrictions.h"
 
 namespace figspoke::relay {
 namespace {
@@ -80,7 +81,7 @@
     use_ = &use;
     policy::record_prefixes(node_.prefixes, entry.id, shared_segments(), boot_now());
     record_upstream_event(node_, entry.id, policy::upstream_event::dispatched);
-    policy::count_send(node_.limits, entry.id);
+    count_limited_send(node_, entry.id);
     const auto plan = plan_for(entry);
     send_events_ = 0;
     send_head_after_.reset();
@@ -147,6 +148,7 @@
     node_.last_byte_at[entry.id] = boot_now();
     use_->end_prefill();
     record_answer_limit(node_, entry.id, answer.head);
+    record_answer_notice(node_, entry, answer.head);
     if (answer.head.not_run || answer.head.wrong_upstream) {
         return handle_refusal(entry, answer);
     }
@@ -381,6 +383,7 @@
     const bool out_of_time = failure.cause == link_failure::timed_out && boot_now() >= deadline_;
     if (failure.result == policy::send_result::not_sent) {
         ++unsent_attempts_;
+        record_upstream_down(node_, entry.id, failure.cause);
         confirm_upstream_crash(node_, entry.id, boot_now());
         record_upstream_event(node_, entry.id,
                               failure.cause == link_failure::refused
--- a/packages/relay/limit_message.cpp
+++ b/packages/relay/limit_message.cpp
@@ -9,18 +9,20 @@
 namespace figspoke::relay {
 namespace {
 
-// Differs from the first byte of a heartbeat and of a load message.
+// They differ from the first byte of a heartbeat and of a load message.
 constexpr char limit_marker = 'R';
+constexpr char down_marker = 'D';
 constexpr double steps_per_request = 1000;
 // More requests a second than any upstream takes.
 constexpr double max_per_second = 1e9;
 // Fewest bytes of an entry, which bound the number of entries that a received message can announce.
 constexpr std::size_t min_entry_bytes = 3;
+constexpr std::size_t min_down_bytes = 2;
 
 } // namespace
 
 bool is_limit_message(std::string_view bytes) {
-    return !bytes.empty() && bytes.front() == limit_marker;
+    return !bytes.empty() && (bytes.front() == limit_marker || bytes.front() == down_marker);
 }
 
 std::string encode_limit_message(const limit_message& message) {
@@ -39,7 +41,7 @@
 }
 
 std::optional<limit_message> decode_limit_message(std::string_view bytes) {
-    if (!is_limit_message(bytes)) {
+    if (bytes.empty() || bytes.front() != limit_marker) {
         return std::nullopt;
     }
     core::byte_reader reader{bytes.substr(1)};
@@ -57,4 +59,27 @@
     return core::is_complete(reader) ? std::make_optional(std::move(message)) : std::nullopt;
 }
 
+std::string encode_down_message(const down_message& message) {
+    std::string out(1, down_marker);
+    core::append_varint(out, message.size());
+    for (const auto& [upstream, age] : message) {
+        core::append_text(out, upstream);
+        append_age(out, age);
+    }
+    return out;
+}
+
+std::optional<down_message> decode_down_message(std::string_view bytes) {
+    if (bytes.empty() || bytes.front() != down_marker) {
+        return std::nullopt;
+    }
+    core::byte_reader reader{bytes.substr(1)};
+    down_message message;
+    for (auto left = core::read_count(reader, min_down_bytes); left > 0 && reader.is_valid; --left) {
+        std::string upstream(core::read_text(reader));
+        message[std::move(upstream)] = read_age(reader);
+    }
+    return core::is_complete(reader) ? std::make_optional(std::move(message)) : std::nullopt;
+}
+
 } // namespace figspoke::relay
--- a/packages/relay/limits.cpp
+++ b/packages/relay/limits.cpp
@@ -4,6 +4,7 @@
 
 #include "relay/boot_clock.h"
 #include "relay/limit_message.h"
+#include "relay/restrictions.h"
 
 namespace figspoke::relay {
 namespace {
@@ -33,11 +34,11 @@
 
 } // namespace
 
-bool may_send_within_limit(relay_state& node, const std::string& upstream) {
+core::steady_time next_send_within_limit(relay_state& node, const std::string& upstream) {
     if (node.limits.upstreams.empty()) {
-        return true;
+        return core::steady_time::min();
     }
-    return policy::may_send_within_limit(node.limits, {}, upstream, node.peers->sender_place(), boot_now());
+    return policy::next_send_within_limit(node.limits, {}, upstream, node.peers->sender_place(), boot_now());
 }
 
 // A refusal says nothing of the time after it, so that only an answer without a limit ends one.
@@ -56,6 +57,7 @@
 void merge_limit_message(relay_state& node, std::string_view bytes) {
     const auto message = decode_limit_message(bytes);
     if (!message) {
+        merge_down_message(node, bytes);
         return;
     }
     const auto now = boot_now();
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -17,6 +17,7 @@
 #include "relay/forward.h"
 #include "relay/limits.h"
 #include "relay/relay_state.h"
+#include "relay/restrictions.h"
 #include "relay/rollouts.h"
 #include "state/discovery.h"
 
@@ -43,6 +44,8 @@
 constexpr std::uint64_t limit_ticks = 5;
 // A longer time between two ticks means that the VM was paused.
 constexpr core::milliseconds min_vm_pause{700};
+// An upstream may restart unseen in a pause of this length.
+constexpr core::milliseconds min_unseen_restart{2000};
 constexpr core::milliseconds drain_poll{50};
 // Connections that are idle for longer are closed, even if the upstream would keep them open.
 constexpr core::milliseconds max_pool_idle{10000};
@@ -281,6 +284,9 @@
         }
         state_.metrics.set("relay_caller_connections", {}, double(callers_->connections()));
         state_.metrics.set("relay_running_requests", {}, double(callers_->running()));
+        for (const auto& [reason, count] : count_restrictions(state_)) {
+            state_.metrics.set("relay_upstreams", {{"restriction", reason}}, count);
+        }
         state_.metrics.set("relay_live_members", {}, double(state_.peers->size()));
         const auto age = document_age(state_, document_kind::operator_config, boot_now());
         state_.metrics.set("relay_configuration_age_seconds", {}, core::to_seconds(age));
@@ -303,6 +309,10 @@
             if (ticks % limit_ticks == 0) {
                 refresh_limits(state_);
             }
+            tell_down_upstreams(state_);
+            if (passed > min_unseen_restart) {
+                assume_all_cold(state_);
+            }
             close_silent_streams(state_, passed > min_vm_pause ? passed : core::nanoseconds(0));
             update_rollouts(state_);
             write_rollout_states(state_, yield);
--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -7,6 +7,7 @@
 #include "core/erase_where.h"
 #include "relay/boot_clock.h"
 #include "relay/candidates.h"
+#include "relay/restrictions.h"
 
 namespace figspoke::relay {
 namespace {
@@ -34,13 +35,15 @@
         [&node, id, address](const boost::asio::yield_context& yield) {
             const auto link = std::make_shared<upstream_link>(node.context);
             const auto began = boot_now();
-            const bool alive = link->connect(address, probe_timeout, yield).has_value();
+            const auto connected = link->connect(address, probe_timeout, yield);
+            const bool alive = connected.has_value();
             link->close();
             node.probes[id] = {boot_now(), false, alive};
             node.log.state("upstream_probed", {{"upstream", id}, {"accepts_connections", alive}});
             if (alive) {
                 policy::discard_unconfirmed_crashes(node.crashes, id, began);
             } else {
+                record_upstream_down(node, id, connected.error().cause);
                 confirm_upstream_crash(node, id, began);
             }
         },
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -14,6 +15,7 @@
 #include "adapters/metrics.h"
 #include "adapters/wakeup.h"
 #include "core/relay_settings.h"
+#include "policy/cold_limits.h"
 #include "policy/crash_ledger.h"
 #include "policy/named_limits.h"
 #include "policy/prefill.h"
@@ -26,6 +28,7 @@
 #include "policy/stream_pace.h"
 #include "policy/trial_evidence.h"
 #include "policy/upstream_health.h"
+#include "policy/upstream_restrictions.h"
 #include "policy/version_counts.h"
 #include "relay/document_codec.h"
 #include "relay/document_source.h"
@@ -143,6 +146,13 @@
     std::map<std::string, core::steady_time> full_until;
     /// Limits that upstreams have named.
     policy::named_limits limits;
+    /// Failure domains whose upstreams get no new requests, by the operator's order.
+    std::set<std::string> evacuated;
+    /// What upstreams have said to this node of further requests.
+    policy::upstream_notices notices;
+    policy::cold_limits cold;
+    /// Upstreams that were seen to be down, and when, of which peers have not been told.
+    std::map<std::string, core::steady_time> untold_down;
     std::map<std::string, policy::repeat_budget> budgets;
     policy::version_counts_table versions;
     policy::crash_ledger crashes;
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "relay/boot_clock.h"
+#include "relay/restrictions.h"
 
 namespace figspoke::relay {
 namespace {
@@ -98,7 +99,8 @@
 }
 
 void release_link(relay_state& node, const std::string& upstream, const begun_answer& answer) {
-    if (!answer.link->reusable() || node.registry.upstreams.count(upstream) == 0) {
+    if (!answer.link->reusable() || node.registry.upstreams.count(upstream) == 0 ||
+        is_evacuated(node, upstream)) {
         answer.link->close();
         return;
     }
