--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -449,7 +449,8 @@
                                      [this](const auto* entry) { return entry->id == members_.self; }),
                       serving.end());
     }
-    return state::choose_entry_addresses(serving, caller, count);
+    return state::choose_entry_addresses(state::members_near(serving, settings_.regions, caller), caller,
+                                         count);
 }
 
 std::size_t fleet::rank() const {
--- a/packages/relay/fleet.h
+++ b/packages/relay/fleet.h
@@ -31,6 +31,8 @@
     /// `IP:port` for heartbeats; the port is the same on all nodes.
     std::string peers_address;
     std::vector<std::string> seed_addresses;
+    /// Region of each failure domain.
+    std::map<std::string, std::string> regions;
 };
 
 /// Callbacks of the fleet into the node.
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -105,8 +105,8 @@
 
     fleet_settings make_fleet_settings() const {
         const auto& from = state_.settings;
-        return {from.node_id, from.failure_domain, from.listen.callers, from.listen.peers,
-                seed_addresses(from)};
+        return {from.node_id,      from.failure_domain,  from.listen.callers,
+                from.listen.peers, seed_addresses(from), from.regions};
     }
 
     fleet_hooks make_fleet_hooks() {
--- a/packages/state/entry_choice.cpp
+++ b/packages/state/entry_choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <map>
 
 #include "core/hash.h"
@@ -73,4 +74,19 @@
     return addresses;
 }
 
+std::vector<const member_entry*> members_near(const std::vector<const member_entry*>& serving,
+                                              const std::map<std::string, std::string>& regions,
+                                              const std::string& caller_domain) {
+    const auto own = regions.find(caller_domain);
+    if (own == regions.end()) {
+        return serving;
+    }
+    std::vector<const member_entry*> near;
+    std::copy_if(serving.begin(), serving.end(), std::back_inserter(near), [&](const auto* member) {
+        const auto region = regions.find(member->failure_domain);
+        return region != regions.end() && region->second == own->second;
+    });
+    return near.empty() ? serving : near;
+}
+
 } // namespace figspoke::state
