--- a/test/platform/support/relay_cluster.cpp
+++ b/test/platform/support/relay_cluster.cpp
@@ -60,9 +60,10 @@
 }
 
 std::string relay_cluster::settings_of(const relay_process& node) const {
-    return "[node]\nid = \"n-" + node.ip + "\"\nfailure_domain = \"z\"\n[listen]\ncallers = \"" +
-           node.callers + "\"\nreadiness = \"" + node.readiness + "\"\ndirectory = \"" + node.directory +
-           "\"\npeers = \"" + node.ip + ":" + std::to_string(ports_[3]) + "\"\nmetrics = \"" + node.metrics +
+    return "[node]\nid = \"n-" + node.ip + "\"\nfailure_domain = \"z\"\n" + node_settings_ +
+           "[listen]\ncallers = \"" + node.callers + "\"\nreadiness = \"" + node.readiness +
+           "\"\ndirectory = \"" + node.directory + "\"\npeers = \"" + node.ip + ":" +
+           std::to_string(ports_[3]) + "\"\nmetrics = \"" + node.metrics +
            "\"\n[peers]\nseeds = \"127.0.1.1:1\"\n[store]\naddress = \"" + node.store +
            "\"\n[bounds]\nrevocation_ms = 3000\ngrace_s = 6\nrepeat_ratio = 0.9\nrepeat_slack = 50\n";
 }
--- a/test/platform/support/relay_cluster.h
+++ b/test/platform/support/relay_cluster.h
@@ -47,6 +47,9 @@
     /// The same with another value of `tenants`.
     void configure_tenants(int version, const nlohmann::json& tenants, int order_attempts = 1);
 
+    /// Adds lines to the section `node` of the settings of nodes that are started later.
+    void add_node_settings(const std::string& lines) { node_settings_ += lines; }
+
     /// Starts a node and waits until it is ready; throws if the node exits or doesn't become ready in time.
     relay_process& start_node();
     /// Starts a node without waiting. `store` replaces the store's address in the node's settings, for
@@ -77,6 +80,7 @@
     std::string settings_file(const relay_process& node) const;
 
     temporary_directory directory_;
+    std::string node_settings_;
     store_stand_in store_;
     std::vector<int> ports_;
     std::vector<std::unique_ptr<relay_process>> nodes_;
