Bound what a node holds for callers and upstreams by one budget

Bodies under way, trailers, chunk extensions and answers counted for nothing until they were whole, so that a crowd of clients that stop short of their end, callers that don't read or engines that send without end made a node exceed the memory of its machine.

Connections, bodies of requests and answers now take bytes from shares of the machine's memory before they are read, by a move-only reservation. The connection of a refused body is read for a moment more, so that the answer arrives. Trailers, chunk extensions and long heads have limits of their own, fields of a head are copied before trailers, and answers are written without a copy.

--- a/packages/relay/caller_connection.cpp
+++ b/packages/relay/caller_connection.cpp
@@ -44,14 +44,32 @@
 // Time and bytes for which a closing connection goes on reading, so that its last answer isn't lost.
 constexpr core::milliseconds linger_time{500};
 constexpr std::size_t max_linger_bytes = 1024U * 1024;
+// The same after the refusal of a body that isn't read: a caller may read its answer only after it has sent
+// the whole body.
+constexpr core::milliseconds refused_linger_time{1000};
+// Bytes that a connection holds in any case: its stack, its buffers, a short head and a short body.
+constexpr std::size_t connection_bytes = 32U * 1024;
+// Part of a head that `connection_bytes` covers. A longer one takes more bytes from the budget.
+constexpr std::size_t short_head_bytes = 4U * 1024;
+// Bytes beyond the head's limit that are read with a head.
+constexpr std::size_t head_slack_bytes = 1024;
+// Bytes of a body that `connection_bytes` covers.
+constexpr std::size_t short_body_bytes = 16U * 1024;
+// Bytes of a body that are received and not yet parsed. The parser asks for more until a chunk's extension or
+// the trailers end, so it bounds these too.
+constexpr std::size_t body_buffer_bytes = 16U * 1024;
+// Unit in which a longer body takes bytes from the budget. A connection makes progress when it has sent one.
+constexpr std::size_t body_step_bytes = 64U * 1024;
+// Bytes of the extensions of all chunks of a body. Ordinary clients send none.
+constexpr std::size_t max_extension_bytes = 16U * 1024;
+// Memory of one header field beside its text, in the parser and in the copy.
+constexpr std::size_t field_bytes = 192;
 
 using parser_type = http::request_parser<http::string_body>;
 
 struct server_shared {
     caller_server_hooks hooks;
-    std::size_t max_connections = 0;
-    std::size_t body_budget = 0;
-    std::size_t body_bytes = 0;
+    policy::memory_budget* memory = nullptr;
     std::size_t running = 0;
     std::set<class connection*> connections;
 };
@@ -80,6 +98,25 @@
     }
 }
 
+// A body with its bytes in the budget, which writes to upstreams may keep beyond the exchange.
+struct held_body {
+    policy::memory_reservation memory;
+    std::string bytes;
+};
+
+// Returns the memory that header fields take in the parser and in the copy.
+std::size_t held_bytes(const header_list& headers) {
+    std::size_t bytes = 0;
+    for (const auto& [name, value] : headers) {
+        bytes += field_bytes + 2 * (name.size() + value.size());
+    }
+    return bytes;
+}
+
+std::size_t round_up(std::size_t bytes, std::size_t unit) {
+    return (bytes + unit - 1) / unit * unit;
+}
+
 // Returns whether bytes were received that were not read yet.
 bool has_received_bytes(tcp::socket& socket) {
     char byte = 0;
@@ -104,8 +141,9 @@
 
 class connection final : public caller_exchange, public std::enable_shared_from_this<connection> {
   public:
-    connection(tcp::socket socket, std::shared_ptr<server_shared> shared)
-        : socket_(std::move(socket)), watchdog_(socket_), shared_(std::move(shared)) {
+    connection(tcp::socket socket, std::shared_ptr<server_shared> shared, policy::memory_reservation memory)
+        : socket_(std::move(socket)), watchdog_(socket_), shared_(std::move(shared)),
+          memory_(std::move(memory)) {
         shared_->connections.insert(this);
     }
 
@@ -114,6 +152,7 @@
     void run(const asio::yield_context& yield) {
         yield_ = &yield;
         set_options();
+        memory_.allow_yield(give_up_function());
         while (socket_.is_open() && serve_next_request()) {
         }
         drain_input();
@@ -137,17 +176,30 @@
     void on_disconnect(std::function<void()> handler) override { on_disconnect_ = std::move(handler); }
     const asio::yield_context& yield() const override { return *yield_; }
 
+    // Writes without a copy of the body, and step by step, so that a caller who stops reading is noticed.
     bool send(const caller_answer& answer) override {
-        http::response<http::string_body> message;
+        http::response<http::span_body<const char>> message;
         set_head(message, answer.status, answer.headers);
-        message.body() = answer.body;
         message.content_length(answer.body.size());
-        if (is_head_request() || answer.status == 204 || answer.status == 304) {
-            message.body().clear();
+        if (!is_head_request() && answer.status != 204 && answer.status != 304) {
+            message.body() = {answer.body.data(), answer.body.size()};
         }
+        answer.memory.allow_yield([self = weak_from_this()] {
+            const auto kept = self.lock();
+            if (kept) {
+                kept->report_limit(policy::to_string(policy::memory_share::answers));
+                kept->close();
+            }
+            return true;
+        });
+        http::response_serializer<http::span_body<const char>> serializer(message);
         beast::error_code code;
         watchdog_.arm(write_timeout);
-        http::async_write(socket_, message, (*yield_)[code]);
+        while (!code && !serializer.is_done()) {
+            http::async_write_some(socket_, serializer, (*yield_)[code]);
+            answer.memory.progress(boot_now());
+        }
+        answer.memory.forbid_yield();
         return finish(!code);
     }
 
@@ -187,19 +239,45 @@
     // Closing a socket with unread bytes resets the connection, and the reset may overtake the last answer on
     // its way to the caller.
     void drain_input() {
-        if (!has_received_bytes(socket_)) {
+        if (!body_unread_ && !has_received_bytes(socket_)) {
             return;
         }
+        const auto most = body_unread_ ? std::max(body_limit_, max_linger_bytes) : max_linger_bytes;
         beast::error_code code;
         socket_.shutdown(tcp::socket::shutdown_send, code);
-        watchdog_.arm(linger_time);
+        watchdog_.arm(body_unread_ ? refused_linger_time : linger_time);
         std::array<char, 4096> discarded{};
-        for (std::size_t total = 0; !code && total < max_linger_bytes;) {
+        for (std::size_t total = 0; !code && total < most;) {
             total += socket_.async_read_some(asio::buffer(discarded), (*yield_)[code]);
         }
         watchdog_.disarm();
     }
 
+    // Ends what the connection waits for, so that its bytes are free for others. A connection on which a
+    // request has just arrived stays.
+    std::function<bool()> give_up_function() {
+        return [self = weak_from_this()] {
+            const auto link = self.lock();
+            return link == nullptr || link->give_up();
+        };
+    }
+
+    bool give_up() {
+        if (!busy_ && has_unread_input()) {
+            return false;
+        }
+        gave_up_ = true;
+        beast::error_code ignored;
+        socket_.cancel(ignored);
+        return true;
+    }
+
+    void report_limit(std::string_view limit) {
+        beast::error_code code;
+        const auto remote = socket_.remote_endpoint(code);
+        shared_->hooks.limited(code ? std::string() : remote.address().to_string(), limit);
+    }
+
     // Waits for the first byte of a request, so that the header timeout starts there.
     bool wait_for_request(const state::input_limits& limits) {
         if (buffer_.size() > 0) {
@@ -230,56 +308,122 @@
         parser_type parser;
         parser.header_limit(limits.header_bytes);
         parser.body_limit(limits.body_bytes);
-        beast::error_code code;
-        watchdog_.arm(limits.header_timeout);
-        http::async_read_header(socket_, buffer_, parser, (*yield_)[code]);
-        if (code == http::error::end_of_stream || (code && !socket_.is_open() && !watchdog_.expired())) {
+        memory_.progress(boot_now());
+        if (!read_head(parser, limits)) {
             return false;
         }
-        if (code) {
-            return refuse_after_error(code, "head");
-        }
         if (!has_unambiguous_framing(parser)) {
             return refuse_with(400, "the framing of the body is ambiguous");
         }
-        return read_body(parser) && serve(parser);
+        // Taken before the body is read, as the parser adds trailers to the fields of the head.
+        head_ = request_head{std::string(parser.get().method_string()), std::string(parser.get().target()),
+                             copy_fields(parser.get().base()), parser.get().keep_alive()};
+        body_limit_ = std::size_t(limits.body_bytes);
+        body_unread_ = !parser.is_done();
+        const auto more = held_bytes(head_.headers);
+        if (more > short_head_bytes && !memory_.resize(connection_bytes + more, boot_now())) {
+            return refuse_for_memory(policy::memory_share::connections);
+        }
+        auto memory = shared_->memory->open(policy::memory_share::requests);
+        const bool keep_open = read_body(parser, memory) && serve(parser, std::move(memory));
+        release_head();
+        return keep_open;
     }
 
-    bool read_body(parser_type& parser) {
-        const auto declared_bytes = parser.content_length().value_or(0);
-        if (shared_->body_bytes + declared_bytes > shared_->body_budget) {
-            return refuse_with(503, "the memory budget for request bodies is exhausted");
+    bool read_head(parser_type& parser, const state::input_limits& limits) {
+        beast::error_code code;
+        buffer_.max_size(std::max(short_head_bytes, buffer_.capacity()));
+        watchdog_.arm(limits.header_timeout);
+        http::async_read_header(socket_, buffer_, parser, (*yield_)[code]);
+        if (code == http::error::buffer_overflow && buffer_.size() < limits.header_bytes) {
+            if (!memory_.resize(connection_bytes + limits.header_bytes, boot_now())) {
+                return refuse_for_memory(policy::memory_share::connections);
+            }
+            buffer_.max_size(limits.header_bytes + head_slack_bytes);
+            http::async_read_header(socket_, buffer_, parser, (*yield_)[code]);
+        }
+        if (code == http::error::end_of_stream ||
+            (code && !socket_.is_open() && !watchdog_.expired() && !gave_up_)) {
+            return false;
         }
+        return !code || refuse_after_error(code, "head");
+    }
+
+    // A body takes its bytes from the budget before they are read.
+    bool read_body(parser_type& parser, policy::memory_reservation& memory) {
         beast::error_code code;
         if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             static const std::string go_ahead = "HTTP/1.1 100 Continue\r\n\r\n";
             asio::async_write(socket_, asio::buffer(go_ahead), (*yield_)[code]);
         }
+        std::size_t extension_bytes = 0;
+        auto count_extensions = [&](std::uint64_t, beast::string_view extensions, beast::error_code& failed) {
+            extension_bytes += extensions.size();
+            if (extension_bytes > max_extension_bytes) {
+                failed = http::error::header_limit;
+            }
+        };
+        parser.on_chunk_header(count_extensions);
+        parser.eager(true);
+        memory.allow_yield(give_up_function());
+        buffer_.max_size(std::max(body_buffer_bytes, buffer_.capacity()));
+        if (parser.content_length_remaining().value_or(0) > short_body_bytes) {
+            buffer_.reserve(body_buffer_bytes);
+        }
         watchdog_.arm(body_timeout);
-        if (!parser.is_done()) {
-            http::async_read(socket_, buffer_, parser, (*yield_)[code]);
+        while (!parser.is_done() && !code) {
+            const auto size = parser.get().body().size();
+            if (size + body_buffer_bytes > std::max(memory.bytes(), 2 * short_body_bytes)) {
+                if (!memory.resize(round_up(size + body_buffer_bytes, body_step_bytes), boot_now())) {
+                    drop_body(parser, memory);
+                    return refuse_for_memory(policy::memory_share::requests);
+                }
+                memory.progress(boot_now());
+                memory_.progress(boot_now());
+            }
+            http::async_read_some(socket_, buffer_, parser, (*yield_)[code]);
         }
         watchdog_.disarm();
+        if (code) {
+            drop_body(parser, memory);
+        }
         return !code || refuse_after_error(code, "body");
     }
 
-    bool serve(parser_type& parser) {
-        auto message = parser.release();
-        head_ = request_head{std::string(message.method_string()), std::string(message.target()),
-                             copy_fields(message.base()), message.keep_alive()};
-        auto whole = std::make_shared<std::string>(std::move(message.body()));
-        const auto size = whole->size();
-        shared_->body_bytes += size;
-        body_ = std::move(whole);
+    static void drop_body(parser_type& parser, policy::memory_reservation& memory) {
+        std::string().swap(parser.get().body());
+        memory.resize(0, boot_now());
+    }
+
+    bool serve(parser_type& parser, policy::memory_reservation memory) {
+        body_unread_ = false;
+        auto whole = std::make_shared<held_body>();
+        whole->bytes = std::move(parser.get().body());
+        // From here on an upstream may run the request.
+        memory.forbid_yield();
+        memory_.forbid_yield();
+        whole->memory = std::move(memory);
+        body_ = std::shared_ptr<const std::string>(whole, &whole->bytes);
+        whole.reset();
         finished_ = false;
         watch_for_disconnect();
         shared_->hooks.serve(*this);
         stop_watching();
         body_.reset();
-        shared_->body_bytes -= size;
+        memory_.allow_yield(give_up_function());
         return finished_ && keep_alive();
     }
 
+    // An idle connection keeps only the bytes of an ordinary one.
+    void release_head() {
+        header_list().swap(head_.headers);
+        if (buffer_.size() == 0 && buffer_.capacity() > short_head_bytes) {
+            buffer_.shrink_to_fit();
+        }
+        memory_.resize(connection_bytes, boot_now());
+        memory_.progress(boot_now());
+    }
+
     // Detects that the caller disconnects by the end of its stream. Bytes of a pipelined request end the
     // watch, as they stay unread until the present request is answered.
     void watch_for_disconnect() {
@@ -352,7 +496,16 @@
         return written;
     }
 
+    bool refuse_for_memory(policy::memory_share share) {
+        report_limit(policy::to_string(share));
+        return refuse_with(503, "the memory for " + std::string(policy::to_string(share)) + " is exhausted");
+    }
+
     bool refuse_after_error(const beast::error_code& code, const char* part) {
+        if (gave_up_) {
+            report_limit(part);
+            return refuse_with(503, "the memory that the connection held was needed for others");
+        }
         if (code == asio::error::operation_aborted && !watchdog_.expired()) {
             return false;
         }
@@ -368,8 +521,10 @@
     // Closes the connection, as the bytes that follow may not be the start of a request.
     bool refuse_with(int status, const std::string& reason) {
         shared_->hooks.refused(status, reason);
+        memory_.forbid_yield();
         head_ = request_head{};
         closing_ = true;
+        body_unread_ = true;
         caller_answer answer{status,
                              {{"Content-Type", "application/json"}},
                              core::render_error({kind_of(status), reason, std::nullopt})};
@@ -380,6 +535,7 @@
     tcp::socket socket_;
     watchdog watchdog_;
     std::shared_ptr<server_shared> shared_;
+    policy::memory_reservation memory_;
     beast::flat_buffer buffer_;
     const asio::yield_context* yield_ = nullptr;
     request_head head_;
@@ -394,6 +550,11 @@
     bool served_any_ = false;
     bool finished_ = false;
     bool closing_ = false;
+    /// The connection had to give its bytes up for others.
+    bool gave_up_ = false;
+    /// The present request has a body that wasn't read to its end.
+    bool body_unread_ = false;
+    std::size_t body_limit_ = 0;
 };
 
 } // namespace
@@ -424,16 +585,20 @@
             if (code == asio::error::operation_aborted) {
                 return;
             }
-            if (code || shared->connections.size() >= shared->max_connections) {
+            if (code) {
                 adapters::sleep_for(accept_pause, yield);
                 continue;
             }
-            serve(std::move(socket));
+            auto memory = shared->memory->open(policy::memory_share::connections);
+            while (!memory.resize(connection_bytes, boot_now()) && acceptor.is_open()) {
+                adapters::sleep_for(accept_pause, yield);
+            }
+            serve(std::move(socket), std::move(memory));
         }
     }
 
-    void serve(tcp::socket socket) {
-        auto link = std::make_shared<connection>(std::move(socket), shared);
+    void serve(tcp::socket socket, policy::memory_reservation memory) {
+        auto link = std::make_shared<connection>(std::move(socket), shared, std::move(memory));
         asio::spawn(
             context, [link](const asio::yield_context& own) { link->run(own); }, asio::detached);
     }
@@ -443,11 +608,15 @@
     void accept_pending() {
         beast::error_code code;
         acceptor.non_blocking(true, code);
-        while (!code && shared->connections.size() < shared->max_connections) {
+        while (!code) {
+            auto memory = shared->memory->open(policy::memory_share::connections);
+            if (!memory.resize(connection_bytes, boot_now())) {
+                return;
+            }
             tcp::socket socket(context);
             acceptor.accept(socket, code);
             if (!code) {
-                serve(std::move(socket));
+                serve(std::move(socket), std::move(memory));
             }
         }
     }
@@ -458,11 +627,11 @@
 };
 
 caller_server::caller_server(asio::io_context& context, const std::string& address, caller_server_hooks hooks,
-                             std::size_t max_connections, std::size_t body_budget_bytes) {
+                             std::size_t max_connections, policy::memory_budget& memory) {
     auto shared = std::make_shared<server_shared>();
     shared->hooks = std::move(hooks);
-    shared->max_connections = max_connections;
-    shared->body_budget = body_budget_bytes;
+    shared->memory = &memory;
+    memory.lower_limit(policy::memory_share::connections, max_connections * connection_bytes);
     state_ = std::make_shared<state>(context, std::move(shared));
     state_->listen(address);
     asio::spawn(
--- a/packages/relay/caller_connection.h
+++ b/packages/relay/caller_connection.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 
+#include "policy/memory_budget.h"
 #include "relay/wire_protocol.h"
 #include "state/route_table.h"
 
@@ -18,6 +19,8 @@
     int status = 0;
     header_list headers;
     std::string body;
+    /// The body's bytes in the budget, if it is long.
+    policy::memory_reservation memory{};
 };
 
 /// A caller's request and the functions that answer it.
@@ -64,6 +67,8 @@
     std::function<bool()> leaving;
     /// Reports a request that was refused before it reached `serve`.
     std::function<void(int status, std::string_view reason)> refused;
+    /// Reports a connection of this client address that reached a limit on memory.
+    std::function<void(const std::string& client, std::string_view limit)> limited;
 };
 
 /// Accepts callers' connections and reads their requests.
@@ -71,7 +76,7 @@
   public:
     /// Listens on `IP:port`. Throws `std::runtime_error` where that fails.
     caller_server(boost::asio::io_context& context, const std::string& address, caller_server_hooks hooks,
-                  std::size_t max_connections, std::size_t body_budget_bytes);
+                  std::size_t max_connections, policy::memory_budget& memory);
     ~caller_server();
     caller_server(const caller_server&) = delete;
     caller_server& operator=(const caller_server&) = delete;
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -229,7 +229,8 @@
         // The caller has received a part of a stream, so only its continuation may follow.
         return next_step::retry;
     }
-    caller_answer whole{answer.head.status, without_hop_headers(answer.head.headers), std::move(*body)};
+    caller_answer whole{answer.head.status, without_hop_headers(answer.head.headers), std::move(*body),
+                        std::move(answer.memory)};
     if (!good && can_repeat_failure()) {
         fallback_answer_ = std::move(whole);
         return next_step::retry;
@@ -284,6 +285,10 @@
             return handle_send_failure(entry, {policy::send_result::unknown, link_failure::timed_out,
                                                "the stream lasts beyond the deadline"});
         }
+        if (!hold_answer_bytes(answer, splitter.incomplete_event().size())) {
+            return handle_send_failure(entry, {policy::send_result::unknown, link_failure::malformed,
+                                               "the memory for answers is exhausted"});
+        }
         if (splitter.incomplete_event().size() > max_event_bytes) {
             return handle_send_failure(entry, {policy::send_result::unknown, link_failure::malformed,
                                                "a server-sent event is too long"});
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -31,8 +31,8 @@
 // Validity of the reply to a lookup. It is short, so that callers, some of which use a reply for three times
 // as long, learn that a node is stopping before it stops accepting requests. Lookups are cheap.
 constexpr core::milliseconds entry_validity{1000};
-// Fraction of the memory that request bodies may use.
-constexpr double body_memory_fraction = 0.25;
+// Pause between two log lines about limits on memory. Many connections may reach them at the same time.
+constexpr core::milliseconds limit_log_pause{1000};
 // File descriptors reserved for listening sockets, peers and the store; callers and upstreams share the rest.
 constexpr std::int64_t reserved_descriptors = 260;
 constexpr core::milliseconds tick{200};
@@ -208,10 +208,11 @@
         };
         const auto callers =
             std::size_t(std::max<std::int64_t>((state_.settings.descriptors - reserved_descriptors) / 2, 64));
-        const auto body_budget =
-            std::size_t(body_memory_fraction * double(state_.settings.memory_mb) * 1024 * 1024);
-        callers_ =
-            std::make_unique<caller_server>(context_, listen.callers, std::move(hooks), callers, body_budget);
+        hooks.limited = [this](const std::string& client, std::string_view limit) {
+            record_memory_limit(client, limit);
+        };
+        callers_ = std::make_unique<caller_server>(context_, listen.callers, std::move(hooks), callers,
+                                                   state_.memory);
         readiness_ = make_server(listen.readiness, [this](const adapters::http_request& request) {
             return directory_.answer_readiness(request, is_ready(state_));
         });
@@ -226,6 +227,31 @@
         }
     }
 
+    void record_memory_limit(const std::string& client, std::string_view limit) {
+        state_.metrics.add("relay_memory_limits_reached_total", {{"limit", std::string(limit)}});
+        const auto now = boot_now();
+        if (now < next_limit_log_) {
+            ++limits_not_logged_;
+            return;
+        }
+        next_limit_log_ = now + limit_log_pause;
+        state_.log.state(
+            "memory_limit_reached",
+            {{"client", client}, {"limit", limit}, {"not_logged", std::exchange(limits_not_logged_, 0)}});
+    }
+
+    void render_memory() {
+        for (std::size_t i = 0; i < policy::memory_share_count; ++i) {
+            const auto share = static_cast<policy::memory_share>(i);
+            const auto use = state_.memory.use(share);
+            const adapters::metric_labels labels{{"share", std::string(policy::to_string(share))}};
+            state_.metrics.set("relay_memory_bytes", labels, double(use.used));
+            state_.metrics.set("relay_memory_limit_bytes", labels, double(use.limit));
+            state_.metrics.set("relay_memory_refused", labels, double(use.refused));
+            state_.metrics.set("relay_memory_yielded", labels, double(use.yielded));
+        }
+    }
+
     using simple_handler = std::function<std::optional<adapters::http_reply>(const adapters::http_request&)>;
 
     std::unique_ptr<adapters::http_server> make_server(const std::string& address, simple_handler handler) {
@@ -281,6 +307,7 @@
         }
         state_.metrics.set("relay_caller_connections", {}, double(callers_->connections()));
         state_.metrics.set("relay_running_requests", {}, double(callers_->running()));
+        render_memory();
         state_.metrics.set("relay_live_members", {}, double(state_.peers->size()));
         const auto age = document_age(state_, document_kind::operator_config, boot_now());
         state_.metrics.set("relay_configuration_age_seconds", {}, core::to_seconds(age));
@@ -456,6 +483,8 @@
     std::unique_ptr<adapters::http_server> lookups_;
     std::unique_ptr<adapters::http_server> documents_;
     std::unique_ptr<adapters::http_server> metrics_;
+    core::steady_time next_limit_log_{};
+    std::uint64_t limits_not_logged_ = 0;
 };
 
 } // namespace
--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -13,6 +13,7 @@
 
 // Idle connections to one upstream; a few suffice for the steady load of one node.
 constexpr std::size_t max_idle_per_upstream = 8;
+constexpr std::size_t bytes_per_mb = 1024U * 1024;
 constexpr core::milliseconds key_confirmation_margin{350};
 // A working upstream sends a token to some node within this time, unless it is in the prefill of long
 // prompts.
@@ -68,6 +69,7 @@
 relay_state::relay_state(boost::asio::io_context& io, core::relay_settings from, wire_protocol wire,
                          platform_port store)
     : context(io), settings(std::move(from)), protocol(std::move(wire)), platform(std::move(store)),
+      memory(policy::divide_memory(std::size_t(settings.memory_mb) * bytes_per_mb)),
       random(std::random_device{}()), peer_client(io), pool(max_idle_per_upstream) {
     health.settings = upstream_health_settings();
 }
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -15,6 +15,7 @@
 #include "adapters/wakeup.h"
 #include "core/relay_settings.h"
 #include "policy/crash_ledger.h"
+#include "policy/memory_budget.h"
 #include "policy/named_limits.h"
 #include "policy/prefill.h"
 #include "policy/relay_choice.h"
@@ -107,6 +108,8 @@
     platform_port platform;
     event_log log;
     adapters::metrics metrics;
+    /// Bytes held on behalf of callers and upstreams.
+    policy::memory_budget memory;
     std::mt19937_64 random;
 
     std::array<state::shared_document, document_count> documents;
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -10,6 +10,10 @@
 // An upstream may answer an earlier request twice. More than a few such answers mean that requests and
 // answers on the connection no longer correspond.
 constexpr int max_discarded_answers = 2;
+// Bytes of an answer that the memory of its caller's connection covers.
+constexpr std::size_t short_answer_bytes = 16U * 1024;
+// Unit in which a longer answer takes bytes from the budget.
+constexpr std::size_t answer_step_bytes = 64U * 1024;
 
 attempt_failure failure_of(const link_error& error) {
     const bool sent = error.cause != link_failure::not_connected && error.cause != link_failure::refused;
@@ -28,7 +32,13 @@
             return tl::make_unexpected(head.error());
         }
         node.protocol.read_answer(*head);
-        begun_answer answer{link, std::move(*head)};
+        begun_answer answer{link, std::move(*head), node.memory.open(policy::memory_share::answers)};
+        answer.memory.allow_yield([closed = std::weak_ptr<upstream_link>(link)] {
+            if (const auto open = closed.lock()) {
+                open->close_as_too_large();
+            }
+            return true;
+        });
         const bool refusal_without_id =
             answer.head.request_id.empty() && answer.head.not_run && !link->reused;
         if (answer.head.request_id == plan.request_id || refusal_without_id) {
@@ -73,8 +83,21 @@
     return std::move(*answer);
 }
 
+bool hold_answer_bytes(begun_answer& answer, std::size_t bytes) {
+    const auto now = boot_now();
+    answer.memory.progress(now);
+    if (bytes <= short_answer_bytes) {
+        return answer.memory.resize(0, now);
+    }
+    return answer.memory.resize((bytes / answer_step_bytes + 1) * answer_step_bytes, now);
+}
+
 link_result<std::string> read_answer_body(begun_answer& answer, const policy::body_limits& limits,
                                           std::size_t max_bytes, const boost::asio::yield_context& yield) {
+    const link_error too_large{link_failure::malformed, "the body of the answer is too large"};
+    if (answer.link->stated_length() > max_bytes) {
+        return tl::make_unexpected(too_large);
+    }
     std::string body;
     while (true) {
         const auto wait = policy::body_wait(limits, body.size(), boot_now());
@@ -87,11 +110,16 @@
             return tl::make_unexpected(piece.error());
         }
         if (piece->empty()) {
+            answer.memory.forbid_yield();
             return body;
         }
-        if (body.size() + piece->size() > max_bytes) {
+        const auto size = body.size() + piece->size();
+        if (size > max_bytes) {
+            return tl::make_unexpected(too_large);
+        }
+        if (!hold_answer_bytes(answer, size)) {
             return tl::make_unexpected(
-                link_error{link_failure::malformed, "the body of the answer is too large"});
+                link_error{link_failure::malformed, "the memory for answers is exhausted"});
         }
         body += *piece;
     }
--- a/packages/relay/send_attempt.h
+++ b/packages/relay/send_attempt.h
@@ -31,6 +31,8 @@
 struct begun_answer {
     upstream_link_ptr link;
     answer_head head;
+    /// The bytes of the body in the budget. The answer may have to yield until it is read.
+    policy::memory_reservation memory{};
 };
 
 struct attempt_failure {
@@ -46,6 +48,9 @@
                                                                const std::function<void()>& on_sent,
                                                                const boost::asio::yield_context& yield);
 
+/// Takes the memory for the part of an answer's body that is held. Returns false if the budget is exhausted.
+bool hold_answer_bytes(begun_answer& answer, std::size_t bytes);
+
 /// Reads the body of an answer, at most `max_bytes`.
 link_result<std::string> read_answer_body(begun_answer& answer, const policy::body_limits& limits,
                                           std::size_t max_bytes, const boost::asio::yield_context& yield);
--- a/packages/relay/upstream_link.cpp
+++ b/packages/relay/upstream_link.cpp
@@ -50,6 +50,9 @@
     explicit impl(asio::io_context& context) : socket(context), timer(socket) {}
 
     link_error failure_of(const beast::error_code& code) const {
+        if (closed_as_too_large) {
+            return {link_failure::malformed, "the answer takes more memory than is left"};
+        }
         if (timer.expired() || closed_as_timed_out) {
             return {link_failure::timed_out, "nothing came in time"};
         }
@@ -67,6 +70,7 @@
     bool written = true;
     bool write_failed = false;
     bool closed_as_timed_out = false;
+    bool closed_as_too_large = false;
 };
 
 upstream_link::upstream_link(asio::io_context& context) : impl_(std::make_unique<impl>(context)) {}
@@ -198,6 +202,15 @@
     close();
 }
 
+void upstream_link::close_as_too_large() {
+    impl_->closed_as_too_large = true;
+    close();
+}
+
+std::uint64_t upstream_link::stated_length() const {
+    return impl_->parser ? impl_->parser->content_length().value_or(0) : 0;
+}
+
 upstream_link_ptr upstream_pool::take(const std::string& upstream, const std::string& request_id,
                                       core::steady_time now, core::milliseconds max_idle) {
     const auto found = std::find_if(entries_.begin(), entries_.end(),
--- a/packages/relay/upstream_link.h
+++ b/packages/relay/upstream_link.h
@@ -62,6 +62,9 @@
     link_result<std::string> read_some(core::milliseconds read_timeout,
                                        const boost::asio::yield_context& yield);
 
+    /// Returns the length that the head of the answer states for its body, or 0.
+    std::uint64_t stated_length() const;
+
     /// Returns whether the whole answer was read.
     bool answer_complete() const;
 
@@ -82,6 +85,10 @@
     /// Closes the connection after a stall; pending operations fail with `link_failure::timed_out`.
     void close_as_timed_out();
 
+    /// Closes the connection of an answer that takes too much memory; pending operations fail with
+    /// `link_failure::malformed`.
+    void close_as_too_large();
+
     core::steady_time used_at{};
     std::optional<core::seconds> idle_timeout;
     bool reused = false;
