Take a continuation without events for a broken send

A stream that broke off and whose continuation was answered with status 200, no content type and an empty body ended at the caller as complete. Such a continuation is now rejected like one of another content type.

--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -26,6 +26,11 @@
 // A repeatable plain request moves to another upstream after this multiple of its latency target.
 constexpr int plain_timeout_targets = 2;
 
+// Returns whether an answer says that its body is a stream of events.
+bool names_events(const answer_head& head) {
+    return find_header(head.headers, "Content-Type") != nullptr;
+}
+
 // Returns whether the body of an answer may be a stream of events.
 bool may_hold_events(const answer_head& head) {
     constexpr std::string_view event_stream = "text/event-stream";
@@ -347,6 +352,9 @@
         return handle_send_failure(entry, {policy::send_result::unknown, link_failure::broken,
                                            "the stream ended within a server-sent event"});
     }
+    if (continues_stream_ && send_events_ == 0 && !names_events(answer.head)) {
+        return reject_continuation(entry, "the continuation of a stream holds no events");
+    }
     release_link(node_, entry.id, answer);
     record_sound_request();
     learn_pace(entry);
--- a/test/platform/continuation_test.cpp
+++ b/test/platform/continuation_test.cpp
@@ -81,6 +81,13 @@
     check_broken_off([](engine_connection& connection, const engine_request& request) {
         connection.answer(request, 200, "", "Content-Type: application/json\r\n");
     });
+    check_broken_off([](engine_connection& connection, const engine_request& request) {
+        connection.answer(request, 200, "");
+    });
+    check_broken_off([](engine_connection& connection, const engine_request& request) {
+        connection.send(head_of(request, "Transfer-Encoding: chunked\r\n"));
+        connection.end_stream();
+    });
     check_broken_off([&](engine_connection& connection, const engine_request& request) {
         connection.answer(request, 200, "the engine failed", as_events);
     });
