--- a/packages/policy/memory_budget.cpp
+++ b/packages/policy/memory_budget.cpp
@@ -1,6 +1,7 @@
 #include "policy/memory_budget.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace figspoke::policy {
@@ -90,10 +91,13 @@
 // The bytes of a holder that yields count as free at once: it ends before more bytes are read.
 bool memory_budget::make_room(share_state& share, std::unique_lock<std::mutex>& lock,
                               const memory_demand& demand, core::steady_time now) {
+    std::set<std::uint64_t> declined;
     while (missing_bytes(share, demand) > 0) {
         std::vector<memory_holder> holders;
         for (const auto& [id, known] : share.holders) {
-            holders.push_back(known.holder);
+            if (declined.count(id) == 0) {
+                holders.push_back(known.holder);
+            }
         }
         const auto chosen = choose_yielding(holders, demand, now);
         if (!chosen) {
@@ -108,7 +112,7 @@
             continue;
         }
         if (!yields) {
-            found->second.holder.progressed_at = now;
+            declined.insert(*chosen);
             continue;
         }
         ++share.use.yielded;
