Close at once a connection that gave up its place

A connection that yields its place counts as closed, but was read for up to a second more, so that a crowd with half a head held 222 descriptors where the settings allow 100 callers. It now closes after its answer.

--- a/packages/relay/caller_connection.cpp
+++ b/packages/relay/caller_connection.cpp
@@ -152,7 +152,7 @@
     void run(const asio::yield_context& yield) {
         yield_ = &yield;
         set_options();
-        memory_.allow_yield(give_up_function());
+        memory_.allow_yield(give_up_function(policy::memory_share::connections));
         while (socket_.is_open() && serve_next_request()) {
         }
         drain_input();
@@ -239,7 +239,8 @@
     // Closing a socket with unread bytes resets the connection, and the reset may overtake the last answer on
     // its way to the caller.
     void drain_input() {
-        if (!body_unread_ && !has_received_bytes(socket_)) {
+        // Another connection has taken the place of one that gave it up.
+        if (gave_up_place_ || (!body_unread_ && !has_received_bytes(socket_))) {
             return;
         }
         const auto most = body_unread_ ? std::max(body_limit_, max_linger_bytes) : max_linger_bytes;
@@ -255,18 +256,19 @@
 
     // Ends what the connection waits for, so that its bytes are free for others. A connection on which a
     // request has just arrived stays.
-    std::function<bool()> give_up_function() {
-        return [self = weak_from_this()] {
+    std::function<bool()> give_up_function(policy::memory_share share) {
+        return [self = weak_from_this(), share] {
             const auto link = self.lock();
-            return link == nullptr || link->give_up();
+            return link == nullptr || link->give_up(share);
         };
     }
 
-    bool give_up() {
+    bool give_up(policy::memory_share share) {
         if (!busy_ && has_unread_input()) {
             return false;
         }
         gave_up_ = true;
+        gave_up_place_ = gave_up_place_ || share == policy::memory_share::connections;
         beast::error_code ignored;
         socket_.cancel(ignored);
         return true;
@@ -365,7 +367,7 @@
         };
         parser.on_chunk_header(count_extensions);
         parser.eager(true);
-        memory.allow_yield(give_up_function());
+        memory.allow_yield(give_up_function(policy::memory_share::requests));
         buffer_.max_size(std::max(body_buffer_bytes, buffer_.capacity()));
         if (parser.content_length_remaining().value_or(0) > short_body_bytes) {
             buffer_.reserve(body_buffer_bytes);
@@ -410,7 +412,7 @@
         shared_->hooks.serve(*this);
         stop_watching();
         body_.reset();
-        memory_.allow_yield(give_up_function());
+        memory_.allow_yield(give_up_function(policy::memory_share::connections));
         return finished_ && keep_alive();
     }
 
@@ -552,6 +554,8 @@
     bool closing_ = false;
     /// The connection had to give its bytes up for others.
     bool gave_up_ = false;
+    /// These were the bytes of the connection itself.
+    bool gave_up_place_ = false;
     /// The present request has a body that wasn't read to its end.
     bool body_unread_ = false;
     std::size_t body_limit_ = 0;
