--- a/test/platform/uncontrolled_clients_test.cpp
+++ b/test/platform/uncontrolled_clients_test.cpp
@@ -9,8 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "platform/support/client_crowd.h"
 #include "platform/support/relay_cluster.h"
+#include "support/process/client_crowd.h"
 
 // Clients and upstreams that nobody controls. A node with lowered limits must live, stay within the memory
 // and the descriptors of its settings and answer an ordinary request while the crowd's connections are open.
--- a/test/support/process/client_crowd.cpp
+++ b/test/support/process/client_crowd.cpp
@@ -1,4 +1,4 @@
-#include "platform/support/client_crowd.h"
+#include "support/process/client_crowd.h"
 
 #include <algorithm>
 #include <chrono>
