--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -27,6 +27,11 @@
 // A repeatable plain request moves to another upstream after this multiple of its latency target.
 constexpr int plain_timeout_targets = 2;
 
+// Returns whether an answer says that its body is a stream of events.
+bool names_events(const answer_head& head) {
+    return find_header(head.headers, "Content-Type") != nullptr;
+}
+
 // Returns whether the body of an answer may be a stream of events.
 bool may_hold_events(const answer_head& head) {
     constexpr std::string_view event_stream = "text/event-stream";
@@ -240,7 +245,8 @@
         // The caller has received a part of a stream, so only its continuation may follow.
         return next_step::retry;
     }
-    caller_answer whole{answer.head.status, without_hop_headers(answer.head.headers), std::move(*body)};
+    caller_answer whole{answer.head.status, without_hop_headers(answer.head.headers), std::move(*body),
+                        std::move(answer.memory)};
     if (!good && can_repeat_failure()) {
         fallback_answer_ = std::move(whole);
         return next_step::retry;
@@ -295,6 +301,10 @@
             return handle_send_failure(entry, {policy::send_result::unknown, link_failure::timed_out,
                                                "the stream lasts beyond the deadline"});
         }
+        if (!hold_answer_bytes(answer, splitter.incomplete_event().size())) {
+            return handle_send_failure(entry, {policy::send_result::unknown, link_failure::malformed,
+                                               "the memory for answers is exhausted"});
+        }
         if (splitter.incomplete_event().size() > max_event_bytes) {
             return handle_send_failure(entry, {policy::send_result::unknown, link_failure::malformed,
                                                "a server-sent event is too long"});
@@ -353,6 +363,9 @@
         return handle_send_failure(entry, {policy::send_result::unknown, link_failure::broken,
                                            "the stream ended within a server-sent event"});
     }
+    if (continues_stream_ && send_events_ == 0 && !names_events(answer.head)) {
+        return reject_continuation(entry, "the continuation of a stream holds no events");
+    }
     release_link(node_, entry.id, answer);
     record_sound_request();
     learn_pace(entry);
