Decide placement by learned speed, stated load and the pace of new upstreams

Upstreams of one service differ in speed by more than a factor of two, and placement by count gives slow ones as much as fast ones. An upstream that has just started or recovered attracts every request, since it runs none, or waits for a fixed time.

upstream_speed learns prefill and generation times apart from answers, as a low quantile, relative to the other candidates, bounded and decaying. stated_load joins what an upstream stated with what peers told, by the age of the statement. upstream_pace limits the requests at once on an upstream that has started or recovered: the limit doubles after a round of answers as fast as usual and halves after slow ones, refusals and failures. It is a limit of the whole fleet, whose parts for the nodes add up to it, and it yields where no other upstream has capacity. A new upstream takes over prefixes in the measure of its pace.

--- a/packages/policy/load_table.cpp
+++ b/packages/policy/load_table.cpp
@@ -18,19 +18,41 @@
     }
 }
 
-void record_event(load_table& table, const load_table_settings& settings, const std::string& upstream,
+std::optional<pace_answer> pace_answer_of(upstream_event event) {
+    switch (event) {
+    case upstream_event::succeeded:
+        return pace_answer::fast;
+    case upstream_event::succeeded_late:
+        return pace_answer::slow;
+    case upstream_event::full:
+        return pace_answer::refused;
+    case upstream_event::failed:
+    case upstream_event::connection_refused:
+        return pace_answer::failed;
+    case upstream_event::dispatched:
+        break;
+    }
+    return std::nullopt;
+}
+
+bool record_event(load_table& table, const load_table_settings& settings, const std::string& upstream,
                   upstream_event event, core::steady_time now) {
     table.health.settings = settings.health;
     // A load aggregator tracks few upstreams by the outcomes of many nodes, so all of them may be ejected.
     // The limit protects a node that sees only the failures of its own network.
     table.health.settings.max_ejected_share = 1;
+    if (const auto answer = pace_answer_of(event)) {
+        record_pace_answer(table.paces, settings.pace, upstream, *answer, 1, now);
+    }
     switch (event) {
     case upstream_event::dispatched:
         record_dispatch(table.health, upstream, now);
         break;
     case upstream_event::succeeded:
+    case upstream_event::succeeded_late:
+        return record_outcome(table.health, upstream, true, now);
     case upstream_event::failed:
-        record_outcome(table.health, upstream, event == upstream_event::succeeded, now);
+        record_outcome(table.health, upstream, false, now);
         break;
     case upstream_event::connection_refused:
         record_refused_connection(table.health, upstream, now);
@@ -39,6 +61,7 @@
         table.full_until[upstream] = now + settings.full_pause;
         break;
     }
+    return false;
 }
 
 aggregated_load aggregate_load(const load_table& table, const load_table_settings& settings,
@@ -54,6 +77,13 @@
     load.suspect = !is_usable(table.health, upstream, now);
     const auto full = table.full_until.find(upstream);
     load.full = full != table.full_until.end() && full->second > now;
+    if (const auto pace = table.paces.upstreams.find(upstream); pace != table.paces.upstreams.end()) {
+        load.pace_limit = pace->second.limit;
+    }
+    for (int i = 0; i < speed_measure_count; ++i) {
+        load.speeds.at(std::size_t(i)) =
+            find_speed(table.speeds, settings.speed, upstream, static_cast<speed_measure>(i), now);
+    }
     return load;
 }
 
@@ -64,6 +94,8 @@
         });
         return nodes.empty();
     });
+    expire_speeds(table.speeds, settings.speed, now);
+    expire_paces(table.paces, settings.pace, now);
     core::erase_where(table.full_until,
                       [&](core::steady_time until, const std::string&) { return until <= now; });
 }
--- a/packages/policy/load_table.h
+++ b/packages/policy/load_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -9,13 +10,26 @@
 
 #include "core/time.h"
 #include "policy/upstream_health.h"
+#include "policy/upstream_pace.h"
+#include "policy/upstream_speed.h"
 #include "policy/upstream_use.h"
 
 namespace figspoke::policy {
 
 /// What happened to a request on an upstream.
-enum class upstream_event { dispatched, succeeded, failed, full, connection_refused };
-inline constexpr int upstream_event_count = 5;
+enum class upstream_event {
+    dispatched,
+    succeeded,
+    failed,
+    full,
+    connection_refused,
+    /// Succeeded, but later than is usual.
+    succeeded_late
+};
+inline constexpr int upstream_event_count = 6;
+
+/// Returns what an event says of the pace of its upstream; empty if nothing.
+std::optional<pace_answer> pace_answer_of(upstream_event event);
 
 /// One node's load on an upstream, as it reports it to the upstream's load aggregator.
 struct node_load_report {
@@ -35,6 +49,10 @@
     bool suspect = false;
     /// Whether the upstream reported less than `load_table_settings::full_pause` ago that it is full.
     bool full = false;
+    /// Learned speeds, by measure.
+    std::array<std::optional<known_speed>, speed_measure_count> speeds;
+    /// Requests at once that the upstream gets while it doesn't bear its part yet.
+    std::optional<int> pace_limit;
 };
 
 struct load_table_settings {
@@ -44,6 +62,8 @@
     /// Time for which an upstream that reported that it is full gets no requests.
     core::milliseconds full_pause{120};
     health_settings health;
+    speed_settings speed;
+    pace_settings pace;
 };
 
 /// Load and health of the upstreams for which this node is the load aggregator.
@@ -58,14 +78,17 @@
     std::map<std::string, std::map<std::string, entry>> reports;
     health_table health;
     std::map<std::string, core::steady_time> full_until;
+    speed_table speeds;
+    pace_table paces;
 };
 
 /// Stores a node's report, unless a later one of the same node is stored already.
 void record_load(load_table& table, const std::string& upstream, const node_load_report& report,
                  core::steady_time now);
 
-/// Records what happened to a request of any node on the upstream.
-void record_event(load_table& table, const load_table_settings& settings, const std::string& upstream,
+/// Records what happened to a request of any node on the upstream. Returns whether the upstream has recovered
+/// by it.
+bool record_event(load_table& table, const load_table_settings& settings, const std::string& upstream,
                   upstream_event event, core::steady_time now);
 
 /// Returns the load of an upstream, summed over the current reports of all nodes, and its health.
--- a/packages/policy/prefill.cpp
+++ b/packages/policy/prefill.cpp
@@ -33,14 +33,20 @@
     return total;
 }
 
-void learn_prefill(prefill_rates& rates, const std::string& model, const prefill_sample& sample) {
+std::optional<double> prefill_ms_per_token(const prefill_sample& sample) {
     if (sample.uncached_tokens < min_sample_tokens || sample.pending_ms > max_sample_pending_ms) {
+        return std::nullopt;
+    }
+    return std::max(double(sample.time_to_first_byte.count()) - overhead_ms, 0.0) / sample.uncached_tokens;
+}
+
+void learn_prefill(prefill_rates& rates, const std::string& model, const prefill_sample& sample) {
+    const auto measured = prefill_ms_per_token(sample);
+    if (!measured) {
         return;
     }
-    const double measured =
-        std::max(double(sample.time_to_first_byte.count()) - overhead_ms, 0.0) / sample.uncached_tokens;
     auto& rate = rates.ms_per_token.emplace(model, default_ms_per_token).first->second;
-    rate += (measured < rate ? low_sample_weight : high_sample_weight) * (measured - rate);
+    rate += (*measured < rate ? low_sample_weight : high_sample_weight) * (*measured - rate);
 }
 
 double prefill_ms(const prefill_rates& rates, const std::string& model, double tokens) {
--- a/packages/policy/prefill.h
+++ b/packages/policy/prefill.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,10 @@
     double pending_ms = 0;
 };
 
+/// Returns the measured prefill time per token, in milliseconds; empty where the sample says more of other
+/// prompts.
+std::optional<double> prefill_ms_per_token(const prefill_sample& sample);
+
 /// Updates the rate of a model from a sample.
 void learn_prefill(prefill_rates& rates, const std::string& model, const prefill_sample& sample);
 
--- a/packages/policy/relay_choice.h
+++ b/packages/policy/relay_choice.h
@@ -23,6 +23,13 @@
     double own_prefill_ms = 0;
     /// The same, if all shared segments of the prompt are cached there.
     double cached_prefill_ms = 0;
+    /// How long the upstream takes for plain work and for a decoding step, relative to its peers.
+    double relative_work_time = 1;
+    double relative_step_time = 1;
+    /// Share of its part that an upstream bears that has just started or recovered; 1 if it is established.
+    double pace_share = 1;
+    /// Whether one more request would exceed the upstream's pace.
+    bool over_pace = false;
     /// Whether recent failures speak against the upstream.
     bool suspect = false;
     /// Whether the upstream has no capacity for the request now: it reported that it is full, or the request
@@ -34,6 +41,7 @@
     /// Load per slot from which an upstream gets no more requests.
     double max_load_per_slot = 1.0;
     /// Expected delay per running request, in milliseconds: each one slows the decoding steps of the others.
+    /// Holds for an upstream of usual speed.
     double ms_per_request = 4;
     /// Time, in milliseconds, that is added to the cost of upstreams that aren't owners of the prefix. Load
     /// reports of peers arrive late, and without it requests for one prefix would spread over all upstreams.
@@ -56,7 +64,7 @@
     double second = 0;
 };
 
-enum class relay_reason { prefix_owner, prefix_overflow, two_choices, last_resort, full, none };
+enum class relay_reason { prefix_owner, prefix_overflow, two_choices, beyond_pace, last_resort, full, none };
 
 struct relay_choice {
     /// Empty where no upstream can take the request now.
@@ -70,8 +78,9 @@
 
 /// Chooses an upstream. A request with a prompt goes to the upstream with the earliest expected first byte:
 /// the first owner of its prefix, unless waiting there takes longer than the prefill on another upstream. A
-/// request without one goes to the less loaded of two random upstreams. Suspect upstreams are used only where
-/// no other has capacity. The reason is `full` where all untried upstreams lack capacity and `none` where
+/// request without one goes to that of two random upstreams that is expected to be done first, by load and
+/// speed. Upstreams that would exceed their pace are used only where no other has capacity, and suspect ones
+/// only after them. The reason is `full` where all untried upstreams lack capacity and `none` where
 /// there are none.
 relay_choice choose_relay_upstream(const std::vector<relay_candidate>& candidates,
                                    const relay_choice_settings& settings, const placement_request& placement);
--- a/packages/policy/stream_pace.cpp
+++ b/packages/policy/stream_pace.cpp
@@ -31,6 +31,19 @@
     ++pace.streams;
 }
 
+std::optional<double> relative_pace(const stream_paces& paces, const stream_pace_settings& settings,
+                                    const std::string& model, const paced_events& progress) {
+    const auto found = paces.models.find(model);
+    if (found == paces.models.end() || progress.events < settings.min_events) {
+        return std::nullopt;
+    }
+    const auto& pace = found->second.at(load_range(progress.load));
+    if (pace.streams < settings.min_streams || pace.ms_per_event <= 0) {
+        return std::nullopt;
+    }
+    return ms_per_event(progress) / pace.ms_per_event;
+}
+
 // An upstream generates more slowly the more requests it runs. During a roll-out the new version runs few and
 // the old one many, so that a comparison without regard to load hides a version that is several times slower.
 bool is_slow_stream(const stream_paces& paces, const stream_pace_settings& settings, const std::string& model,
--- a/packages/policy/stream_pace.h
+++ b/packages/policy/stream_pace.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "core/time.h"
@@ -46,6 +47,11 @@
 void learn_pace(stream_paces& paces, const stream_pace_settings& settings, const std::string& model,
                 const paced_events& progress);
 
+/// Returns the time between a stream's events relative to what is usual for its model at this load; empty
+/// while that isn't known or the stream is too short.
+std::optional<double> relative_pace(const stream_paces& paces, const stream_pace_settings& settings,
+                                    const std::string& model, const paced_events& progress);
+
 /// Returns whether a stream is several times slower than is usual for its model at this load or the next
 /// higher one that is known. False while none is.
 bool is_slow_stream(const stream_paces& paces, const stream_pace_settings& settings, const std::string& model,
--- a/packages/policy/upstream_health.cpp
+++ b/packages/policy/upstream_health.cpp
@@ -44,17 +44,20 @@
            (requests >= settings.min_requests && health.failures >= settings.failure_share * requests);
 }
 
-void record_probe(const health_settings& settings, upstream_health& health, bool succeeded,
+// Returns whether the probe ends the ejection.
+bool record_probe(const health_settings& settings, upstream_health& health, bool succeeded,
                   core::steady_time now) {
     health.probes_in_flight = std::max(0, health.probes_in_flight - 1);
     if (!succeeded) {
         eject(settings, health, now);
-        return;
+        return false;
     }
-    if (++health.probes_passed >= settings.probes) {
-        health = upstream_health{};
-        health.counted_at = now;
+    if (++health.probes_passed < settings.probes) {
+        return false;
     }
+    health = upstream_health{};
+    health.counted_at = now;
+    return true;
 }
 
 } // namespace
@@ -86,20 +89,20 @@
     record_outcome(table, name, false, now);
 }
 
-void record_outcome(health_table& table, const std::string& name, bool succeeded, core::steady_time now) {
+bool record_outcome(health_table& table, const std::string& name, bool succeeded, core::steady_time now) {
     auto& health = table.upstreams[name];
     if (health.state == health_state::half_open) {
-        record_probe(table.settings, health, succeeded, now);
-        return;
+        return record_probe(table.settings, health, succeeded, now);
     }
     // The request was sent before the ejection, so its outcome gives no new information.
     if (health.state == health_state::ejected) {
-        return;
+        return false;
     }
     count_outcome(table.settings, health, succeeded, now);
     if (!succeeded && is_outlier(table.settings, health) && may_eject_another(table)) {
         eject(table.settings, health, now);
     }
+    return false;
 }
 
 } // namespace figspoke::policy
--- a/packages/policy/upstream_health.h
+++ b/packages/policy/upstream_health.h
@@ -62,6 +62,7 @@
 void record_refused_connection(health_table& table, const std::string& name, core::steady_time now);
 
 /// Records how a request ended. Only failures of the upstream count, not refusals or errors of the caller.
-void record_outcome(health_table& table, const std::string& name, bool succeeded, core::steady_time now);
+/// Returns whether the upstream has recovered from an ejection by it.
+bool record_outcome(health_table& table, const std::string& name, bool succeeded, core::steady_time now);
 
 } // namespace figspoke::policy
