Use learned speeds, stated loads and paces for placement

Nodes measure the first byte and the pace of streams against what is usual for the model, and record the load that upstreams state. In a fleet with load aggregators these learn from the reports of all nodes and return speed and pace with the replies that they send anyway; in a small one each node learns from its own answers, and nodes tell each other a new limit of a pace with a datagram, which only upstreams that have just started cause. A pace begins with a start or restart that a node sees while it serves, and with the end of an ejection.

--- a/packages/relay/candidates.cpp
+++ b/packages/relay/candidates.cpp
@@ -4,6 +4,7 @@
 
 #include "relay/boot_clock.h"
 #include "relay/limits.h"
+#include "relay/paces.h"
 
 namespace figspoke::relay {
 namespace {
@@ -53,6 +54,27 @@
     return asks_load_aggregators(node) ? node.aggregators->known_load(upstream) : std::nullopt;
 }
 
+// The load aggregator has the samples of all nodes.
+std::optional<policy::known_speed> speed_of(const relay_state& node, const std::string& upstream,
+                                            policy::speed_measure measure, core::steady_time now) {
+    if (const auto kept = load_from_aggregator(node, upstream)) {
+        if (const auto& speed = kept->speeds.at(static_cast<std::size_t>(measure))) {
+            return speed;
+        }
+    }
+    return policy::find_speed(node.speeds, {}, upstream, measure, now);
+}
+
+std::vector<double> times_of(const relay_state& node, const std::vector<policy::relay_candidate>& candidates,
+                             policy::speed_measure measure, core::steady_time now) {
+    std::vector<std::optional<policy::known_speed>> speeds;
+    speeds.reserve(candidates.size());
+    for (const auto& candidate : candidates) {
+        speeds.push_back(speed_of(node, candidate.id, measure, now));
+    }
+    return policy::relative_times(speeds, {});
+}
+
 policy::relay_candidate make_candidate(relay_state& node, const state::upstream_entry& entry,
                                        const upstream_requirements& requirements, core::steady_time now) {
     policy::relay_candidate candidate;
@@ -62,6 +84,15 @@
     const auto kept = load_from_aggregator(node, entry.id);
     const auto use = total_use(node, entry.id);
     candidate.load = use.requests;
+    if (!kept) {
+        const auto own = own_requests(node, entry.id);
+        const auto stated = node.stated_loads.find(entry.id);
+        candidate.load = own + policy::estimate_peer_requests(use.requests - own,
+                                                              stated == node.stated_loads.end()
+                                                                  ? std::nullopt
+                                                                  : std::make_optional(stated->second),
+                                                              {}, now);
+    }
     std::int64_t shared = 0;
     for (const auto& step : requirements.shared) {
         shared += step.tokens;
@@ -83,6 +114,7 @@
     candidate.at_capacity = reported_full || connections_exhausted ||
                             !may_send_within_limit(node, entry.id) ||
                             !has_memory_for(node, requirements.service, use.tokens, requirements.tokens);
+    apply_pace(node, candidate, own_requests(node, entry.id));
     return candidate;
 }
 
@@ -122,6 +154,14 @@
     for (const auto* entry : upstreams) {
         candidates.push_back(make_candidate(node, *entry, requirements, now));
     }
+    const auto prefill = times_of(node, candidates, policy::speed_measure::prefill, now);
+    const auto generation = times_of(node, candidates, policy::speed_measure::generation, now);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        candidates[i].own_prefill_ms *= prefill[i];
+        candidates[i].cached_prefill_ms *= prefill[i];
+        candidates[i].relative_work_time = prefill[i];
+        candidates[i].relative_step_time = generation[i];
+    }
     return candidates;
 }
 
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -5,6 +5,7 @@
 #include "adapters/await.h"
 #include "relay/boot_clock.h"
 #include "relay/document_codec.h"
+#include "relay/paces.h"
 #include "relay/rollouts.h"
 
 namespace figspoke::relay {
@@ -58,11 +59,24 @@
             confirm_upstream_crash(node, id, boot_now());
             node.health.upstreams.erase(id);
             node.full_until.erase(id);
+            node.speeds.upstreams.erase(id);
+            node.upstream_paces.upstreams.erase(id);
+            node.stated_loads.erase(id);
+            node.aggregators->forget(id);
             node.limits.upstreams.erase(id);
         }
     }
 }
 
+// Upstreams of the first list may have run for long.
+void begin_paces(relay_state& node, const state::registry_changes& changes) {
+    for (const auto* list : {&changes.added, &changes.restarted}) {
+        for (const auto& id : *list) {
+            begin_upstream_pace(node, id, "started");
+        }
+    }
+}
+
 void apply_routes(relay_state& node, const state::document_content& content) {
     auto table = node.platform.decode_routes(content);
     if (!table) {
@@ -87,12 +101,16 @@
         return;
     }
     const auto now = boot_now();
+    const bool had_list = node.registry.confirmed_at != core::steady_time::min();
     const auto changes =
         changed ? state::apply_list(node.registry, node.platform.decode_upstreams(*document.content),
                                     document.confirmed_at, now, {})
                 : state::confirm_list(node.registry, document.confirmed_at, now, {});
     log_registry_changes(node, changes);
     drop_upstream_state(node, changes);
+    if (had_list) {
+        begin_paces(node, changes);
+    }
 }
 
 void update_readiness(relay_state& node) {
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -7,6 +7,7 @@
 #include "core/erase_where.h"
 #include "relay/boot_clock.h"
 #include "relay/limit_message.h"
+#include "relay/pace_message.h"
 #include "state/entry_choice.h"
 
 namespace figspoke::relay {
@@ -359,6 +360,8 @@
             hooks_.on_load_message(received, from.address().to_string() + ':' + std::to_string(from.port()));
         } else if (is_limit_message(received)) {
             hooks_.on_limit_message(received);
+        } else if (is_pace_message(received)) {
+            hooks_.on_pace_message(received);
         } else if (const auto message = decode_heartbeat(received)) {
             receive(*message);
         }
--- a/packages/relay/fleet.h
+++ b/packages/relay/fleet.h
@@ -57,6 +57,8 @@
     std::function<void(std::string_view bytes, const std::string& from)> on_load_message;
     /// A message about the limits that upstreams have named.
     std::function<void(std::string_view bytes)> on_limit_message;
+    /// A message about the paces of upstreams that have just started or recovered.
+    std::function<void(std::string_view bytes)> on_pace_message;
 };
 
 /// Tracks the members of the fleet by their heartbeats. In a small fleet every node sends heartbeats to all
--- a/packages/relay/forward_evidence.cpp
+++ b/packages/relay/forward_evidence.cpp
@@ -28,13 +28,18 @@
 }
 
 void forward_run::record_result(const state::upstream_entry& entry, bool good, core::steady_time sent_at) {
-    record_upstream_event(node_, entry.id,
-                          good ? policy::upstream_event::succeeded : policy::upstream_event::failed);
+    const auto took = core::to_ms(boot_now() - sent_at);
     if (!good) {
+        record_upstream_event(node_, entry.id, policy::upstream_event::failed);
         record_bad_result(entry);
         return;
     }
-    const auto took = core::to_ms(boot_now() - sent_at);
+    const bool fast =
+        policy::is_fast_answer(node_.usual_first_bytes, {}, route_.name, took, route_.latency_target);
+    record_upstream_event(node_, entry.id,
+                          fast ? policy::upstream_event::succeeded : policy::upstream_event::succeeded_late);
+    policy::learn_usual_time(node_.usual_first_bytes, route_.name, took);
+    learn_upstream_speed(entry, took);
     if (!model_.empty()) {
         policy::learn_prefill(node_.prefill, sent_model_, {unshared_tokens(), took, pending_ms_});
     }
@@ -44,6 +49,27 @@
     node_.metrics.observe("relay_first_byte_seconds", {{"service", entry.service}}, took);
 }
 
+// Times of prompts are relative to the rate of their model, so that models don't look like upstreams. An
+// answer from a moment in which the upstream's machine was busy with other work says nothing of its speed.
+void forward_run::learn_upstream_speed(const state::upstream_entry& entry, core::milliseconds took) {
+    const auto stated = node_.stated_loads.find(entry.id);
+    if (stated != node_.stated_loads.end() && stated->second.statement.work_factor &&
+        *stated->second.statement.work_factor > policy::speed_settings{}.max_work_factor) {
+        return;
+    }
+    if (model_.empty()) {
+        if (!route_.streaming && choice_.load < entry.slots) {
+            record_upstream_speed(node_, entry.id, {policy::speed_measure::prefill, double(took.count())});
+        }
+        return;
+    }
+    const auto usual = policy::prefill_ms(node_.prefill, sent_model_, 1);
+    const auto measured = policy::prefill_ms_per_token({unshared_tokens(), took, pending_ms_});
+    if (measured && usual > 0) {
+        record_upstream_speed(node_, entry.id, {policy::speed_measure::prefill, *measured / usual});
+    }
+}
+
 policy::paced_events forward_run::send_progress() const {
     return {send_events_, core::to_ms(boot_now() - send_first_event_at_), send_load_};
 }
@@ -63,6 +89,9 @@
 
 // Streams of a version under roll-out would make its own pace the usual one.
 void forward_run::learn_pace(const state::upstream_entry& entry) {
+    if (const auto relative = policy::relative_pace(node_.paces, {}, pace_key(entry), send_progress())) {
+        record_upstream_speed(node_, entry.id, {policy::speed_measure::generation, *relative});
+    }
     const auto found = node_.rollouts.find(entry.service);
     if (found == node_.rollouts.end() || found->second.order.target != entry.version) {
         policy::learn_pace(node_.paces, {}, pace_key(entry), send_progress());
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -89,6 +89,7 @@
     policy::version_counts& version_counts_of(const state::upstream_entry& entry);
     void record_bad_result(const state::upstream_entry& entry);
     void record_result(const state::upstream_entry& entry, bool good, core::steady_time sent_at);
+    void learn_upstream_speed(const state::upstream_entry& entry, core::milliseconds took);
     policy::paced_events send_progress() const;
     std::string pace_key(const state::upstream_entry& entry) const;
     void judge_pace(const state::upstream_entry& entry);
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -147,6 +147,9 @@
     node_.last_byte_at[entry.id] = boot_now();
     use_->end_prefill();
     record_answer_limit(node_, entry.id, answer.head);
+    if (answer.head.load) {
+        node_.stated_loads[entry.id] = {*answer.head.load, node_.uses[entry.id].requests, boot_now()};
+    }
     if (answer.head.not_run || answer.head.wrong_upstream) {
         return handle_refusal(entry, answer);
     }
--- a/packages/relay/load_aggregators.cpp
+++ b/packages/relay/load_aggregators.cpp
@@ -40,13 +40,42 @@
 void load_aggregators::report(const std::string& upstream, policy::upstream_event event) {
     const auto place = hooks_.place_of(upstream);
     if (place.address.empty()) {
-        policy::record_event(load_table_, settings_, upstream, event, boot_now());
+        record_event(upstream, event);
         return;
     }
     pending_reports_[place.address].events.emplace_back(upstream, event);
     send_reports_later();
 }
 
+void load_aggregators::report(const std::string& upstream, const policy::speed_sample& sample) {
+    const auto place = hooks_.place_of(upstream);
+    if (place.address.empty()) {
+        policy::learn_speed(load_table_.speeds, settings_.speed, upstream, sample, boot_now());
+        return;
+    }
+    pending_reports_[place.address].speed_samples.emplace_back(upstream, sample);
+    send_reports_later();
+}
+
+void load_aggregators::record_event(const std::string& upstream, policy::upstream_event event) {
+    if (policy::record_event(load_table_, settings_, upstream, event, boot_now())) {
+        begin_pace(upstream);
+    }
+}
+
+void load_aggregators::begin_pace(const std::string& upstream) {
+    if (hooks_.slots_of) {
+        policy::begin_pace(load_table_.paces, settings_.pace, upstream, hooks_.slots_of(upstream),
+                           boot_now());
+    }
+}
+
+void load_aggregators::forget(const std::string& upstream) {
+    load_table_.speeds.upstreams.erase(upstream);
+    load_table_.paces.upstreams.erase(upstream);
+    cached_loads_.erase(upstream);
+}
+
 // The start of a request changes the use of its upstream and is an event as well, and so is its end. One
 // datagram takes both.
 void load_aggregators::send_reports_later() {
@@ -64,6 +93,7 @@
         auto message = new_message();
         message.uses = std::move(pending.uses);
         message.events = std::move(pending.events);
+        message.speed_samples = std::move(pending.speed_samples);
         hooks_.send(address, encode_load_message(message));
     }
 }
@@ -147,7 +177,10 @@
                             {message->node, message->incarnation, message->sequence, use}, now);
     }
     for (const auto& [upstream, event] : message->events) {
-        policy::record_event(load_table_, settings_, upstream, event, now);
+        record_event(upstream, event);
+    }
+    for (const auto& [upstream, sample] : message->speed_samples) {
+        policy::learn_speed(load_table_.speeds, settings_.speed, upstream, sample, now);
     }
     if (message->query_id != 0) {
         reply_to_query(*message, from);
--- a/packages/relay/load_aggregators.h
+++ b/packages/relay/load_aggregators.h
@@ -25,6 +25,8 @@
 struct aggregator_hooks {
     std::function<aggregator_place(const std::string& upstream)> place_of;
     std::function<void(const std::string& address, const std::string& bytes)> send;
+    /// Returns the slots of an upstream; paces need it.
+    std::function<int(const std::string& upstream)> slots_of;
     /// Runs a function once the present event is handled; if empty, reports are sent one by one.
     std::function<void(std::function<void()>)> defer;
 };
@@ -38,9 +40,17 @@
     load_aggregators(std::string node, std::uint64_t incarnation, policy::load_table_settings settings,
                      aggregator_hooks hooks);
 
-    /// Reports this node's requests on an upstream, or an event of one of them, to the upstream's aggregator.
+    /// Reports this node's requests on an upstream, an event of one of them or its speed, to the upstream's
+    /// aggregator.
     void report(const std::string& upstream, const policy::upstream_use& use);
     void report(const std::string& upstream, policy::upstream_event event);
+    void report(const std::string& upstream, const policy::speed_sample& sample);
+
+    /// Starts the pace of an upstream. All nodes do so, since any of them may become its aggregator.
+    void begin_pace(const std::string& upstream);
+
+    /// Forgets speed and pace of an upstream that restarted or is gone.
+    void forget(const std::string& upstream);
 
     /// Repeats the reports of all requests, for aggregators that are new or missed a report, and queries the
     /// load of these upstreams.
@@ -66,6 +76,7 @@
     };
 
     load_message new_message();
+    void record_event(const std::string& upstream, policy::upstream_event event);
     void send_reports_later();
     void send_reports();
     /// Sends one query to each aggregator; returns the number of replies to expect.
--- a/packages/relay/load_message.h
+++ b/packages/relay/load_message.h
@@ -20,6 +20,7 @@
     /// The sender's requests on upstreams whose load the receiver aggregates.
     std::map<std::string, policy::upstream_use> uses;
     std::vector<std::pair<std::string, policy::upstream_event>> events;
+    std::vector<std::pair<std::string, policy::speed_sample>> speed_samples;
     /// Id of the query for the load of `queried_upstreams`, which the reply repeats; 0 if there is no query.
     std::uint64_t query_id = 0;
     std::vector<std::string> queried_upstreams;
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -16,6 +16,7 @@
 #include "relay/document_loops.h"
 #include "relay/forward.h"
 #include "relay/limits.h"
+#include "relay/paces.h"
 #include "relay/relay_state.h"
 #include "relay/rollouts.h"
 #include "state/discovery.h"
@@ -139,6 +140,7 @@
             state_.aggregators->receive(bytes, from);
         };
         hooks.on_limit_message = [this](std::string_view bytes) { merge_limit_message(state_, bytes); };
+        hooks.on_pace_message = [this](std::string_view bytes) { merge_pace_message(state_, bytes); };
         hooks.on_heartbeat = [this] {
             for (const auto& [service, waiting] : state_.queue.services) {
                 wake_next(state_, service);
@@ -155,6 +157,10 @@
         hooks.send = [this](const std::string& address, const std::string& bytes) {
             state_.peers->send_bytes(address, bytes);
         };
+        hooks.slots_of = [this](const std::string& upstream) {
+            const auto found = state_.registry.upstreams.find(upstream);
+            return found == state_.registry.upstreams.end() ? 1 : found->second.entry.slots;
+        };
         hooks.defer = [this](std::function<void()> function) { asio::post(context_, std::move(function)); };
         return hooks;
     }
@@ -302,6 +308,7 @@
             }
             if (ticks % limit_ticks == 0) {
                 refresh_limits(state_);
+                refresh_paces(state_);
             }
             close_silent_streams(state_, passed > min_vm_pause ? passed : core::nanoseconds(0));
             update_rollouts(state_);
--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -7,6 +7,7 @@
 #include "core/erase_where.h"
 #include "relay/boot_clock.h"
 #include "relay/candidates.h"
+#include "relay/paces.h"
 
 namespace figspoke::relay {
 namespace {
@@ -96,8 +97,13 @@
         policy::record_dispatch(node.health, upstream, now);
         break;
     case policy::upstream_event::succeeded:
+    case policy::upstream_event::succeeded_late:
+        if (policy::record_outcome(node.health, upstream, true, now)) {
+            begin_upstream_pace(node, upstream, "recovered");
+        }
+        break;
     case policy::upstream_event::failed:
-        policy::record_outcome(node.health, upstream, event == policy::upstream_event::succeeded, now);
+        policy::record_outcome(node.health, upstream, false, now);
         break;
     case policy::upstream_event::connection_refused:
         policy::record_refused_connection(node.health, upstream, now);
@@ -106,11 +112,20 @@
         node.full_until[upstream] = now + policy::load_table_settings{}.full_pause;
         break;
     }
+    record_pace_event(node, upstream, event);
     if (asks_load_aggregators(node)) {
         node.aggregators->report(upstream, event);
     }
 }
 
+void record_upstream_speed(relay_state& node, const std::string& upstream,
+                           const policy::speed_sample& sample) {
+    policy::learn_speed(node.speeds, {}, upstream, sample, boot_now());
+    if (asks_load_aggregators(node)) {
+        node.aggregators->report(upstream, sample);
+    }
+}
+
 double draw(relay_state& node) {
     return std::uniform_real_distribution<double>(0, 1)(node.random);
 }
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -22,10 +22,13 @@
 #include "policy/repeat_budget.h"
 #include "policy/rollout_verdict.h"
 #include "policy/session_pins.h"
+#include "policy/stated_load.h"
 #include "policy/stop_plan.h"
 #include "policy/stream_pace.h"
 #include "policy/trial_evidence.h"
 #include "policy/upstream_health.h"
+#include "policy/upstream_pace.h"
+#include "policy/upstream_speed.h"
 #include "policy/version_counts.h"
 #include "relay/document_codec.h"
 #include "relay/document_source.h"
@@ -136,6 +139,12 @@
     /// Probes of upstreams that sent no byte to any node.
     std::map<std::string, upstream_probe> probes;
     policy::prefill_rates prefill;
+    policy::speed_table speeds;
+    /// The latest load that each upstream stated to this node.
+    std::map<std::string, policy::stated_load> stated_loads;
+    /// Upstreams that have just started or recovered.
+    policy::pace_table upstream_paces;
+    policy::usual_times usual_first_bytes;
     policy::stream_paces paces;
     policy::prefix_cache_index prefixes;
     policy::health_table health;
@@ -178,6 +187,10 @@
 /// Records an event of a request on an upstream, locally and at the upstream's load aggregator.
 void record_upstream_event(relay_state& node, const std::string& upstream, policy::upstream_event event);
 
+/// Records how long an upstream took, locally and at the upstream's load aggregator.
+void record_upstream_speed(relay_state& node, const std::string& upstream,
+                           const policy::speed_sample& sample);
+
 /// Returns whether the node has the routes and the registry that it needs to serve requests.
 bool is_configured(const relay_state& node);
 
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -458,7 +458,10 @@
     message.query_id = 8;
     message.queried_upstreams = {"u2", "u3"};
     message.answered_query_id = 9;
-    message.loads.emplace_back("u4", policy::aggregated_load{{1, 2, {}, {}}, true, false});
+    message.speed_samples.emplace_back("u1", policy::speed_sample{policy::speed_measure::generation, 1.25});
+    policy::aggregated_load load{{1, 2, {}, {}}, true, false, {}, 5};
+    load.speeds[0] = policy::known_speed{0.75, core::milliseconds(40)};
+    message.loads.emplace_back("u4", load);
     return message;
 }
 
