Grant memory of model engines to nodes that are about to choose

Engines preempt or crash once the requests that they hold exceed their memory.

The query names the tokens of its request, and the load aggregator counts them as granted until the node reports the request, at most 60 ms. A request counts with the most tokens that it may generate.

A part of the memory for each node was ruled out: with 64 nodes it is smaller than one prompt.

--- a/packages/policy/load_table.cpp
+++ b/packages/policy/load_table.cpp
@@ -14,6 +14,9 @@
     const bool older = report.incarnation < entry.incarnation ||
                        (report.incarnation == entry.incarnation && report.sequence < entry.sequence);
     if (!older) {
+        if (report.use.tokens > entry.use.tokens) {
+            settle_grant(table.grants, upstream, report.node);
+        }
         entry = {report.incarnation, report.sequence, report.use, now};
     }
 }
@@ -77,6 +80,7 @@
     load.suspect = !is_usable(table.health, upstream, now);
     const auto full = table.full_until.find(upstream);
     load.full = full != table.full_until.end() && full->second > now;
+    load.use.tokens += granted_tokens(table.grants, settings.memory, upstream, now);
     if (const auto pace = table.paces.upstreams.find(upstream); pace != table.paces.upstreams.end()) {
         load.pace_limit = pace->second.limit;
     }
@@ -96,6 +100,7 @@
     });
     expire_speeds(table.speeds, settings.speed, now);
     expire_paces(table.paces, settings.pace, now);
+    expire_grants(table.grants, settings.memory, now);
     core::erase_where(table.full_until,
                       [&](core::steady_time until, const std::string&) { return until <= now; });
 }
--- a/packages/policy/load_table.h
+++ b/packages/policy/load_table.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/time.h"
+#include "policy/engine_memory.h"
 #include "policy/upstream_health.h"
 #include "policy/upstream_pace.h"
 #include "policy/upstream_speed.h"
@@ -64,6 +65,7 @@
     health_settings health;
     speed_settings speed;
     pace_settings pace;
+    engine_memory_settings memory;
 };
 
 /// Load and health of the upstreams for which this node is the load aggregator.
@@ -80,6 +82,7 @@
     std::map<std::string, core::steady_time> full_until;
     speed_table speeds;
     pace_table paces;
+    memory_grants grants;
 };
 
 /// Stores a node's report, unless a later one of the same node is stored already.
@@ -91,7 +94,8 @@
 bool record_event(load_table& table, const load_table_settings& settings, const std::string& upstream,
                   upstream_event event, core::steady_time now);
 
-/// Returns the load of an upstream, summed over the current reports of all nodes, and its health.
+/// Returns the load of an upstream, summed over the current reports of all nodes, and its health. Its tokens
+/// include granted memory.
 aggregated_load aggregate_load(const load_table& table, const load_table_settings& settings,
                                const std::string& upstream, core::steady_time now);
 
--- a/packages/relay/candidates.cpp
+++ b/packages/relay/candidates.cpp
@@ -9,10 +9,6 @@
 namespace figspoke::relay {
 namespace {
 
-// Fraction of an engine's KV cache that requests may fill by estimate. Above it the engine preempts running
-// requests and repeats their prefill.
-constexpr double memory_fill_limit = 0.9;
-
 // Maximum wait for the answers of load aggregators; afterwards the node uses the load that it knows itself.
 // The prefill of a prompt takes hundreds of milliseconds, so a cached prefix is worth waiting for behind a
 // busy link. A plain request waits for two round trips between failure domains of a region.
@@ -24,14 +20,10 @@
            std::find(entry.models.begin(), entry.models.end(), model) != entry.models.end();
 }
 
-bool has_memory_for(const relay_state& node, const std::string& service, std::int64_t used,
-                    std::int64_t wanted) {
+std::int64_t engine_memory(const relay_state& node, const std::string& service) {
     const auto found = node.routes->services.find(service);
-    if (found == node.routes->services.end() || !found->second.engine || used == 0) {
-        return true;
-    }
-    const auto capacity = found->second.engine->kv_capacity_tokens;
-    return capacity <= 0 || double(used + wanted) <= memory_fill_limit * double(capacity);
+    const bool engine = found != node.routes->services.end() && found->second.engine;
+    return engine ? found->second.engine->kv_capacity_tokens : 0;
 }
 
 int own_requests(const relay_state& node, const std::string& upstream) {
@@ -113,7 +105,8 @@
     const bool reported_full = (kept && kept->full) || (full != node.full_until.end() && full->second > now);
     candidate.at_capacity = reported_full || connections_exhausted ||
                             !may_send_within_limit(node, entry.id) ||
-                            !has_memory_for(node, requirements.service, use.tokens, requirements.tokens);
+                            !policy::has_engine_memory({}, engine_memory(node, requirements.service),
+                                                       use.tokens, requirements.tokens);
     apply_pace(node, candidate, own_requests(node, entry.id));
     return candidate;
 }
@@ -195,8 +188,10 @@
     for (std::size_t i = 0; i < settings.owners + settings.others; ++i) {
         draws.push_back(draw(node));
     }
+    const auto wanted = engine_memory(node, requirements.service) > 0 ? requirements.tokens : std::int64_t(0);
     const auto asked = policy::shortlist(placement.prefix, untried, draws, settings);
-    node.aggregators->query(asked, placement.prefix == 0 ? plain_query_timeout : prompt_query_timeout, yield);
+    node.aggregators->query(asked, wanted, placement.prefix == 0 ? plain_query_timeout : prompt_query_timeout,
+                            yield);
     // The registry may have changed during the query.
     std::vector<const state::upstream_entry*> shortlisted;
     for (const auto* entry : matching_upstreams(node, requirements)) {
--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -209,8 +209,8 @@
 }
 
 std::int64_t forward_run::estimated_tokens() const {
-    const auto out = request_.expected_tokens.value_or(request_.max_tokens);
-    return prompt_tokens() + out;
+    return policy::reserved_tokens(prompt_tokens(),
+                                   std::max(request_.max_tokens, request_.expected_tokens.value_or(0)));
 }
 
 } // namespace figspoke::relay
--- a/packages/relay/load_aggregators.cpp
+++ b/packages/relay/load_aggregators.cpp
@@ -126,13 +126,14 @@
 }
 
 std::size_t load_aggregators::send_queries(const std::vector<std::string>& upstreams,
-                                           std::uint64_t query_id) {
+                                           std::int64_t wanted_tokens, std::uint64_t query_id) {
     std::map<std::string, load_message> by_address;
     for (const auto& upstream : upstreams) {
         const auto place = hooks_.place_of(upstream);
         if (!place.address.empty()) {
             auto& message = by_address.emplace(place.address, new_message()).first->second;
             message.query_id = query_id;
+            message.wanted_tokens = wanted_tokens;
             message.queried_upstreams.push_back(upstream);
         }
     }
@@ -142,10 +143,10 @@
     return by_address.size();
 }
 
-void load_aggregators::query(const std::vector<std::string>& upstreams, core::milliseconds timeout,
-                             const boost::asio::yield_context& yield) {
+void load_aggregators::query(const std::vector<std::string>& upstreams, std::int64_t wanted_tokens,
+                             core::milliseconds timeout, const boost::asio::yield_context& yield) {
     const auto query_id = ++last_query_id_;
-    const auto pending_replies = send_queries(upstreams, query_id);
+    const auto pending_replies = send_queries(upstreams, wanted_tokens, query_id);
     if (pending_replies == 0) {
         return;
     }
@@ -197,6 +198,8 @@
         if (reply.loads.size() < max_entries) {
             reply.loads.emplace_back(upstream,
                                      policy::aggregate_load(load_table_, settings_, upstream, boot_now()));
+            policy::grant_memory(load_table_.grants, settings_.memory, upstream, message.node,
+                                 message.wanted_tokens, boot_now());
         }
     }
     hooks_.send(from, encode_load_message(reply));
--- a/packages/relay/load_aggregators.h
+++ b/packages/relay/load_aggregators.h
@@ -56,9 +56,10 @@
     /// load of these upstreams.
     void refresh(const std::map<std::string, policy::upstream_use>& uses);
 
-    /// Queries the aggregators of these upstreams and waits for their replies, at most `timeout`.
-    void query(const std::vector<std::string>& upstreams, core::milliseconds timeout,
-               const boost::asio::yield_context& yield);
+    /// Queries the aggregators of these upstreams and waits for their replies, at most `timeout`. They keep
+    /// room for a request of `wanted_tokens` until the node has chosen.
+    void query(const std::vector<std::string>& upstreams, std::int64_t wanted_tokens,
+               core::milliseconds timeout, const boost::asio::yield_context& yield);
 
     /// Returns the latest known load of an upstream; empty if there is none or it has expired.
     std::optional<policy::aggregated_load> known_load(const std::string& upstream) const;
@@ -80,7 +81,8 @@
     void send_reports_later();
     void send_reports();
     /// Sends one query to each aggregator; returns the number of replies to expect.
-    std::size_t send_queries(const std::vector<std::string>& upstreams, std::uint64_t query_id);
+    std::size_t send_queries(const std::vector<std::string>& upstreams, std::int64_t wanted_tokens,
+                             std::uint64_t query_id);
     void reply_to_query(const load_message& message, const std::string& from);
     void receive_reply(const load_message& message);
 
--- a/packages/relay/load_message.cpp
+++ b/packages/relay/load_message.cpp
@@ -23,6 +23,7 @@
 constexpr double speed_steps = 1000;
 constexpr double max_speed_steps = 1e9;
 constexpr int max_pace_limit = 1'000'000;
+constexpr std::uint64_t max_wanted_tokens = 1'000'000'000;
 
 // Bits of the flags of an upstream's load.
 constexpr std::uint8_t suspect_flag = 1;
@@ -130,6 +131,7 @@
     for (const auto& upstream : message.queried_upstreams) {
         core::append_text(out, upstream);
     }
+    core::append_varint(out, std::uint64_t(std::max<std::int64_t>(message.wanted_tokens, 0)));
     core::append_varint(out, message.loads.size());
     for (const auto& [upstream, load] : message.loads) {
         core::append_text(out, upstream);
@@ -159,6 +161,7 @@
     read_events(reader, message);
     read_samples(reader, message);
     read_queries(reader, message);
+    message.wanted_tokens = std::int64_t(std::min(core::read_varint(reader), max_wanted_tokens));
     read_loads(reader, message);
     return core::is_complete(reader) ? std::make_optional(std::move(message)) : std::nullopt;
 }
--- a/packages/relay/load_message.h
+++ b/packages/relay/load_message.h
@@ -24,6 +24,8 @@
     /// Id of the query for the load of `queried_upstreams`, which the reply repeats; 0 if there is no query.
     std::uint64_t query_id = 0;
     std::vector<std::string> queried_upstreams;
+    /// Tokens of the request for which the sender queries; 0 for none.
+    std::int64_t wanted_tokens = 0;
     /// Id of the query that `loads` replies to; 0 if this is not a reply.
     std::uint64_t answered_query_id = 0;
     std::vector<std::pair<std::string, policy::aggregated_load>> loads;
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -457,6 +457,7 @@
     message.events.emplace_back("u1", policy::upstream_event::full);
     message.query_id = 8;
     message.queried_upstreams = {"u2", "u3"};
+    message.wanted_tokens = 17000;
     message.answered_query_id = 9;
     message.speed_samples.emplace_back("u1", policy::speed_sample{policy::speed_measure::generation, 1.25});
     policy::aggregated_load load{{1, 2, {}, {}}, true, false, {}, 5};
@@ -542,7 +543,7 @@
             pair.aggregator.report("u1", policy::upstream_use{2, 100, {}, {}});
             pair.client.report("u1", policy::upstream_use{3, 50, {}, {}});
             CHECK_FALSE(pair.client.known_load("u1"));
-            pair.client.query({"u1"}, core::milliseconds(50), yield);
+            pair.client.query({"u1"}, 0, core::milliseconds(50), yield);
             REQUIRE(pair.client.known_load("u1"));
             CHECK(pair.client.known_load("u1")->use.requests == 5);
             pair.client.report("u-here", policy::upstream_use{4, 0, {}, {}});
@@ -560,7 +561,7 @@
     boost::asio::spawn(
         context,
         [&](const boost::asio::yield_context& yield) {
-            pair.client.query({"u1", "u2"}, core::milliseconds(20), yield);
+            pair.client.query({"u1", "u2"}, 0, core::milliseconds(20), yield);
             CHECK_FALSE(pair.client.known_load("u1"));
             ended = true;
         },
