Follow learned speeds only where upstreams differ clearly

Relative times between 1/1.35 and 1.35 now count as usual. Stated loads count for plain requests only, since prompts run for seconds and a statement misses what was sent after it.

--- a/packages/policy/upstream_speed.cpp
+++ b/packages/policy/upstream_speed.cpp
@@ -6,6 +6,18 @@
 #include "core/erase_where.h"
 
 namespace figspoke::policy {
+namespace {
+
+// Equal upstreams differ by this much in a few noisy samples. To follow such differences would send prompts
+// away from the upstreams that have their prefixes cached.
+constexpr double least_difference = 1.35;
+
+// Returns 1 for a relative time that may come from noise.
+double significant(double relative) {
+    return relative < least_difference && relative > 1 / least_difference ? 1.0 : relative;
+}
+
+} // namespace
 
 void learn_speed(speed_table& table, const speed_settings& settings, const std::string& upstream,
                  const speed_sample& sample, core::steady_time now) {
@@ -62,8 +74,8 @@
     for (std::size_t i = 0; i < speeds.size(); ++i) {
         if (speeds[i]) {
             const double half_lives = core::to_seconds(speeds[i]->age) / core::to_seconds(settings.half_life);
-            const double relative =
-                std::clamp(speeds[i]->value / mean, settings.min_relative, settings.max_relative);
+            const double relative = std::clamp(significant(speeds[i]->value / mean), settings.min_relative,
+                                               settings.max_relative);
             times[i] = 1 + (relative - 1) * std::exp2(-half_lives);
         }
     }
--- a/packages/relay/candidates.cpp
+++ b/packages/relay/candidates.cpp
@@ -76,7 +76,9 @@
     const auto kept = load_from_aggregator(node, entry.id);
     const auto use = total_use(node, entry.id);
     candidate.load = use.requests;
-    if (!kept) {
+    // Prompts run for seconds, in which heartbeats bring a better count than a statement that misses what was
+    // sent since.
+    if (!kept && requirements.prompt_tokens == 0) {
         const auto own = own_requests(node, entry.id);
         const auto stated = node.stated_loads.find(entry.id);
         candidate.load = own + policy::estimate_peer_requests(use.requests - own,
