Let a node's part of the requests complete a step of a pace

In a small fleet a node's part of the first limit is one request, and a round of as many answers, rounded up, needed two. A stream occupies the part for seconds after its first byte, so the limit stood still meanwhile. Rounds are rounded down to the part.

--- a/packages/policy/upstream_pace.cpp
+++ b/packages/policy/upstream_pace.cpp
@@ -51,7 +51,9 @@
     }
     ++(answer == pace_answer::fast ? pace.fast : pace.slow);
     const int nodes = int(std::max<std::size_t>(reporters, 1));
-    const int round = std::max((pace.limit + nodes - 1) / nodes, 1);
+    // Rounded down, so that a node reaches it with its part of the requests while these still run: streams
+    // last much longer than the wait for their first byte.
+    const int round = std::max(pace.limit / nodes, 1);
     if (pace.fast + pace.slow < round) {
         return false;
     }
