Keep prompts of a prefix together where all upstreams are beyond their pace

A roll-out's version runs only on upstreams that have just started. Where all of them were beyond their pace, prompts went to the less loaded of two random ones and their prefixes were read on each of them. They now go by the expected first byte as elsewhere.

--- a/packages/policy/relay_choice.cpp
+++ b/packages/policy/relay_choice.cpp
@@ -112,7 +112,12 @@
         return choose_less_loaded_of_two(available, settings, placement, relay_reason::two_choices);
     }
     if (!beyond_pace.empty()) {
-        return choose_less_loaded_of_two(beyond_pace, settings, placement, relay_reason::beyond_pace);
+        if (placement.prefix == 0) {
+            return choose_less_loaded_of_two(beyond_pace, settings, placement, relay_reason::beyond_pace);
+        }
+        auto choice = choose_earliest_first_byte(beyond_pace, settings, placement);
+        choice.reason = relay_reason::beyond_pace;
+        return choice;
     }
     if (!suspects.empty()) {
         return choose_less_loaded_of_two(suspects, settings, placement, relay_reason::last_resort);
--- a/test/correctness/policy_upstream_pace_test.cpp
+++ b/test/correctness/policy_upstream_pace_test.cpp
@@ -281,3 +281,27 @@
         CHECK((!half[i] || whole[i]));
     }
 }
+
+TEST_CASE("where all upstreams are beyond their pace, requests still run, and prompts of a prefix together") {
+    // As in a roll-out, whose version runs only on new upstreams.
+    std::vector<relay_candidate> candidates(6);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        candidates[i].id = "u" + std::to_string(i);
+        candidates[i].slots = slots;
+        candidates[i].pace_share = 0.125;
+        candidates[i].over_pace = true;
+    }
+    placement_request placement;
+    placement.prefix = 7;
+    const auto first = choose_relay_upstream(candidates, {}, placement);
+    CHECK(first.reason == relay_reason::beyond_pace);
+    for (const double draw : {0.1, 0.5, 0.9}) {
+        placement.first = draw;
+        placement.second = 1 - draw;
+        CHECK(choose_relay_upstream(candidates, {}, placement).id == first.id);
+    }
+    placement.prefix = 0;
+    CHECK_FALSE(choose_relay_upstream(candidates, {}, placement).id.empty());
+    candidates[3].over_pace = false;
+    CHECK(choose_relay_upstream(candidates, {}, placement).id == "u3");
+}
