--- a/packages/policy/engine_memory.cpp
+++ b/packages/policy/engine_memory.cpp
@@ -6,8 +6,8 @@
 
 namespace figspoke::policy {
 
-std::int64_t reserved_tokens(std::int64_t prompt, std::int64_t max_output) {
-    return std::max<std::int64_t>(prompt, 0) + std::max<std::int64_t>(max_output, 0);
+std::int64_t reserved_tokens(std::int64_t prompt, std::int64_t output) {
+    return std::max<std::int64_t>(prompt, 0) + std::max<std::int64_t>(output, 0);
 }
 
 bool has_engine_memory(const engine_memory_settings& settings, std::int64_t capacity, std::int64_t used,
--- a/packages/policy/engine_memory.h
+++ b/packages/policy/engine_memory.h
@@ -33,9 +33,9 @@
     std::map<std::string, std::vector<grant>> upstreams;
 };
 
-/// Returns the tokens that a request may come to hold. The estimate of the output is rough, so the maximum
-/// that the caller named counts.
-std::int64_t reserved_tokens(std::int64_t prompt, std::int64_t max_output);
+/// Returns the tokens that a request is expected to hold at its end. The reserve beyond `fill_limit` covers
+/// outputs that become longer than expected.
+std::int64_t reserved_tokens(std::int64_t prompt, std::int64_t output);
 
 /// Returns whether an engine that holds `used` tokens has memory for `wanted` more. An idle engine takes any
 /// request: it refuses by itself what it can't hold. A capacity of zero is unknown.
--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -209,8 +209,7 @@
 }
 
 std::int64_t forward_run::estimated_tokens() const {
-    return policy::reserved_tokens(prompt_tokens(),
-                                   std::max(request_.max_tokens, request_.expected_tokens.value_or(0)));
+    return policy::reserved_tokens(prompt_tokens(), request_.expected_tokens.value_or(request_.max_tokens));
 }
 
 } // namespace figspoke::relay
