--- a/packages/relay/candidates.cpp
+++ b/packages/relay/candidates.cpp
@@ -3,15 +3,12 @@
 #include <algorithm>
 
 #include "relay/boot_clock.h"
+#include "relay/paces.h"
 #include "relay/restrictions.h"
 
 namespace figspoke::relay {
 namespace {
 
-// Fraction of an engine's KV cache that requests may fill by estimate. Above it the engine preempts running
-// requests and repeats their prefill.
-constexpr double memory_fill_limit = 0.9;
-
 // Maximum wait for the answers of load aggregators; afterwards the node uses the load that it knows itself.
 // The prefill of a prompt takes hundreds of milliseconds, so a cached prefix is worth waiting for behind a
 // busy link. A plain request waits for two round trips between failure domains of a region.
@@ -23,14 +20,10 @@
            std::find(entry.models.begin(), entry.models.end(), model) != entry.models.end();
 }
 
-bool has_memory_for(const relay_state& node, const std::string& service, std::int64_t used,
-                    std::int64_t wanted) {
+std::int64_t engine_memory(const relay_state& node, const std::string& service) {
     const auto found = node.routes->services.find(service);
-    if (found == node.routes->services.end() || !found->second.engine || used == 0) {
-        return true;
-    }
-    const auto capacity = found->second.engine->kv_capacity_tokens;
-    return capacity <= 0 || double(used + wanted) <= memory_fill_limit * double(capacity);
+    const bool engine = found != node.routes->services.end() && found->second.engine;
+    return engine ? found->second.engine->kv_capacity_tokens : 0;
 }
 
 int own_requests(const relay_state& node, const std::string& upstream) {
@@ -53,6 +46,27 @@
     return asks_load_aggregators(node) ? node.aggregators->known_load(upstream) : std::nullopt;
 }
 
+// The load aggregator has the samples of all nodes.
+std::optional<policy::known_speed> speed_of(const relay_state& node, const std::string& upstream,
+                                            policy::speed_measure measure, core::steady_time now) {
+    if (const auto kept = load_from_aggregator(node, upstream)) {
+        if (const auto& speed = kept->speeds.at(static_cast<std::size_t>(measure))) {
+            return speed;
+        }
+    }
+    return policy::find_speed(node.speeds, {}, upstream, measure, now);
+}
+
+std::vector<double> times_of(const relay_state& node, const std::vector<policy::relay_candidate>& candidates,
+                             policy::speed_measure measure, core::steady_time now) {
+    std::vector<std::optional<policy::known_speed>> speeds;
+    speeds.reserve(candidates.size());
+    for (const auto& candidate : candidates) {
+        speeds.push_back(speed_of(node, candidate.id, measure, now));
+    }
+    return policy::relative_times(speeds, {});
+}
+
 policy::relay_candidate make_candidate(relay_state& node, const state::upstream_entry& entry,
                                        const upstream_requirements& requirements, core::steady_time now) {
     policy::relay_candidate candidate;
@@ -62,6 +76,17 @@
     const auto kept = load_from_aggregator(node, entry.id);
     const auto use = total_use(node, entry.id);
     candidate.load = use.requests;
+    // Prompts run for seconds, in which heartbeats bring a better count than a statement that misses what was
+    // sent since.
+    if (!kept && requirements.prompt_tokens == 0) {
+        const auto own = own_requests(node, entry.id);
+        const auto stated = node.stated_loads.find(entry.id);
+        candidate.load = own + policy::estimate_peer_requests(use.requests - own,
+                                                              stated == node.stated_loads.end()
+                                                                  ? std::nullopt
+                                                                  : std::make_optional(stated->second),
+                                                              {}, now);
+    }
     std::int64_t shared = 0;
     for (const auto& step : requirements.shared) {
         shared += step.tokens;
@@ -83,7 +108,9 @@
     const bool reported_full = (kept && kept->full) || (full != node.full_until.end() && full->second > now);
     candidate.at_capacity = reported_full || connections_exhausted ||
                             verdict.reason != policy::restriction::none ||
-                            !has_memory_for(node, requirements.service, use.tokens, requirements.tokens);
+                            !policy::has_engine_memory({}, engine_memory(node, requirements.service),
+                                                       use.tokens, requirements.tokens);
+    apply_pace(node, candidate, own_requests(node, entry.id));
     return candidate;
 }
 
@@ -144,6 +171,14 @@
     for (const auto* entry : upstreams) {
         candidates.push_back(make_candidate(node, *entry, requirements, now));
     }
+    const auto prefill = times_of(node, candidates, policy::speed_measure::prefill, now);
+    const auto generation = times_of(node, candidates, policy::speed_measure::generation, now);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        candidates[i].own_prefill_ms *= prefill[i];
+        candidates[i].cached_prefill_ms *= prefill[i];
+        candidates[i].relative_work_time = prefill[i];
+        candidates[i].relative_step_time = generation[i];
+    }
     return candidates;
 }
 
@@ -179,8 +214,10 @@
     for (std::size_t i = 0; i < settings.owners + settings.others; ++i) {
         draws.push_back(draw(node));
     }
+    const auto wanted = engine_memory(node, requirements.service) > 0 ? requirements.tokens : std::int64_t(0);
     const auto asked = policy::shortlist(placement.prefix, untried, draws, settings);
-    node.aggregators->query(asked, placement.prefix == 0 ? plain_query_timeout : prompt_query_timeout, yield);
+    node.aggregators->query(asked, wanted, placement.prefix == 0 ? plain_query_timeout : prompt_query_timeout,
+                            yield);
     // The registry may have changed during the query.
     std::vector<const state::upstream_entry*> shortlisted;
     for (const auto* entry : matching_upstreams(node, requirements)) {
--- a/packages/relay/load_aggregators.cpp
+++ b/packages/relay/load_aggregators.cpp
@@ -40,13 +40,42 @@
 void load_aggregators::report(const std::string& upstream, policy::upstream_event event) {
     const auto place = hooks_.place_of(upstream);
     if (place.address.empty()) {
-        policy::record_event(load_table_, settings_, upstream, event, boot_now());
+        record_event(upstream, event);
         return;
     }
     pending_reports_[place.address].events.emplace_back(upstream, event);
     send_reports_later();
 }
 
+void load_aggregators::report(const std::string& upstream, const policy::speed_sample& sample) {
+    const auto place = hooks_.place_of(upstream);
+    if (place.address.empty()) {
+        policy::learn_speed(load_table_.speeds, settings_.speed, upstream, sample, boot_now());
+        return;
+    }
+    pending_reports_[place.address].speed_samples.emplace_back(upstream, sample);
+    send_reports_later();
+}
+
+void load_aggregators::record_event(const std::string& upstream, policy::upstream_event event) {
+    if (policy::record_event(load_table_, settings_, upstream, event, boot_now())) {
+        begin_pace(upstream);
+    }
+}
+
+void load_aggregators::begin_pace(const std::string& upstream) {
+    if (hooks_.slots_of) {
+        policy::begin_pace(load_table_.paces, settings_.pace, upstream, hooks_.slots_of(upstream),
+                           boot_now());
+    }
+}
+
+void load_aggregators::forget(const std::string& upstream) {
+    load_table_.speeds.upstreams.erase(upstream);
+    load_table_.paces.upstreams.erase(upstream);
+    cached_loads_.erase(upstream);
+}
+
 // The start of a request changes the use of its upstream and is an event as well, and so is its end. One
 // datagram takes both.
 void load_aggregators::send_reports_later() {
@@ -64,6 +93,7 @@
         auto message = new_message();
         message.uses = std::move(pending.uses);
         message.events = std::move(pending.events);
+        message.speed_samples = std::move(pending.speed_samples);
         hooks_.send(address, encode_load_message(message));
     }
 }
@@ -96,13 +126,14 @@
 }
 
 std::size_t load_aggregators::send_queries(const std::vector<std::string>& upstreams,
-                                           std::uint64_t query_id) {
+                                           std::int64_t wanted_tokens, std::uint64_t query_id) {
     std::map<std::string, load_message> by_address;
     for (const auto& upstream : upstreams) {
         const auto place = hooks_.place_of(upstream);
         if (!place.address.empty()) {
             auto& message = by_address.emplace(place.address, new_message()).first->second;
             message.query_id = query_id;
+            message.wanted_tokens = wanted_tokens;
             message.queried_upstreams.push_back(upstream);
         }
     }
@@ -112,10 +143,10 @@
     return by_address.size();
 }
 
-void load_aggregators::query(const std::vector<std::string>& upstreams, core::milliseconds timeout,
-                             const boost::asio::yield_context& yield) {
+void load_aggregators::query(const std::vector<std::string>& upstreams, std::int64_t wanted_tokens,
+                             core::milliseconds timeout, const boost::asio::yield_context& yield) {
     const auto query_id = ++last_query_id_;
-    const auto pending_replies = send_queries(upstreams, query_id);
+    const auto pending_replies = send_queries(upstreams, wanted_tokens, query_id);
     if (pending_replies == 0) {
         return;
     }
@@ -147,7 +178,10 @@
                             {message->node, message->incarnation, message->sequence, use}, now);
     }
     for (const auto& [upstream, event] : message->events) {
-        policy::record_event(load_table_, settings_, upstream, event, now);
+        record_event(upstream, event);
+    }
+    for (const auto& [upstream, sample] : message->speed_samples) {
+        policy::learn_speed(load_table_.speeds, settings_.speed, upstream, sample, now);
     }
     if (message->query_id != 0) {
         reply_to_query(*message, from);
@@ -164,6 +198,8 @@
         if (reply.loads.size() < max_entries) {
             reply.loads.emplace_back(upstream,
                                      policy::aggregate_load(load_table_, settings_, upstream, boot_now()));
+            policy::grant_memory(load_table_.grants, settings_.memory, upstream, message.node,
+                                 message.wanted_tokens, boot_now());
         }
     }
     hooks_.send(from, encode_load_message(reply));
--- a/packages/relay/load_aggregators.h
+++ b/packages/relay/load_aggregators.h
@@ -25,6 +25,8 @@
 struct aggregator_hooks {
     std::function<aggregator_place(const std::string& upstream)> place_of;
     std::function<void(const std::string& address, const std::string& bytes)> send;
+    /// Returns the slots of an upstream; paces need it.
+    std::function<int(const std::string& upstream)> slots_of;
     /// Runs a function once the present event is handled; if empty, reports are sent one by one.
     std::function<void(std::function<void()>)> defer;
 };
@@ -38,17 +40,26 @@
     load_aggregators(std::string node, std::uint64_t incarnation, policy::load_table_settings settings,
                      aggregator_hooks hooks);
 
-    /// Reports this node's requests on an upstream, or an event of one of them, to the upstream's aggregator.
+    /// Reports this node's requests on an upstream, an event of one of them or its speed, to the upstream's
+    /// aggregator.
     void report(const std::string& upstream, const policy::upstream_use& use);
     void report(const std::string& upstream, policy::upstream_event event);
+    void report(const std::string& upstream, const policy::speed_sample& sample);
+
+    /// Starts the pace of an upstream. All nodes do so, since any of them may become its aggregator.
+    void begin_pace(const std::string& upstream);
+
+    /// Forgets speed and pace of an upstream that restarted or is gone.
+    void forget(const std::string& upstream);
 
     /// Repeats the reports of all requests, for aggregators that are new or missed a report, and queries the
     /// load of these upstreams.
     void refresh(const std::map<std::string, policy::upstream_use>& uses);
 
-    /// Queries the aggregators of these upstreams and waits for their replies, at most `timeout`.
-    void query(const std::vector<std::string>& upstreams, core::milliseconds timeout,
-               const boost::asio::yield_context& yield);
+    /// Queries the aggregators of these upstreams and waits for their replies, at most `timeout`. They keep
+    /// room for a request of `wanted_tokens` until the node has chosen.
+    void query(const std::vector<std::string>& upstreams, std::int64_t wanted_tokens,
+               core::milliseconds timeout, const boost::asio::yield_context& yield);
 
     /// Returns the latest known load of an upstream; empty if there is none or it has expired.
     std::optional<policy::aggregated_load> known_load(const std::string& upstream) const;
@@ -66,10 +77,12 @@
     };
 
     load_message new_message();
+    void record_event(const std::string& upstream, policy::upstream_event event);
     void send_reports_later();
     void send_reports();
     /// Sends one query to each aggregator; returns the number of replies to expect.
-    std::size_t send_queries(const std::vector<std::string>& upstreams, std::uint64_t query_id);
+    std::size_t send_queries(const std::vector<std::string>& upstreams, std::int64_t wanted_tokens,
+                             std::uint64_t query_id);
     void reply_to_query(const load_message& message, const std::string& from);
     void receive_reply(const load_message& message);
 
