--- a/packages/relay/forward_log.cpp
+++ b/packages/relay/forward_log.cpp
@@ -25,6 +25,7 @@
                          {"head_ms", send_head_after_ ? send_head_after_->count() : -1},
                          {"events", send_events_},
                          {"slow", send_slow_},
+                         {"late", send_late_},
                          {"ms", core::to_ms(boot_now() - sent_at).count()}});
 }
 
@@ -53,6 +54,9 @@
                            {"first_byte_ms", first_byte_ms_},
                            {"total_ms", total.count()},
                            {"sends", std::move(send_log_)}};
+    if (refusal_ != nullptr) {
+        line["refusal"] = refusal_;
+    }
     if (confidence_) {
         line["confidence"] = *confidence_;
         line["expected_larger_ms"] = expected_larger_ms_;
