Wait for a working upstream where many are lost

And a request that stopped being the next of its queue left the new one asleep for up to 100 ms.

Change: a stream whose sends reached nothing twice waits for an upstream that is not suspected. The queue's next request is always awake.

--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -13,8 +13,11 @@
 
 // Interval at which a queued request looks for capacity when no event wakes it.
 constexpr core::milliseconds queue_poll_interval{25};
-// Interval at which one that is not next looks whether it is still worth waiting.
+// Interval at which one that is not next looks whether it is still worth waiting, in a long queue.
 constexpr core::milliseconds queue_check_interval{100};
+constexpr std::size_t long_queue = 16;
+// Sends that reached no upstream after which one that is suspected to be down isn't tried any more.
+constexpr int max_unsent_last_resorts = 2;
 // Callers abandon a stream after the longest of these: a fixed time, a multiple of the latency target and a
 // multiple of the longest pause that is on time.
 constexpr core::milliseconds min_stream_patience{2000};
@@ -160,6 +163,13 @@
     if (choice_.id.empty()) {
         return std::nullopt;
     }
+    // Where upstreams are lost, a request would use up its attempts on others that are lost too. It waits
+    // until one is found that works.
+    if (route_.streaming && unsent_attempts_ >= max_unsent_last_resorts &&
+        choice_.reason == policy::relay_reason::last_resort) {
+        choice_.reason = policy::relay_reason::none;
+        return std::nullopt;
+    }
     if (!answer_started_ && expected_head_ms() > double(time_left().count())) {
         choice_.reason = policy::relay_reason::full;
         return std::nullopt;
@@ -213,6 +223,10 @@
                                         route_.target_gap * patience_gaps});
         entry.serve_until =
             std::min(entry.serve_until, (answer_started_ ? now : arrived_) + patience - until_on_time);
+    } else {
+        // Plain upstreams serve in the order of arrival: what is late already would delay the requests of
+        // other nodes that can be on time.
+        entry.serve_until = std::min(entry.serve_until, arrived_ + route_.latency_target);
     }
     return entry;
 }
@@ -251,6 +265,7 @@
     node_.waiting[id_] = signal;
     report_queue(service);
     std::optional<state::upstream_entry> found;
+    bool was_next = false;
     while (!exchange_.disconnected() && !ended_by_stop_) {
         if (!policy::is_waiting(node_.queue, service, id_)) {
             refusal_ = "displaced";
@@ -264,7 +279,12 @@
             refusal_ = "hopeless";
             break;
         }
-        const auto pause = std::min<core::nanoseconds>(next ? queue_poll_interval : queue_check_interval,
+        if (was_next && !next) {
+            wake_next(node_, service);
+        }
+        was_next = next;
+        const bool poll = next || policy::waiting_count(node_.queue, service) < long_queue;
+        const auto pause = std::min<core::nanoseconds>(poll ? queue_poll_interval : queue_check_interval,
                                                        entry.serve_until - boot_now());
         signal->wait_until(std::chrono::steady_clock::now() + pause, exchange_.yield());
     }
