--- a/packages/relay/forward_admission.cpp
+++ b/packages/relay/forward_admission.cpp
@@ -1,7 +1,6 @@
 #include "relay/forward_run.h"
 
 #include "core/hash.h"
-#include "policy/model_choice.h"
 #include "relay/boot_clock.h"
 
 namespace figspoke::relay {
@@ -42,8 +41,8 @@
     fingerprints_ = make_fingerprints();
     history_.retry = route_.retry;
     history_.max_attempts = route_.max_attempts;
-    model_ = first_model();
     service_draw_ = draw(node_);
+    model_ = first_model();
     return std::nullopt;
 }
 
@@ -91,11 +90,4 @@
     deadline_ = arrived_ + std::max(wait - answer_margin, answer_margin);
 }
 
-std::string forward_run::first_model() const {
-    if (route_.models.empty() || !request_.any_model) {
-        return {};
-    }
-    return route_.models.at(policy::first_model_index(route_.models.size()));
-}
-
 } // namespace figspoke::relay
--- a/packages/relay/forward_log.cpp
+++ b/packages/relay/forward_log.cpp
@@ -26,6 +26,9 @@
                          {"events", send_events_},
                          {"slow", send_slow_},
                          {"ms", core::to_ms(boot_now() - sent_at).count()}});
+    if (send_confidence_) {
+        send_log_.back()["confidence"] = *send_confidence_;
+    }
 }
 
 // What this node knew of the request's conversation when it chose a version.
@@ -53,8 +56,12 @@
                            {"first_byte_ms", first_byte_ms_},
                            {"total_ms", total.count()},
                            {"sends", std::move(send_log_)}};
-    if (confidence_) {
-        line["confidence"] = *confidence_;
+    if (!sent_model_.empty()) {
+        line["prompt_tokens"] = prompt_tokens();
+        line["wanted_tokens"] = estimated_tokens() - prompt_tokens();
+    }
+    if (dropped_confidence_) {
+        line["confidence"] = *dropped_confidence_;
         line["expected_larger_ms"] = expected_larger_ms_;
     }
     if (request_.prompt.size() > 1) {
