Expect of a larger model what it said after the smallest one

Without this a middle model looked worthwhile as a step to a larger one that was known to do no better.

--- a/packages/policy/model_evidence.cpp
+++ b/packages/policy/model_evidence.cpp
@@ -70,17 +70,26 @@
     return counts;
 }
 
-std::array<confidence_shares, confidence_ranges> forecast_pair(const model_evidence& evidence,
-                                                               const model_evidence_settings& settings,
-                                                               const std::string& key, bool largest) {
-    std::array<confidence_shares, confidence_ranges> rows{};
+using pair_forecast = std::array<confidence_shares, confidence_ranges>;
+
+pair_forecast forecast_pair(const model_evidence& evidence, const model_evidence_settings& settings,
+                            const std::string& key, const pair_forecast& prior) {
+    pair_forecast rows{};
     const auto found = evidence.repeated.find(key);
     for (std::size_t range = 0; range < confidence_ranges; ++range) {
-        const auto prior = certain(largest ? confidence_ranges - 1 : range);
         const auto counts = found == evidence.repeated.end()
                                 ? confidence_counts{}
                                 : smoothed_row(found->second, range, settings.neighbour_weight);
-        rows[range] = mix(counts, prior, double(settings.prior_answers));
+        rows[range] = mix(counts, prior[range], double(settings.prior_answers));
+    }
+    return rows;
+}
+
+// Expects the largest model to be sure of every request, and others to say what the smallest one said.
+pair_forecast initial_forecast(bool largest) {
+    pair_forecast rows{};
+    for (std::size_t range = 0; range < confidence_ranges; ++range) {
+        rows[range] = certain(largest ? confidence_ranges - 1 : range);
     }
     return rows;
 }
@@ -120,8 +129,10 @@
     for (std::size_t model = 0; model < n; ++model) {
         forecast.repeated[model].resize(n);
         for (auto larger = model + 1; larger < n; ++larger) {
-            forecast.repeated[model][larger] = forecast_pair(
-                evidence, settings, pair_key(service, models[model], models[larger]), larger + 1 == n);
+            // What a model says after the smallest one tells most of what it says after another.
+            const auto prior = model == 0 ? initial_forecast(larger + 1 == n) : forecast.repeated[0][larger];
+            forecast.repeated[model][larger] =
+                forecast_pair(evidence, settings, pair_key(service, models[model], models[larger]), prior);
         }
     }
     for (std::size_t model = 0; model < n; ++model) {
