--- a/packages/policy/model_choice.cpp
+++ b/packages/policy/model_choice.cpp
@@ -17,12 +17,13 @@
     return answer_worth(quality, on_time_probability(expected, left, settings), settings);
 }
 
-// The value that other requests on the upstream lose: each is delayed by the prefill, and a delay of the
-// whole latency target makes an answer late.
+// The value that prompts waiting on the upstream lose: each is delayed by the prefill, and a delay of the
+// whole latency target makes its answer late. Streams that run already are hardly delayed, since engines
+// prefill in chunks between their tokens.
 double delay_cost(const model_situation& situation, const model_terms& terms,
                   const model_choice_settings& settings) {
     const double target = std::max(core::to_seconds(situation.latency_target), 0.001);
-    return settings.answer_value * (1 - settings.late_value) * terms.load *
+    return settings.answer_value * (1 - settings.late_value) * terms.waiting *
            core::to_seconds(terms.own_prefill) / target;
 }
 
--- a/packages/policy/model_choice.h
+++ b/packages/policy/model_choice.h
@@ -35,8 +35,8 @@
     /// delays the other requests on the upstream.
     core::milliseconds expected{0};
     core::milliseconds own_prefill{0};
-    /// Requests on the upstream.
-    double load = 0;
+    /// Prompts that wait on the upstream.
+    double waiting = 0;
     /// Whether an upstream of the model can take the request.
     bool has_capacity = true;
 };
--- a/packages/relay/forward_model.cpp
+++ b/packages/relay/forward_model.cpp
@@ -18,6 +18,11 @@
     mean += newest_weight * (value - mean);
 }
 
+// Returns the number of prompts of the usual size that this prefill stands for.
+double waiting_prompts(const recent_sends& recent, double pending_ms) {
+    return recent.own_prefill_ms > 0 ? pending_ms / recent.own_prefill_ms : 0;
+}
+
 } // namespace
 
 std::string forward_run::first_model() {
@@ -39,7 +44,13 @@
                                                                  ? std::map<std::string, double>()
                                                                  : found->second.model_costs);
     for (std::size_t i = 0; i < route_.models.size(); ++i) {
-        situation.terms.push_back(expected_terms(route_.models[i], costs[i]));
+        auto terms = expected_terms(route_.models[i], costs[i]);
+        if (i > 0) {
+            // A model without samples isn't faster than a smaller one.
+            terms.own_prefill = std::max(terms.own_prefill, situation.terms.back().own_prefill);
+            terms.expected = std::max(terms.expected, situation.terms.back().expected);
+        }
+        situation.terms.push_back(terms);
     }
     situation.elapsed = core::to_ms(boot_now() - arrived_);
     situation.latency_target = route_.latency_target;
@@ -58,7 +69,7 @@
     terms.cost = cost;
     terms.own_prefill = core::milliseconds(std::int64_t(own));
     terms.expected = core::milliseconds(std::int64_t(recent.pending_ms + own));
-    terms.load = recent.load;
+    terms.waiting = waiting_prompts(recent, recent.pending_ms);
     return terms;
 }
 
@@ -86,8 +97,8 @@
         return;
     }
     auto& recent = node_.recent[service_];
-    average(recent.load, choice_.load);
     average(recent.pending_ms, choice_.pending_ms);
+    average(recent.own_prefill_ms, choice_.own_prefill_ms);
     const double whole = policy::prefill_ms(node_.prefill, model_, double(prompt_tokens()));
     if (whole > 0) {
         average(recent.uncached_share, std::min(choice_.own_prefill_ms / whole, 1.0));
@@ -130,7 +141,8 @@
     auto& terms = situation.terms.at(wanted->model);
     terms.own_prefill = core::milliseconds(std::int64_t(choice.own_prefill_ms));
     terms.expected = core::milliseconds(std::int64_t(choice.pending_ms + choice.own_prefill_ms));
-    terms.load = choice.load;
+    const auto recent = node_.recent.find(service_);
+    terms.waiting = recent == node_.recent.end() ? 0 : waiting_prompts(recent->second, choice.pending_ms);
     terms.has_capacity = !choice.id.empty();
     situation.elapsed = core::to_ms(boot_now() - arrived_);
     const auto next = policy::next_model(situation, answered, *head.confidence, {}, 1);
--- a/test/correctness/model_choice_test.cpp
+++ b/test/correctness/model_choice_test.cpp
@@ -73,10 +73,10 @@
 }
 
 TEST_CASE("a busy upstream keeps answers that a calm one would drop") {
-    // Each repeated prompt delays the streams that run on the upstream.
+    // Each repeated prompt delays those that wait on the upstream.
     auto situation = calm_situation();
     REQUIRE(next_of(situation, 0, 60) == 2);
-    situation.terms[2].load = 40;
+    situation.terms[2].waiting = 40;
     CHECK_FALSE(next_of(situation, 0, 60).has_value());
 }
 
@@ -85,7 +85,7 @@
     auto situation = calm_situation();
     situation.drops_left = 0;
     CHECK(first_of(situation) == 2);
-    situation.terms[2].load = 60;
+    situation.terms[2].waiting = 60;
     CHECK(first_of(situation) != 2);
 }
 
@@ -147,8 +147,8 @@
         better.elapsed = worse.elapsed;
         better.terms[2].expected = milliseconds(*rc::gen::inRange(0, 5000));
         worse.terms[2].expected = better.terms[2].expected + milliseconds(*rc::gen::inRange(0, 5000));
-        better.terms[2].load = *rc::gen::inRange(0, 50);
-        worse.terms[2].load = better.terms[2].load + *rc::gen::inRange(0, 50);
+        better.terms[2].waiting = *rc::gen::inRange(0, 50);
+        worse.terms[2].waiting = better.terms[2].waiting + *rc::gen::inRange(0, 50);
         better.drops_left = *rc::gen::inRange(0, 3);
         worse.drops_left = *rc::gen::inRange(0, better.drops_left + 1);
         const int confidence = *rc::gen::inRange(0, 101);
