Count the delay of requests that wait for their first byte

Long prompts are kept from the largest model although their answers are worth as much more as they delay others longer.

--- a/packages/relay/forward_model.cpp
+++ b/packages/relay/forward_model.cpp
@@ -18,11 +18,6 @@
     mean += newest_weight * (value - mean);
 }
 
-// Returns the number of prompts of the usual size that this prefill stands for.
-double waiting_prompts(const recent_sends& recent, double pending_ms) {
-    return recent.own_prefill_ms > 0 ? pending_ms / recent.own_prefill_ms : 0;
-}
-
 } // namespace
 
 std::string forward_run::first_model() {
@@ -69,7 +64,7 @@
     terms.cost = cost;
     terms.own_prefill = core::milliseconds(std::int64_t(own));
     terms.expected = core::milliseconds(std::int64_t(recent.pending_ms + own));
-    terms.waiting = waiting_prompts(recent, recent.pending_ms);
+    terms.waiting = recent.load * recent.begin_share;
     return terms;
 }
 
@@ -98,13 +93,21 @@
     }
     auto& recent = node_.recent[service_];
     average(recent.pending_ms, choice_.pending_ms);
-    average(recent.own_prefill_ms, choice_.own_prefill_ms);
+    average(recent.load, choice_.load);
     const double whole = policy::prefill_ms(node_.prefill, model_, double(prompt_tokens()));
     if (whole > 0) {
         average(recent.uncached_share, std::min(choice_.own_prefill_ms / whole, 1.0));
     }
 }
 
+// Of the requests on an upstream, this share waits for the first byte and is delayed by further prompts.
+void forward_run::record_begin_share(core::milliseconds total) {
+    if (!sent_model_.empty() && send_head_after_ && total.count() > 0) {
+        average(node_.recent[service_].begin_share,
+                std::min(double(send_head_after_->count()) / double(total.count()), 1.0));
+    }
+}
+
 // Answers after a failure tell nothing new: they are neither first ones nor replace one.
 void forward_run::record_confidence(const answer_head& head) {
     if (model_.empty() || !head.confidence || head.status != 200) {
@@ -141,8 +144,7 @@
     auto& terms = situation.terms.at(wanted->model);
     terms.own_prefill = core::milliseconds(std::int64_t(choice.own_prefill_ms));
     terms.expected = core::milliseconds(std::int64_t(choice.pending_ms + choice.own_prefill_ms));
-    const auto recent = node_.recent.find(service_);
-    terms.waiting = recent == node_.recent.end() ? 0 : waiting_prompts(recent->second, choice.pending_ms);
+    terms.waiting = choice.load * node_.recent[service_].begin_share;
     terms.has_capacity = !choice.id.empty();
     situation.elapsed = core::to_ms(boot_now() - arrived_);
     const auto next = policy::next_model(situation, answered, *head.confidence, {}, 1);
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -98,9 +98,11 @@
 
 /// Averages over this node's last sends to a service.
 struct recent_sends {
-    /// Prefill of other prompts that waited on the chosen upstream, and that of the sent prompt.
+    /// Requests on the chosen upstream, and prefill that waited there.
+    double load = 0;
     double pending_ms = 0;
-    double own_prefill_ms = 0;
+    /// Part of a request's time on its upstream until the answer begins.
+    double begin_share = 0.25;
     /// Part of the prompt that was expected not to be cached.
     double uncached_share = 1;
 };
