--- a/packages/policy/model_choice.cpp
+++ b/packages/policy/model_choice.cpp
@@ -17,14 +17,9 @@
     return answer_worth(quality, on_time_probability(expected, left, settings), settings);
 }
 
-// The value that prompts waiting on the upstream lose: each is delayed by the prefill, and a delay of the
-// whole latency target makes its answer late. Streams that run already are hardly delayed, since engines
-// prefill in chunks between their tokens.
-double delay_cost(const model_situation& situation, const model_terms& terms,
-                  const model_choice_settings& settings) {
-    const double target = std::max(core::to_seconds(situation.latency_target), 0.001);
-    return settings.answer_value * (1 - settings.late_value) * terms.waiting *
-           core::to_seconds(terms.own_prefill) / target;
+// The value that other requests on the upstream lose.
+double delay_cost(const model_terms& terms, const model_choice_settings& settings) {
+    return settings.answer_value * (1 - settings.late_value) * terms.delayed;
 }
 
 struct best_step {
@@ -43,7 +38,7 @@
                      core::milliseconds sent, int drops_left, const model_choice_settings& settings) {
     const auto& terms = situation.terms[model];
     const auto expected = terms.expected + settings.base_time;
-    double worth = -situation.read_share * terms.cost - delay_cost(situation, terms, settings);
+    double worth = -situation.read_share * terms.cost - delay_cost(terms, settings);
     for (std::size_t range = 0; range < confidence_ranges; ++range) {
         if (shares[range] > 0) {
             worth += shares[range] * best_after(situation, model, range_quality(range), range,
--- a/packages/policy/model_choice.h
+++ b/packages/policy/model_choice.h
@@ -31,12 +31,10 @@
 struct model_terms {
     /// Cost of an answer of this request's size, relative to the largest model's.
     double cost = 1;
-    /// Time from the send to the first byte, and the part of it that the request itself causes, by which it
-    /// delays the other requests on the upstream.
+    /// Time from the send to the first byte.
     core::milliseconds expected{0};
-    core::milliseconds own_prefill{0};
-    /// Prompts that wait on the upstream.
-    double waiting = 0;
+    /// Number of other requests that the request makes late, in answers of its own size.
+    double delayed = 0;
     /// Whether an upstream of the model can take the request.
     bool has_capacity = true;
 };
--- a/packages/relay/forward_model.cpp
+++ b/packages/relay/forward_model.cpp
@@ -42,8 +42,8 @@
         auto terms = expected_terms(route_.models[i], costs[i]);
         if (i > 0) {
             // A model without samples isn't faster than a smaller one.
-            terms.own_prefill = std::max(terms.own_prefill, situation.terms.back().own_prefill);
             terms.expected = std::max(terms.expected, situation.terms.back().expected);
+            terms.delayed = std::max(terms.delayed, situation.terms.back().delayed);
         }
         situation.terms.push_back(terms);
     }
@@ -62,12 +62,24 @@
         policy::prefill_ms(node_.prefill, model, recent.uncached_share * double(prompt_tokens()));
     policy::model_terms terms;
     terms.cost = cost;
-    terms.own_prefill = core::milliseconds(std::int64_t(own));
     terms.expected = core::milliseconds(std::int64_t(recent.pending_ms + own));
-    terms.waiting = recent.load * recent.begin_share;
+    terms.delayed = delayed_requests(model, recent.load);
     return terms;
 }
 
+// Returns how many of the requests on an upstream another one of usual size makes late: those that wait for
+// their first byte are delayed by its prefill. Running streams hardly are, since engines prefill in chunks
+// between their tokens. A larger request delays them longer, but its answer is worth more in proportion.
+double forward_run::delayed_requests(const std::string& model, double load) const {
+    const auto found = node_.recent.find(service_);
+    if (found == node_.recent.end()) {
+        return 0;
+    }
+    const auto& recent = found->second;
+    return load * recent.begin_share * policy::prefill_ms(node_.prefill, model, recent.uncached_tokens) /
+           std::max(recent.latency_target_ms, 1.0);
+}
+
 double forward_run::read_share() const {
     const double read = read_token_cost * double(prompt_tokens());
     const double all = read + double(estimated_tokens() - prompt_tokens());
@@ -96,8 +108,11 @@
     average(recent.load, choice_.load);
     const double whole = policy::prefill_ms(node_.prefill, model_, double(prompt_tokens()));
     if (whole > 0) {
-        average(recent.uncached_share, std::min(choice_.own_prefill_ms / whole, 1.0));
+        const double share = std::min(choice_.own_prefill_ms / whole, 1.0);
+        average(recent.uncached_share, share);
+        average(recent.uncached_tokens, share * double(prompt_tokens()));
     }
+    average(recent.latency_target_ms, double(route_.latency_target.count()));
 }
 
 // Of the requests on an upstream, this share waits for the first byte and is delayed by further prompts.
@@ -142,9 +157,8 @@
     model_ = route_.models.at(wanted->model);
     const auto choice = choose_upstream();
     auto& terms = situation.terms.at(wanted->model);
-    terms.own_prefill = core::milliseconds(std::int64_t(choice.own_prefill_ms));
     terms.expected = core::milliseconds(std::int64_t(choice.pending_ms + choice.own_prefill_ms));
-    terms.waiting = choice.load * node_.recent[service_].begin_share;
+    terms.delayed = delayed_requests(route_.models.at(wanted->model), choice.load);
     terms.has_capacity = !choice.id.empty();
     situation.elapsed = core::to_ms(boot_now() - arrived_);
     const auto next = policy::next_model(situation, answered, *head.confidence, {}, 1);
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -45,6 +45,7 @@
     std::string first_model();
     policy::model_situation make_model_situation() const;
     policy::model_terms expected_terms(const std::string& model, double cost) const;
+    double delayed_requests(const std::string& model, double load) const;
     double read_share() const;
     int drops_left() const;
     void record_send_load();
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -105,6 +105,8 @@
     double begin_share = 0.25;
     /// Part of the prompt that was expected not to be cached.
     double uncached_share = 1;
+    double uncached_tokens = 0;
+    double latency_target_ms = 1000;
 };
 
 /// The state that the coroutines of one relay node share. The node runs on one thread, so there are no locks.
--- a/test/correctness/model_choice_test.cpp
+++ b/test/correctness/model_choice_test.cpp
@@ -21,9 +21,7 @@
 model_situation calm_situation(const model_evidence& evidence = {}) {
     model_situation situation;
     situation.forecast = forecast_of(evidence);
-    situation.terms = {{0.07, milliseconds(10), milliseconds(10)},
-                       {0.5, milliseconds(30), milliseconds(30)},
-                       {1, milliseconds(100), milliseconds(100)}};
+    situation.terms = {{0.07, milliseconds(10)}, {0.5, milliseconds(30)}, {1, milliseconds(100)}};
     situation.latency_target = milliseconds(2000);
     situation.drops_left = 2;
     return situation;
@@ -76,7 +74,7 @@
     // Each repeated prompt delays those that wait on the upstream.
     auto situation = calm_situation();
     REQUIRE(next_of(situation, 0, 60) == 2);
-    situation.terms[2].waiting = 40;
+    situation.terms[2].delayed = 1;
     CHECK_FALSE(next_of(situation, 0, 60).has_value());
 }
 
@@ -85,7 +83,7 @@
     auto situation = calm_situation();
     situation.drops_left = 0;
     CHECK(first_of(situation) == 2);
-    situation.terms[2].waiting = 60;
+    situation.terms[2].delayed = 2;
     CHECK(first_of(situation) != 2);
 }
 
@@ -147,8 +145,8 @@
         better.elapsed = worse.elapsed;
         better.terms[2].expected = milliseconds(*rc::gen::inRange(0, 5000));
         worse.terms[2].expected = better.terms[2].expected + milliseconds(*rc::gen::inRange(0, 5000));
-        better.terms[2].waiting = *rc::gen::inRange(0, 50);
-        worse.terms[2].waiting = better.terms[2].waiting + *rc::gen::inRange(0, 50);
+        better.terms[2].delayed = 0.1 * *rc::gen::inRange(0, 50);
+        worse.terms[2].delayed = better.terms[2].delayed + 0.1 * *rc::gen::inRange(0, 50);
         better.drops_left = *rc::gen::inRange(0, 3);
         worse.drops_left = *rc::gen::inRange(0, better.drops_left + 1);
         const int confidence = *rc::gen::inRange(0, 101);
