--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -18,6 +18,7 @@
 #include "policy/cold_limits.h"
 #include "policy/crash_ledger.h"
 #include "policy/memory_budget.h"
+#include "policy/model_evidence.h"
 #include "policy/named_limits.h"
 #include "policy/prefill.h"
 #include "policy/relay_choice.h"
@@ -104,6 +105,19 @@
     bool alive = false;
 };
 
+/// Averages over this node's last sends to a service.
+struct recent_sends {
+    /// Requests on the chosen upstream, and prefill that waited there.
+    double load = 0;
+    double pending_ms = 0;
+    /// Part of a request's time on its upstream until the answer begins.
+    double begin_share = 0.25;
+    /// Part of the prompt that was expected not to be cached.
+    double uncached_share = 1;
+    double uncached_tokens = 0;
+    double latency_target_ms = 1000;
+};
+
 /// The state that the coroutines of one relay node share. The node runs on one thread, so there are no locks.
 /// No reference into a container may be held across a suspension.
 struct relay_state {
@@ -154,6 +168,9 @@
     policy::pace_table upstream_paces;
     policy::usual_times usual_first_bytes;
     policy::stream_paces paces;
+    policy::model_evidence model_answers;
+    /// By service.
+    std::map<std::string, recent_sends> recent;
     policy::prefix_cache_index prefixes;
     policy::health_table health;
     /// Time until which upstreams that reported to be full get no requests.
