--- a/packages/core/settings.cpp
+++ b/packages/core/settings.cpp
@@ -67,6 +67,7 @@
     reader.duration("idle_timeout_ms", 100, max_ms, into.limits.idle_timeout);
     reader.duration("write_timeout_ms", 100, max_ms, into.limits.write_timeout);
     reader.integer("connections", 1, 1000000, into.limits.connections);
+    reader.integer("memory_mb", 16, 1 << 20, into.limits.memory_mb);
 }
 
 void read_rest(const toml::table& root, settings& into, std::optional<error>& first) {
--- a/packages/core/settings.h
+++ b/packages/core/settings.h
@@ -73,6 +73,8 @@
     std::chrono::milliseconds idle_timeout{60000};
     std::chrono::milliseconds write_timeout{10000};
     std::int64_t connections = 10000;
+    /// Memory that the process may use. Connections and bodies may take a quarter each.
+    std::int64_t memory_mb = 2048;
 };
 
 /// Section `[log]`.
--- a/packages/node/error_reply.cpp
+++ b/packages/node/error_reply.cpp
@@ -14,6 +14,8 @@
     case 413:
     case 431:
         return error_kind::payload_too_large;
+    case 503:
+        return error_kind::overloaded;
     case 500:
         return error_kind::internal;
     default:
--- a/packages/node/node.cpp
+++ b/packages/node/node.cpp
@@ -108,6 +108,8 @@
     limits.idle_timeout = settings.limits.idle_timeout;
     limits.write_timeout = settings.limits.write_timeout;
     limits.connections = static_cast<std::size_t>(settings.limits.connections);
+    limits.memory = std::make_shared<policy::memory_budget>(
+        policy::divide_memory(static_cast<std::size_t>(settings.limits.memory_mb) * 1024 * 1024));
     return limits;
 }
 
