--- a/packages/adapters/http_server.h
+++ b/packages/adapters/http_server.h
@@ -10,26 +10,31 @@
 #include <boost/asio/spawn.hpp>
 
 #include "adapters/http_types.h"
+#include "policy/memory_budget.h"
 
 namespace figspoke::adapters {
 
-/// The server's side of one request: sends one whole answer, or one streamed answer.
+/// The server's side of one request: sends one whole answer, or one streamed
+/// answer.
 class http_exchange {
   public:
     virtual ~http_exchange() = default;
 
     virtual const http_request& request() const = 0;
 
-    /// Sends a whole answer. Returns false where the caller is gone or reads too slowly.
+    /// Sends a whole answer. Returns false where the caller is gone or reads too
+    /// slowly.
     virtual bool send(const http_reply& reply) = 0;
 
     /// Begins a streamed answer with the reply's status and headers.
     virtual bool begin_stream(const http_reply& head) = 0;
 
-    /// Sends a piece of a streamed answer. Returns false where the caller is gone or reads too slowly.
+    /// Sends a piece of a streamed answer. Returns false where the caller is gone
+    /// or reads too slowly.
     virtual bool write(std::string_view piece) = 0;
 
-    /// Ends a streamed answer. Without this call the connection is closed in mid-answer.
+    /// Ends a streamed answer. Without this call the connection is closed in
+    /// mid-answer.
     virtual bool end_stream() = 0;
 
     /// The coroutine that serves this exchange, for calls that suspend it.
@@ -49,15 +54,20 @@
     /// Time that a caller may take to read a piece of an answer.
     std::chrono::milliseconds write_timeout{10000};
     std::size_t connections = 10000;
+    /// Memory for connections and bodies; null if it isn't bounded.
+    std::shared_ptr<policy::memory_budget> memory;
 };
 
-/// Renders the body of an error that the server itself reports: too large, too slow or malformed.
+/// Renders the body of an error that the server itself reports: too large, too
+/// slow or malformed.
 using http_error_body = std::function<http_reply(int status, std::string_view what)>;
 
-/// An HTTP/1.1 server. Each connection is served by a coroutine on the context's threads.
+/// An HTTP/1.1 server. Each connection is served by a coroutine on the
+/// context's threads.
 class http_server {
   public:
-    /// Binds to `IP:port` (port 0 picks one). Throws `std::runtime_error` where that fails.
+    /// Binds to `IP:port` (port 0 picks one). Throws `std::runtime_error` where
+    /// that fails.
     http_server(boost::asio::io_context& context, const std::string& address, http_handler handler,
                 http_error_body error_body, http_server_limits limits = {});
     ~http_server();
