--- a/packages/relay/forward_model.cpp
+++ b/packages/relay/forward_model.cpp
@@ -63,21 +63,14 @@
     policy::model_terms terms;
     terms.cost = cost;
     terms.expected = core::milliseconds(std::int64_t(recent.pending_ms + own));
-    terms.delayed = delayed_requests(model, recent.load);
+    terms.delayed = delayed_requests(terms.expected);
     return terms;
 }
 
-// Returns how many of the requests on an upstream another one of usual size makes late: those that wait for
-// their first byte are delayed by its prefill. Running streams hardly are, since engines prefill in chunks
-// between their tokens. A larger request delays them longer, but its answer is worth more in proportion.
-double forward_run::delayed_requests(const std::string& model, double load) const {
-    const auto found = node_.recent.find(service_);
-    if (found == node_.recent.end()) {
-        return 0;
-    }
-    const auto& recent = found->second;
-    return load * recent.begin_share * policy::prefill_ms(node_.prefill, model, recent.uncached_tokens) /
-           std::max(recent.latency_target_ms, 1.0);
+// Returns how many other requests a send makes late: as many wait behind it as the waiting prefill holds of
+// its own, and each of them is delayed by the latter.
+double forward_run::delayed_requests(core::milliseconds expected) const {
+    return core::to_seconds(expected) / std::max(core::to_seconds(route_.latency_target), 0.001);
 }
 
 double forward_run::read_share() const {
@@ -105,21 +98,10 @@
     }
     auto& recent = node_.recent[service_];
     average(recent.pending_ms, choice_.pending_ms);
-    average(recent.load, choice_.load);
     const double whole = policy::prefill_ms(node_.prefill, model_, double(prompt_tokens()));
     if (whole > 0) {
         const double share = std::min(choice_.own_prefill_ms / whole, 1.0);
         average(recent.uncached_share, share);
-        average(recent.uncached_tokens, share * double(prompt_tokens()));
-    }
-    average(recent.latency_target_ms, double(route_.latency_target.count()));
-}
-
-// Of the requests on an upstream, this share waits for the first byte and is delayed by further prompts.
-void forward_run::record_begin_share(core::milliseconds total) {
-    if (!sent_model_.empty() && send_head_after_ && total.count() > 0) {
-        average(node_.recent[service_].begin_share,
-                std::min(double(send_head_after_->count()) / double(total.count()), 1.0));
     }
 }
 
@@ -158,7 +140,7 @@
     const auto choice = choose_upstream();
     auto& terms = situation.terms.at(wanted->model);
     terms.expected = core::milliseconds(std::int64_t(choice.pending_ms + choice.own_prefill_ms));
-    terms.delayed = delayed_requests(route_.models.at(wanted->model), choice.load);
+    terms.delayed = delayed_requests(terms.expected);
     terms.has_capacity = !choice.id.empty();
     situation.elapsed = core::to_ms(boot_now() - arrived_);
     const auto next = policy::next_model(situation, answered, *head.confidence, {}, 1);
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -45,11 +45,10 @@
     std::string first_model();
     policy::model_situation make_model_situation() const;
     policy::model_terms expected_terms(const std::string& model, double cost) const;
-    double delayed_requests(const std::string& model, double load) const;
+    double delayed_requests(core::milliseconds expected) const;
     double read_share() const;
     int drops_left() const;
     void record_send_load();
-    void record_begin_share(core::milliseconds total);
     void record_confidence(const answer_head& head);
     bool drop_for_larger_model(const answer_head& head);
 
@@ -92,7 +91,7 @@
     bool write_to_caller(const begun_answer& answer, const std::string& bytes);
     bool begin_answer(const begun_answer& answer);
     next_step finish_stream(const state::upstream_entry& entry, begun_answer& answer,
-                            event_splitter& splitter, core::steady_time sent_at);
+                            event_splitter& splitter);
     next_step reject_continuation(const state::upstream_entry& entry, const std::string& cause);
     next_step handle_send_failure(const state::upstream_entry& entry, const attempt_failure& failure);
 
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -237,7 +237,7 @@
             record_result(entry, true, sent_at);
         }
         if (piece->empty()) {
-            return finish_stream(entry, answer, splitter, sent_at);
+            return finish_stream(entry, answer, splitter);
         }
         const auto events = splitter.feed(*piece);
         if (continues_stream_ && !std::all_of(events.begin(), events.end(), may_continue_stream)) {
@@ -308,7 +308,7 @@
 }
 
 forward_run::next_step forward_run::finish_stream(const state::upstream_entry& entry, begun_answer& answer,
-                                                  event_splitter& splitter, core::steady_time sent_at) {
+                                                  event_splitter& splitter) {
     const bool cut =
         (continues_stream_ || answer.link->ends_with_connection()) && !splitter.incomplete_event().empty();
     if (cut) {
@@ -318,7 +318,6 @@
     release_link(node_, entry.id, answer);
     record_sound_request();
     learn_pace(entry);
-    record_begin_share(core::to_ms(boot_now() - sent_at));
     history_.sends.push_back({entry.id, policy::send_result::succeeded});
     bool written = begin_answer(answer);
     const bool rest_held = route_.retry == state::retry_policy::resumable;
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -98,15 +98,10 @@
 
 /// Averages over this node's last sends to a service.
 struct recent_sends {
-    /// Requests on the chosen upstream, and prefill that waited there.
-    double load = 0;
+    /// Prefill that waited on the chosen upstream.
     double pending_ms = 0;
-    /// Part of a request's time on its upstream until the answer begins.
-    double begin_share = 0.25;
     /// Part of the prompt that was expected not to be cached.
     double uncached_share = 1;
-    double uncached_tokens = 0;
-    double latency_target_ms = 1000;
 };
 
 /// The state that the coroutines of one relay node share. The node runs on one thread, so there are no locks.
