--- a/packages/relay/forward_admission.cpp
+++ b/packages/relay/forward_admission.cpp
@@ -1,6 +1,7 @@
 #include "relay/forward_run.h"
 
 #include "core/hash.h"
+#include "policy/model_choice.h"
 #include "relay/boot_clock.h"
 
 namespace figspoke::relay {
@@ -41,8 +42,8 @@
     fingerprints_ = make_fingerprints();
     history_.retry = route_.retry;
     history_.max_attempts = route_.max_attempts;
-    service_draw_ = draw(node_);
     model_ = first_model();
+    service_draw_ = draw(node_);
     return std::nullopt;
 }
 
@@ -90,4 +91,11 @@
     deadline_ = arrived_ + std::max(wait - answer_margin, answer_margin);
 }
 
+std::string forward_run::first_model() const {
+    if (route_.models.empty() || !request_.any_model) {
+        return {};
+    }
+    return route_.models.at(policy::first_model_index(route_.models.size()));
+}
+
 } // namespace figspoke::relay
--- a/packages/relay/forward_log.cpp
+++ b/packages/relay/forward_log.cpp
@@ -60,8 +60,8 @@
         line["prompt_tokens"] = prompt_tokens();
         line["wanted_tokens"] = estimated_tokens() - prompt_tokens();
     }
-    if (dropped_confidence_) {
-        line["confidence"] = *dropped_confidence_;
+    if (confidence_) {
+        line["confidence"] = *confidence_;
         line["expected_larger_ms"] = expected_larger_ms_;
     }
     if (request_.prompt.size() > 1) {
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -3,7 +3,6 @@
 #include <nlohmann/json.hpp>
 
 #include "policy/answer_progress.h"
-#include "policy/model_choice.h"
 #include "policy/relay_outcome.h"
 #include "relay/caller_connection.h"
 #include "relay/candidates.h"
@@ -40,17 +39,7 @@
     std::optional<core::error> resolve_route();
     static core::error lookup_error(bool current, core::error_kind kind, const std::string& what);
     void set_deadline();
-
-    // Choice of a model.
-    std::string first_model();
-    policy::model_situation make_model_situation() const;
-    policy::model_terms expected_terms(const std::string& model, double cost) const;
-    double delayed_requests(core::milliseconds expected) const;
-    double read_share() const;
-    int drops_left() const;
-    void record_send_load();
-    void record_confidence(const answer_head& head);
-    bool drop_for_larger_model(const answer_head& head);
+    std::string first_model() const;
 
     // Choice of an upstream, and waiting for capacity.
     upstream_requirements requirements_for(bool target_version) const;
@@ -81,6 +70,7 @@
     next_step handle_answer(const state::upstream_entry& entry, begun_answer& answer,
                             core::steady_time sent_at);
     next_step handle_refusal(const state::upstream_entry& entry, begun_answer& answer);
+    bool drop_for_larger_model(const answer_head& head);
     next_step forward_whole_answer(const state::upstream_entry& entry, begun_answer& answer,
                                    core::steady_time sent_at);
     bool can_repeat_failure() const;
@@ -154,10 +144,9 @@
     bool counted_in_budget_ = false;
     use_guard* use_ = nullptr;
     double pending_ms_ = 0;
-    /// Confidence of the present send's answer, and of the answer that was dropped for it.
+    std::optional<int> confidence_;
+    /// Confidence of the present send's answer.
     std::optional<int> send_confidence_;
-    std::optional<int> dropped_confidence_;
-    std::string dropped_model_;
     std::int64_t expected_larger_ms_ = 0;
     std::string model_;
     /// Model of the present send; `model_` may already be the model of the next attempt.
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "policy/model_choice.h"
 #include "policy/prefill.h"
 #include "policy/session_pins.h"
 #include "relay/boot_clock.h"
@@ -75,7 +76,6 @@
     pending_ms_ = choice_.pending_ms;
     const double prefill = choice_.own_prefill_ms;
     sent_model_ = model_;
-    record_send_load();
     use_guard use(node_, entry.id, service_, {estimated_tokens(), prefill, rank_});
     use_ = &use;
     policy::record_prefixes(node_.prefixes, entry.id, shared_segments(), boot_now());
@@ -153,7 +153,7 @@
     }
     ++version_counts_of(entry).sent;
     record_session(entry);
-    record_confidence(answer.head);
+    send_confidence_ = answer.head.confidence;
     if (drop_for_larger_model(answer.head)) {
         history_.sends.push_back({entry.id, policy::send_result::failed});
         answer.link->close();
@@ -183,6 +183,35 @@
     return next_step::retry;
 }
 
+// Selects a larger model and drops the answer if its confidence justifies that. Possible only while the
+// caller has received nothing of the answer.
+bool forward_run::drop_for_larger_model(const answer_head& head) {
+    if (answer_started_ || model_.empty() || !head.confidence || head.status != 200 || !attempts_remain()) {
+        return false;
+    }
+    const auto larger = policy::escalation_model_index(route_.models, model_);
+    if (!larger) {
+        return false;
+    }
+    const auto answered = std::exchange(model_, route_.models.at(*larger));
+    const auto choice = choose_upstream();
+    const policy::escalation_input input{
+        *head.confidence,
+        core::to_ms(boot_now() - arrived_),
+        core::milliseconds(std::int64_t(choice.pending_ms + choice.own_prefill_ms)),
+        route_.latency_target,
+        !choice.id.empty(),
+        policy::may_repeat_optionally(node_.budgets[service_], budget_settings(), node_.peers->size(),
+                                      boot_now())};
+    const bool escalate = policy::should_escalate(input, {});
+    if (!escalate) {
+        model_ = answered;
+    }
+    confidence_ = *head.confidence;
+    expected_larger_ms_ = input.expected.count();
+    return escalate;
+}
+
 forward_run::next_step forward_run::forward_whole_answer(const state::upstream_entry& entry,
                                                          begun_answer& answer, core::steady_time sent_at) {
     auto body =
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -15,7 +15,6 @@
 #include "adapters/wakeup.h"
 #include "core/relay_settings.h"
 #include "policy/crash_ledger.h"
-#include "policy/model_evidence.h"
 #include "policy/named_limits.h"
 #include "policy/prefill.h"
 #include "policy/relay_choice.h"
@@ -96,14 +95,6 @@
     bool alive = false;
 };
 
-/// Averages over this node's last sends to a service.
-struct recent_sends {
-    /// Prefill that waited on the chosen upstream.
-    double pending_ms = 0;
-    /// Part of the prompt that was expected not to be cached.
-    double uncached_share = 1;
-};
-
 /// The state that the coroutines of one relay node share. The node runs on one thread, so there are no locks.
 /// No reference into a container may be held across a suspension.
 struct relay_state {
@@ -146,9 +137,6 @@
     std::map<std::string, upstream_probe> probes;
     policy::prefill_rates prefill;
     policy::stream_paces paces;
-    policy::model_evidence model_answers;
-    /// By service.
-    std::map<std::string, recent_sends> recent;
     policy::prefix_cache_index prefixes;
     policy::health_table health;
     /// Time until which upstreams that reported to be full get no requests.
--- a/test/correctness/relay_placement_test.cpp
+++ b/test/correctness/relay_placement_test.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <random>
 
+#include "policy/model_choice.h"
 #include "policy/prefill.h"
 #include "policy/relay_choice.h"
 #include "support/test_time.h"
@@ -148,3 +149,46 @@
     CHECK(cached_tokens(memory, "other", {{1, 100}}, at(10)) == 0);
     CHECK(cached_tokens(memory, "e", {{1, 100}}, at(60000)) == 0);
 }
+
+TEST_CASE("an answer is escalated only while the larger model is expected to answer in time") {
+    // With a fixed threshold, every answer of low confidence would add a long prompt to queues that grow
+    // already.
+    const model_choice_settings settings;
+    escalation_input input{20, milliseconds(100), milliseconds(200), milliseconds(2000)};
+    CHECK(should_escalate(input, settings));
+    input.expected = milliseconds(2500);
+    CHECK_FALSE(should_escalate(input, settings));
+    input = {80, milliseconds(0), milliseconds(0), milliseconds(2000)};
+    CHECK_FALSE(should_escalate(input, settings));
+}
+
+TEST_CASE("an answer is not dropped where the larger model lacks capacity or budget") {
+    // When every engine of the larger model is full, its expected time is zero, so without these checks
+    // answers would be dropped that nothing can replace.
+    escalation_input input{20, milliseconds(0), milliseconds(0), milliseconds(2000)};
+    REQUIRE(should_escalate(input, {}));
+    input.has_capacity = false;
+    CHECK_FALSE(should_escalate(input, {}));
+    input.has_capacity = true;
+    input.within_budget = false;
+    CHECK_FALSE(should_escalate(input, {}));
+}
+
+TEST_CASE("the escalation threshold never rises with the expected time") {
+    CHECK(rc::check([] {
+        escalation_input input{0, milliseconds(0), milliseconds(0), milliseconds(2000)};
+        const int shorter = *rc::gen::inRange(0, 5000);
+        const int longer = shorter + *rc::gen::inRange(0, 5000);
+        input.expected = milliseconds(shorter);
+        const double before = escalation_threshold(input, {});
+        input.expected = milliseconds(longer);
+        RC_ASSERT(escalation_threshold(input, {}) <= before);
+    }));
+}
+
+TEST_CASE("an answer is escalated to the largest model, and that model's answers are not") {
+    CHECK(escalation_model_index({"s", "m", "l"}, "s") == 2);
+    CHECK_FALSE(escalation_model_index({"s", "m", "l"}, "l").has_value());
+    CHECK_FALSE(escalation_model_index({"s"}, "s").has_value());
+    CHECK_FALSE(escalation_model_index({"s", "l"}, "unknown").has_value());
+}
