Take contention out again and switch on placement by settings

Cause: joined, the parts serve fewer callers than before on some deployments. Learned speeds, stated loads, paces and grants of engine memory are switched on by [placement], off by default.

--- a/packages/core/relay_settings.cpp
+++ b/packages/core/relay_settings.cpp
@@ -11,7 +11,8 @@
 namespace figspoke::core {
 namespace {
 
-const std::set<std::string> known_sections = {"node", "regions", "listen", "peers", "store", "bounds", "log"};
+const std::set<std::string> known_sections = {"node",      "regions", "listen", "peers",
+                                              "placement", "store",   "bounds", "log"};
 
 void read_places(const toml::table& root, relay_settings& into, std::optional<error>& first) {
     section_reader node(root, "node", first);
@@ -47,6 +48,14 @@
     }
 }
 
+void read_placement(const toml::table& root, relay_placement& into, std::optional<error>& first) {
+    section_reader reader(root, "placement", first);
+    reader.flag("learned_speeds", into.learned_speeds);
+    reader.flag("stated_loads", into.stated_loads);
+    reader.flag("paces", into.paces);
+    reader.flag("memory_grants", into.memory_grants);
+}
+
 void read_bounds(const toml::table& root, relay_bounds& into, std::optional<error>& first) {
     constexpr double most_seconds = 3600;
     constexpr std::int64_t most_ms = 3600 * 1000;
@@ -74,6 +83,7 @@
         read_places(root, parsed, first);
         read_regions(root, parsed.regions, first);
         read_bounds(root, parsed.bounds, first);
+        read_placement(root, parsed.placement, first);
         section_reader log(root, "log", first);
         log.choice("level", {"debug", "info", "warn", "error"}, parsed.log_level);
     };
--- a/packages/core/relay_settings.h
+++ b/packages/core/relay_settings.h
@@ -48,6 +48,18 @@
     milliseconds drain{2000};
 };
 
+/// Parts of the placement of requests that are switched on where upstreams call for them.
+struct relay_placement {
+    /// Weighs upstreams by the speed that their answers show, where speeds within a service differ.
+    bool learned_speeds = false;
+    /// Corrects the load of plain upstreams by what they state in their answers.
+    bool stated_loads = false;
+    /// Raises the requests of an upstream that has just started or recovered with the pace of its answers.
+    bool paces = false;
+    /// Grants the memory of a model engine to nodes that are about to choose it, in a large fleet.
+    bool memory_grants = false;
+};
+
 /// Settings of a relay node.
 struct relay_settings {
     std::string node_id;
@@ -65,6 +77,7 @@
     /// Descriptors that the process may hold.
     std::int64_t descriptors = 4096;
     relay_bounds bounds;
+    relay_placement placement;
     std::string log_level = "info";
 };
 
--- a/packages/policy/rollout_verdict.h
+++ b/packages/policy/rollout_verdict.h
@@ -25,7 +25,7 @@
     double min_answers_for_good = 30;
     /// Cumulative sum of the log likelihood ratio from which a version has turned bad. It is above
     /// `threshold`, since the sum starts anew with each run of failures of a good version.
-    double trend_threshold = 8;
+    double trend_threshold = 10;
 };
 
 /// Detects that a version turns bad after it was good, for example once it gets the whole load. In the total
--- a/packages/relay/candidates.cpp
+++ b/packages/relay/candidates.cpp
@@ -59,6 +59,9 @@
 
 std::vector<double> times_of(const relay_state& node, const std::vector<policy::relay_candidate>& candidates,
                              policy::speed_measure measure, core::steady_time now) {
+    if (!node.settings.placement.learned_speeds) {
+        return std::vector<double>(candidates.size(), 1.0);
+    }
     std::vector<std::optional<policy::known_speed>> speeds;
     speeds.reserve(candidates.size());
     for (const auto& candidate : candidates) {
@@ -78,7 +81,7 @@
     candidate.load = use.requests;
     // Prompts run for seconds, in which heartbeats bring a better count than a statement that misses what was
     // sent since.
-    if (!kept && requirements.prompt_tokens == 0) {
+    if (node.settings.placement.stated_loads && !kept && requirements.prompt_tokens == 0) {
         const auto own = own_requests(node, entry.id);
         const auto stated = node.stated_loads.find(entry.id);
         candidate.load = own + policy::estimate_peer_requests(use.requests - own,
@@ -214,7 +217,9 @@
     for (std::size_t i = 0; i < settings.owners + settings.others; ++i) {
         draws.push_back(draw(node));
     }
-    const auto wanted = engine_memory(node, requirements.service) > 0 ? requirements.tokens : std::int64_t(0);
+    const bool granted =
+        node.settings.placement.memory_grants && engine_memory(node, requirements.service) > 0;
+    const auto wanted = granted ? requirements.tokens : std::int64_t(0);
     const auto asked = policy::shortlist(placement.prefix, untried, draws, settings);
     node.aggregators->query(asked, wanted, placement.prefix == 0 ? plain_query_timeout : prompt_query_timeout,
                             yield);
--- a/packages/relay/forward_choice.cpp
+++ b/packages/relay/forward_choice.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "core/hash.h"
-#include "policy/prefill.h"
 #include "policy/rollout_plan.h"
 #include "policy/session_pins.h"
 #include "relay/boot_clock.h"
@@ -13,18 +12,11 @@
 
 // Interval at which a queued request looks for capacity when no event wakes it.
 constexpr core::milliseconds queue_poll_interval{25};
-// Interval at which one that is not next looks whether it is still worth waiting, in a long queue.
-constexpr core::milliseconds queue_check_interval{100};
-constexpr std::size_t long_queue = 16;
-// Sends that reached no upstream after which one that is suspected to be down isn't tried any more.
-constexpr int max_unsent_last_resorts = 2;
-// Callers abandon a stream after the longest of these: a fixed time, a multiple of the latency target and a
-// multiple of the longest pause that is on time.
-constexpr core::milliseconds min_stream_patience{2000};
-constexpr int patience_targets = 4;
-constexpr int patience_gaps = 8;
-// Work of a generated token, in tokens that are read.
-constexpr double output_token_weight = 10;
+// Maximum wait for capacity, as a fraction of the latency target.
+constexpr double max_stream_wait_fraction = 0.6;
+constexpr double max_plain_wait_fraction = 1.0;
+// Callers abandon a stream after a pause of two seconds or more.
+constexpr core::milliseconds max_stream_gap{2000};
 
 } // namespace
 
@@ -150,159 +142,53 @@
         policy::count_request(node_.budgets[service_], budget_settings(), boot_now());
         counted_in_budget_ = true;
     }
-    refusal_ = nullptr;
     if (policy::waiting_count(node_.queue, service_) == 0) {
-        if (auto found = find_capacity()) {
-            return found;
+        choice_ = choose_upstream();
+        if (!choice_.id.empty()) {
+            return find_upstream(choice_.id);
         }
     }
     return wait_in_queue();
 }
 
-// Chooses an upstream that is expected to begin its answer before the deadline.
-std::optional<state::upstream_entry> forward_run::find_capacity() {
-    choice_ = choose_upstream();
-    if (choice_.id.empty()) {
-        return std::nullopt;
-    }
-    // Where upstreams are lost, a request would use up its attempts on others that are lost too. It waits
-    // until one is found that works.
-    if (route_.streaming && unsent_attempts_ >= max_unsent_last_resorts &&
-        choice_.reason == policy::relay_reason::last_resort) {
-        choice_.reason = policy::relay_reason::none;
-        return std::nullopt;
-    }
-    if (!answer_started_ && expected_head_ms() > double(time_left().count())) {
-        choice_.reason = policy::relay_reason::full;
-        return std::nullopt;
-    }
-    return find_upstream(choice_.id);
-}
-
-double forward_run::expected_head_ms() const {
-    return choice_.pending_ms + choice_.own_prefill_ms;
-}
-
-// Returns whether the present choice begins the answer after the latency target, or it began after it.
-bool forward_run::misses_latency_target() const {
-    const auto target = double(route_.latency_target.count());
-    if (answer_started_) {
-        return double(first_byte_ms_) > target;
-    }
-    return double(core::to_ms(boot_now() - arrived_).count()) + expected_head_ms() > target;
-}
-
 policy::repeat_budget_settings forward_run::budget_settings() const {
     return {node_.settings.bounds.repeat_ratio, node_.settings.bounds.repeat_slack,
             node_.settings.bounds.repeat_window};
 }
 
-double forward_run::run_size() const {
-    const auto out = request_.expected_tokens.value_or(request_.max_tokens);
-    return double(prompt_tokens()) + output_token_weight * double(out);
-}
-
-policy::queued_request forward_run::queue_entry() const {
-    const auto now = boot_now();
-    const auto run = policy::expected_run(node_.runs, route_.name, run_size());
-    policy::queued_request entry;
-    entry.id = id_;
-    entry.rank = rank_;
-    entry.since = now;
-    entry.latency_target = route_.latency_target;
-    entry.account = account_;
-    entry.work = std::max(run, core::milliseconds(1));
-    entry.continues = answer_started_;
-    // A stream is on time by its first event, any other answer by its end.
-    const auto until_on_time =
-        route_.streaming
-            ? core::milliseconds(std::int64_t(policy::prefill_ms(node_.prefill, model_, unshared_tokens())))
-            : run;
-    entry.on_time_until = arrived_ + route_.latency_target - until_on_time;
-    entry.serve_until = deadline_ - run;
-    if (route_.streaming) {
-        const auto patience = std::max({min_stream_patience, route_.latency_target * patience_targets,
-                                        route_.target_gap * patience_gaps});
-        entry.serve_until =
-            std::min(entry.serve_until, (answer_started_ ? now : arrived_) + patience - until_on_time);
-    } else {
-        // Plain upstreams serve in the order of arrival: what is late already would delay the requests of
-        // other nodes that can be on time.
-        entry.serve_until = std::min(entry.serve_until, arrived_ + route_.latency_target);
-    }
-    return entry;
-}
-
-// Adds the request to the queue, where it is full in the place of one of an account that fills it.
-bool forward_run::enter_queue(const policy::queued_request& entry) {
-    const policy::relay_queue_settings settings;
-    if (policy::is_hopeless(node_.queue, settings, service_, entry, boot_now())) {
-        refusal_ = "hopeless";
-        return false;
-    }
-    if (policy::add_waiting(node_.queue, settings, service_, entry)) {
-        return true;
-    }
-    const auto displaced = policy::request_to_displace(node_.queue, service_, entry);
-    if (!displaced) {
-        refusal_ = "queue_full";
-        return false;
-    }
-    policy::remove_waiting(node_.queue, service_, *displaced);
-    if (const auto found = node_.waiting.find(*displaced); found != node_.waiting.end()) {
-        found->second->signal();
-    }
-    return policy::add_waiting(node_.queue, settings, service_, entry);
-}
-
 std::optional<state::upstream_entry> forward_run::wait_in_queue() {
-    const policy::relay_queue_settings settings;
+    // An interrupted stream can't be rejected any more, so its wait starts now and lasts until callers
+    // abandon the stream.
+    const auto queue_deadline =
+        std::min(deadline_, answer_started_ ? boot_now() + max_stream_gap : arrived_ + max_queue_wait());
+    if (is_restricted_until(queue_deadline)) {
+        return std::nullopt;
+    }
     const auto service = service_;
-    const auto entry = queue_entry();
-    if (is_restricted_until(entry.serve_until) || !enter_queue(entry)) {
+    const policy::queued_request waiting{id_, rank_, arrived_, route_.latency_target};
+    if (boot_now() >= queue_deadline || !policy::add_waiting(node_.queue, {}, service, waiting)) {
         return std::nullopt;
     }
-    const auto began = boot_now();
     const auto signal = std::make_shared<adapters::wakeup>(exchange_.yield().get_executor());
     node_.waiting[id_] = signal;
-    report_queue(service);
     std::optional<state::upstream_entry> found;
-    bool was_next = false;
-    while (!exchange_.disconnected() && !ended_by_stop_) {
-        if (!policy::is_waiting(node_.queue, service, id_)) {
-            refusal_ = "displaced";
-            break;
-        }
-        const bool next = policy::next_waiting(node_.queue, settings, service, boot_now()) == id_;
-        if (next && (found = find_capacity())) {
-            break;
+    while (!found && !exchange_.disconnected() && !ended_by_stop_ && boot_now() < queue_deadline) {
+        if (policy::next_waiting(node_.queue, {}, service, boot_now()) == id_) {
+            choice_ = choose_upstream();
+            if (!choice_.id.empty()) {
+                found = find_upstream(choice_.id);
+                break;
+            }
+            if (is_restricted_until(queue_deadline)) {
+                break;
+            }
         }
-        if (next && is_restricted_until(entry.serve_until)) {
-            break;
-        }
-        if (policy::is_hopeless(node_.queue, settings, service, entry, boot_now())) {
-            refusal_ = "hopeless";
-            break;
-        }
-        if (was_next && !next) {
-            wake_next(node_, service);
-        }
-        was_next = next;
-        const bool poll = next || policy::waiting_count(node_.queue, service) < long_queue;
-        const auto pause = std::min<core::nanoseconds>(poll ? queue_poll_interval : queue_check_interval,
-                                                       entry.serve_until - boot_now());
-        signal->wait_until(std::chrono::steady_clock::now() + pause, exchange_.yield());
+        const auto left = std::min<core::nanoseconds>(queue_poll_interval, queue_deadline - boot_now());
+        signal->wait_until(std::chrono::steady_clock::now() + left, exchange_.yield());
     }
-    const auto waited = boot_now() - began;
-    queued_ms_ += core::to_ms(waited).count();
-    node_.metrics.observe("relay_queue_wait_seconds", {{"rank", std::to_string(rank_)}}, waited);
+    queued_ms_ += core::to_ms(boot_now() - arrived_).count();
     node_.waiting.erase(id_);
-    if (found) {
-        policy::start_waiting(node_.queue, settings, service, id_, boot_now());
-    } else {
-        policy::remove_waiting(node_.queue, service, id_);
-    }
-    report_queue(service);
+    policy::remove_waiting(node_.queue, service, id_);
     wake_next(node_, service);
     return found;
 }
@@ -320,9 +206,9 @@
     return restriction_.has_value();
 }
 
-void forward_run::report_queue(const std::string& service) {
-    node_.metrics.set("relay_queue_waiting", {{"service", service}, {"rank", std::to_string(rank_)}},
-                      double(policy::waiting_count(node_.queue, service, rank_)));
+core::milliseconds forward_run::max_queue_wait() const {
+    const double fraction = route_.streaming ? max_stream_wait_fraction : max_plain_wait_fraction;
+    return core::milliseconds(std::int64_t(fraction * double(route_.latency_target.count())));
 }
 
 std::optional<state::upstream_entry> forward_run::find_upstream(const std::string& id) const {
--- a/packages/relay/forward_end.cpp
+++ b/packages/relay/forward_end.cpp
@@ -71,8 +71,6 @@
         error.message = policy::to_string(cause);
     }
     // Other nodes serve a request that is refused because this one stops, so its caller needn't wait.
-    const char* reason = refusal_ != nullptr ? refusal_ : "other";
-    node_.metrics.add("relay_not_served_total", {{"reason", reason}, {"rank", std::to_string(rank_)}});
     if (policy::never_ran(history_) && cause != policy::end_cause::node_stops) {
         error.retry_after = retry_delay();
     }
@@ -88,11 +86,12 @@
                       "refused for crashes");
 }
 
-// Callers return in the order and at the pace at which there is expected to be capacity.
+// Spreads callers' retries over a part of the time until the deadline.
 core::milliseconds forward_run::retry_delay() {
+    const double left = double(std::max<std::int64_t>(core::to_ms(deadline_ - boot_now()).count(), 0));
+    const auto spread =
+        core::milliseconds(std::int64_t(std::min(left * (0.08 + 0.17 * draw(node_)), 1500.0)));
     const auto now = boot_now();
-    const auto spread = policy::return_time(node_.queue, {}, service_, queue_entry(),
-                                            core::to_ms(deadline_ - now), draw(node_), now);
     if (!restriction_ || restriction_->until == core::steady_time::max() || restriction_->until <= now) {
         return spread;
     }
--- a/packages/relay/forward_log.cpp
+++ b/packages/relay/forward_log.cpp
@@ -25,7 +25,6 @@
                          {"head_ms", send_head_after_ ? send_head_after_->count() : -1},
                          {"events", send_events_},
                          {"slow", send_slow_},
-                         {"late", send_late_},
                          {"ms", core::to_ms(boot_now() - sent_at).count()}});
     if (send_confidence_) {
         send_log_.back()["confidence"] = *send_confidence_;
@@ -57,9 +56,6 @@
                            {"first_byte_ms", first_byte_ms_},
                            {"total_ms", total.count()},
                            {"sends", std::move(send_log_)}};
-    if (refusal_ != nullptr) {
-        line["refusal"] = refusal_;
-    }
     if (!sent_model_.empty()) {
         line["prompt_tokens"] = prompt_tokens();
         line["wanted_tokens"] = estimated_tokens() - prompt_tokens();
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -54,15 +54,9 @@
     std::optional<state::upstream_entry> wait_for_upstream();
     policy::repeat_budget_settings budget_settings() const;
     std::optional<state::upstream_entry> wait_in_queue();
+    core::milliseconds max_queue_wait() const;
     request_regions regions() const;
     bool is_restricted_until(core::steady_time end);
-    std::optional<state::upstream_entry> find_capacity();
-    double expected_head_ms() const;
-    bool misses_latency_target() const;
-    double run_size() const;
-    policy::queued_request queue_entry() const;
-    bool enter_queue(const policy::queued_request& entry);
-    void report_queue(const std::string& service);
     std::optional<state::upstream_entry> find_upstream(const std::string& id) const;
     double unshared_tokens() const;
     std::int64_t prompt_tokens() const;
@@ -180,10 +174,6 @@
     std::string end_;
     int status_ = 0;
     std::int64_t queued_ms_ = 0;
-    /// Why the queue did not serve the request; null if it did.
-    const char* refusal_ = nullptr;
-    /// The present send is expected to miss the latency target.
-    bool send_late_ = false;
     /// Whole events that the present send has brought, and the time until the head of its answer.
     std::size_t send_events_ = 0;
     std::optional<core::milliseconds> send_head_after_;
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -70,7 +70,6 @@
     send.model = model_;
     send.last_event_id = last_event_id_ ? last_event_id_ : request_.last_event_id;
     send.rank = rank_;
-    send.late = send_late_;
     plan.headers = node_.protocol.write_send(exchange_.head(), send);
     plan.read_timeout = read_timeout();
     plan.connect_timeout = std::min(connect_timeout, time_left());
@@ -83,9 +82,7 @@
     pending_ms_ = choice_.pending_ms;
     const double prefill = choice_.own_prefill_ms;
     sent_model_ = model_;
-    send_late_ = misses_latency_target();
-    // Late requests come after those of their rank that can be on time, so they count as the next rank.
-    use_guard use(node_, entry.id, service_, {estimated_tokens(), prefill, rank_ + (send_late_ ? 1 : 0)});
+    use_guard use(node_, entry.id, service_, {estimated_tokens(), prefill, rank_});
     use_ = &use;
     policy::record_prefixes(node_.prefixes, entry.id, shared_segments(), boot_now());
     record_upstream_event(node_, entry.id, policy::upstream_event::dispatched);
@@ -118,9 +115,6 @@
     node_.unproven_sends.erase(id_);
     current_link_.reset();
     use_ = nullptr;
-    if (!history_.sends.empty() && history_.sends.back().result == policy::send_result::succeeded) {
-        policy::learn_run(node_.runs, route_.name, core::to_ms(boot_now() - sent_at), run_size());
-    }
     log_send(entry, sent_at);
     return step;
 }
--- a/packages/relay/paces.cpp
+++ b/packages/relay/paces.cpp
@@ -34,6 +34,9 @@
 } // namespace
 
 void begin_upstream_pace(relay_state& node, const std::string& upstream, const char* cause) {
+    if (!node.settings.placement.paces) {
+        return;
+    }
     const auto entry = node.registry.upstreams.find(upstream);
     if (entry == node.registry.upstreams.end()) {
         return;
@@ -62,6 +65,9 @@
 }
 
 void merge_pace_message(relay_state& node, std::string_view bytes) {
+    if (!node.settings.placement.paces) {
+        return;
+    }
     const auto message = decode_pace_message(bytes);
     if (!message) {
         return;
@@ -87,6 +93,9 @@
 }
 
 void apply_pace(const relay_state& node, policy::relay_candidate& candidate, int own_requests) {
+    if (!node.settings.placement.paces) {
+        return;
+    }
     if (asks_load_aggregators(node)) {
         if (const auto kept = node.aggregators->known_load(candidate.id)) {
             if (kept->pace_limit) {
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -24,7 +24,6 @@
 #include "policy/relay_queue.h"
 #include "policy/repeat_budget.h"
 #include "policy/rollout_verdict.h"
-#include "policy/run_time.h"
 #include "policy/session_pins.h"
 #include "policy/stated_load.h"
 #include "policy/stop_plan.h"
@@ -175,7 +174,6 @@
     policy::session_pins sessions;
 
     policy::relay_queue queue;
-    policy::run_times runs;
     std::map<std::uint64_t, std::shared_ptr<adapters::wakeup>> waiting;
     std::uint64_t next_request = 1;
     /// Set once the process was told to stop. It still serves requests, but callers are referred to other
--- a/packages/relay/wire_protocol.h
+++ b/packages/relay/wire_protocol.h
@@ -69,8 +69,6 @@
     std::string model;
     std::optional<std::uint64_t> last_event_id;
     int rank = 0;
-    /// The answer is expected to miss its latency target; the upstream should put others of its rank first.
-    bool late = false;
 };
 
 /// Head of an upstream's answer.
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -606,3 +606,28 @@
     CHECK(std::count_if(records.begin(), records.end(),
                         [](const crash_record& record) { return record.fingerprint == refused; }) == 3);
 }
+
+TEST_CASE("parts of the placement are off until the settings switch them on") {
+    // Guards against a change of placement on a fleet whose settings don't ask for it.
+    const std::string required = R"([node]
+id = "n"
+failure_domain = "d"
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+directory = "127.0.0.1:3"
+peers = "127.0.0.1:4"
+[store]
+address = "127.0.0.1:5"
+)";
+    const auto plain = core::parse_relay_settings(required);
+    REQUIRE(plain.has_value());
+    CHECK_FALSE(plain->placement.learned_speeds);
+    CHECK_FALSE(plain->placement.stated_loads);
+    CHECK_FALSE(plain->placement.paces);
+    CHECK_FALSE(plain->placement.memory_grants);
+    const auto paced = core::parse_relay_settings(required + "[placement]\npaces = true\n");
+    REQUIRE(paced.has_value());
+    CHECK(paced->placement.paces);
+    CHECK_FALSE(paced->placement.learned_speeds);
+}
