Let idle connections of a node give their places to new ones

Cause: the product's own node counted connections before it asked the memory budget, so that callers were kept out by connections that send nothing for as long as their idle timeout. Change: with a budget only the budget decides, whose share already has the limit of connections.

--- a/packages/adapters/http_server.cpp
+++ b/packages/adapters/http_server.cpp
@@ -247,8 +247,7 @@
             // Shared, as the function of a coroutine has to be copyable.
             const auto memory = std::make_shared<policy::memory_reservation>(
                 open_reservation(policy::memory_share::connections));
-            while (acceptor.is_open() && (connections.load() >= limits.connections ||
-                                          !memory->resize(connection_bytes, clock::now()))) {
+            while (acceptor.is_open() && !has_place(*memory)) {
                 asio::steady_timer pause(acceptor.get_executor(), room_pause);
                 pause.async_wait(yield[code]);
             }
@@ -265,6 +264,13 @@
         }
     }
 
+    // Idle connections give their places to new ones only through the budget, so that their number alone must
+    // not keep callers out.
+    bool has_place(policy::memory_reservation& memory) const {
+        return limits.memory ? memory.resize(connection_bytes, clock::now())
+                             : connections.load() < limits.connections;
+    }
+
     policy::memory_reservation open_reservation(policy::memory_share share) const {
         return limits.memory ? limits.memory->open(share) : policy::memory_reservation();
     }
