Judge named limits at the moment of the other restrictions

Cause: the time of the next send within a named limit came from a later reading of the clock, so that every upstream without a limit looked restricted on a node that knew any limit, and its callers got 503. Change: the moment is passed on. Measured: relay_process_tests 'an engine that names a limit' fails with 98 to 102 answers of 503 before (4 of 4 plays), passes after (1 play); the other 51 cases passed in the whole run before this change.

--- a/packages/relay/limits.cpp
+++ b/packages/relay/limits.cpp
@@ -34,11 +34,12 @@
 
 } // namespace
 
-core::steady_time next_send_within_limit(relay_state& node, const std::string& upstream) {
+core::steady_time next_send_within_limit(relay_state& node, const std::string& upstream,
+                                         core::steady_time now) {
     if (node.limits.upstreams.empty()) {
         return core::steady_time::min();
     }
-    return policy::next_send_within_limit(node.limits, {}, upstream, node.peers->sender_place(), boot_now());
+    return policy::next_send_within_limit(node.limits, {}, upstream, node.peers->sender_place(), now);
 }
 
 // A refusal says nothing of the time after it, so that only an answer without a limit ends one.
--- a/packages/relay/limits.h
+++ b/packages/relay/limits.h
@@ -9,7 +9,8 @@
 
 /// Returns the time from which this node may send the next request to an upstream within the limit that it
 /// named; `steady_time::max()` if other nodes send in its place.
-core::steady_time next_send_within_limit(relay_state& node, const std::string& upstream);
+core::steady_time next_send_within_limit(relay_state& node, const std::string& upstream,
+                                         core::steady_time now);
 
 /// Records what an answer says of its upstream's limit, and tells peers where that is news.
 void record_answer_limit(relay_state& node, const std::string& upstream, const answer_head& head);
--- a/packages/relay/restrictions.cpp
+++ b/packages/relay/restrictions.cpp
@@ -77,7 +77,7 @@
         input.cold_send_at = policy::next_cold_send(node.cold, cold_settings(node, entry.service), entry.id,
                                                     node.peers->steady_place(), now);
     }
-    input.named_send_at = next_send_within_limit(node, entry.id);
+    input.named_send_at = next_send_within_limit(node, entry.id, now);
     return policy::restriction_of(input, node.settings.bounds.drain, now);
 }
 
