Judge no restrictions where nothing is restricted

Cause: each choice looked up four tables for every upstream of its service, three times in a large fleet, on nodes with a tenth of a core. Change: a node that knows of no restriction skips the look-ups.

--- a/packages/relay/restrictions.cpp
+++ b/packages/relay/restrictions.cpp
@@ -51,6 +51,14 @@
     node.log.state("upstream_cold", {{"upstream", upstream}, {"source", source}});
 }
 
+// A choice looks at every upstream of a service, and most of the time none is restricted.
+bool restricts_nothing(const relay_state& node, const state::upstream_entry& entry,
+                       const request_regions& regions) {
+    return !entry.draining && regions.of_route.empty() && regions.of_account.empty() &&
+           node.evacuated.empty() && node.notices.upstreams.empty() && node.cold.upstreams.empty() &&
+           node.limits.upstreams.empty();
+}
+
 bool own_network_fails(const relay_state& node) {
     const auto now = boot_now();
     const auto recent =
@@ -66,6 +74,9 @@
 policy::restriction_verdict restriction_now(relay_state& node, const state::upstream_entry& entry,
                                             const request_regions& regions) {
     const auto now = boot_now();
+    if (restricts_nothing(node, entry, regions)) {
+        return {policy::restriction::none, now};
+    }
     policy::restriction_input input;
     input.draining = entry.draining;
     input.allowed_region = (regions.of_route.empty() && regions.of_account.empty()) ||
