--- a/review/kit-2.h
+++ b/review/kit-2.h
@@ -4,6 +4,7 @@
 // figspoke-platform. Each server has a thread for each connection. All addresses are loopback addresses.
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <cctype>
 #include <chrono>
@@ -452,9 +453,26 @@
     /// Called after a write was executed and before its answer is sent, without a lock.
     using write_hook = std::function<void(const json& call)>;
 
-    explicit store(const std::string& ip) : server_(ip, [this](int socket) { serve(socket); }) {}
+    explicit store(const std::string& ip) : ip_(ip) { add_address(); }
 
-    std::string address() const { return server_.address(); }
+    std::string address() const { return doors_.front()->listener->address(); }
+
+    /// Opens a further address, so that a node of its own can be turned away.
+    std::string add_address() {
+        doors_.push_back(std::make_unique<door>());
+        auto& added = *doors_.back();
+        added.listener = std::make_unique<server>(ip_, [this, &added](int socket) { serve(socket, added); });
+        return added.listener->address();
+    }
+
+    /// Answers all calls at an address with 503, as a store that turns some machines away.
+    void turn_away(const std::string& address, bool away) {
+        for (auto& one : doors_) {
+            if (one->listener->address() == address) {
+                one->away = away;
+            }
+        }
+    }
 
     void put(const std::string& key, const json& value) {
         const std::lock_guard lock(mutex_);
@@ -484,12 +502,17 @@
         std::uint64_t revision = 0;
     };
 
-    void serve(int socket) {
+    struct door {
+        std::unique_ptr<server> listener;
+        std::atomic<bool> away{false};
+    };
+
+    void serve(int socket, const door& through) {
         std::string buffer;
         message request;
         while (read_request(socket, buffer, request)) {
-            int status = 200;
-            const auto body = respond(request, status).dump();
+            int status = through.away ? 503 : 200;
+            const auto body = through.away ? std::string("{}") : respond(request, status).dump();
             const auto head = "HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Type: " +
                               "application/json\r\nContent-Length: " + std::to_string(body.size()) +
                               "\r\n\r\n";
@@ -595,7 +618,8 @@
     std::map<std::string, item> items_;
     std::uint64_t revision_ = 1;
     write_hook hook_;
-    server server_;
+    std::string ip_;
+    std::vector<std::unique_ptr<door>> doors_;
 };
 
 // ---- engines
@@ -685,11 +709,12 @@
 class node {
   public:
     node(std::string id, std::string zone, std::string ip, const std::vector<int>& ports, std::string seeds,
-         std::string store_address, std::string directory, std::string more = {})
+         std::string store_address, std::string directory, std::string more = {}, int descriptors = 4100)
         : id_(std::move(id)), ip_(std::move(ip)), ports_(ports), directory_(std::move(directory)) {
         std::ofstream file(settings_path());
         file << "[node]\nid = \"" << id_ << "\"\nfailure_domain = \"" << zone
-             << "\"\nregion = \"region-1\"\nmemory_mb = 110\ndescriptors = 4100\n"
+             << "\"\nregion = \"region-1\"\nmemory_mb = 110\ndescriptors = "
+             << descriptors << "\n"
              << "[regions]\n\"zone-a\" = \"region-1\"\n\"zone-b\" = \"region-1\"\n\"zone-c\" = \"region-1\"\n"
              << "[listen]\ncallers = \"" << callers() << "\"\nreadiness = \"" << readiness()
              << "\"\ndirectory = \"" << lookups() << "\"\npeers = \"" << at(3) << "\"\nmetrics = \"" << at(4)
