Review case 6: the loss of a domain's engines makes every prompt with a common part be refused

Cause: engines that are lost at the same moment count as as many crashes of the prompt part that was in flight on all of them; from four on no trial is made.

--- a/review/kit-2.h
+++ b/review/kit-2.h
@@ -334,20 +334,33 @@
 
     /// Ends as a crashed process does: open connections are reset and new ones are refused.
     void close() {
-        if (!running_.exchange(false)) {
+        refuse();
+        reset();
+        finish();
+    }
+
+    // The three steps of close(), for servers that crash at the same moment.
+    void refuse() {
+        running_ = false;
+        ::shutdown(listener_, SHUT_RDWR);
+    }
+    void reset() {
+        const std::lock_guard lock(mutex_);
+        for (const int socket : sockets_) {
+            // Dissolves the connection with a reset, also while its thread waits.
+            sockaddr none{};
+            none.sa_family = AF_UNSPEC;
+            ::connect(socket, &none, sizeof(none));
+        }
+    }
+    void finish() {
+        if (listener_ < 0) {
             return;
         }
-        ::shutdown(listener_, SHUT_RDWR);
         acceptor_.join();
         ::close(listener_);
-        {
-            const std::lock_guard lock(mutex_);
-            for (const int socket : sockets_) {
-                const linger reset{1, 0};
-                ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-                ::shutdown(socket, SHUT_RD);
-            }
-        }
+        listener_ = -1;
+        reset();
         for (auto& thread : threads_) {
             thread.join();
         }
@@ -664,6 +677,7 @@
     const std::string& id() const { return id_; }
     std::string address() const { return server_.address(); }
     void crash() { server_.close(); }
+    server& connections() { return server_; }
     void start() { server_.open(); }
     bool running() const { return server_.running(); }
 
