--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -2,9 +2,9 @@
 
 #include <sys/resource.h>
 
-// Many chunked bodies at once, in very small chunks, at the address at which callers look up addresses. They stop
-// just short of their end and stay open; a client whose connection is closed comes again. The node's descriptors
-// are lowered, as in the project's own tests of such clients.
+// Many chunked bodies at once, in very small chunks, at the address at which callers look up addresses. They
+// stop just short of their end and stay open; a client whose connection is closed comes again. The node's
+// descriptors are lowered, as in the project's own tests of such clients.
 
 using namespace review;
 
@@ -61,8 +61,8 @@
     order_route["timeoutMs"] = route_timeout_ms;
     order_route["targetLatencyMs"] = 100;
     platform.put("op/config", configuration({order_route}));
-    node front("front-1", "zone-a", "127.0.65.1", free_ports("127.0.65.1", 5), "127.0.65.1:1", platform.address(),
-               directory.path(), {}, int(descriptors));
+    node front("front-1", "zone-a", "127.0.65.1", free_ports("127.0.65.1", 5), "127.0.65.1:1",
+               platform.address(), directory.path(), {}, int(descriptors));
     rlimit own{};
     ::getrlimit(RLIMIT_NOFILE, &own);
     // The process inherits the limit.
@@ -74,8 +74,8 @@
         return not_run;
     }
     pause(1500);
-    const auto before = ask(front.callers(), "POST", "/order/0", client_headers("order-before", patience_ms), "one",
-                            patience_ms);
+    const auto before = ask(front.callers(), "POST", "/order/0", client_headers("order-before", patience_ms),
+                            "one", patience_ms);
     log.line("before the crowd: an order is answered with %d", before.status);
     if (before.status != 200) {
         return not_run;
@@ -116,8 +116,8 @@
             unanswered_at_timeout += got.status == 0 || took > route_timeout_ms ? 1 : 0;
             unanswered_later += got.status == 0 || took > route_timeout_ms + answer_slack_ms ? 1 : 0;
             log.line("%s: %s after %ld ms; connections begun by the crowd: %d", id.c_str(),
-                     got.status == 0 ? "no answer" : ("answered with " + std::to_string(got.status)).c_str(), long(took),
-                     begun.load());
+                     got.status == 0 ? "no answer" : ("answered with " + std::to_string(got.status)).c_str(),
+                     long(took), begun.load());
         });
         pause(order_pause_ms);
     }
@@ -127,7 +127,8 @@
     const bool runs_still = front.running();
     stopping = true;
     clients.join();
-    log.line("the process %s; of %d orders %d were served, %d had no answer at the route's time-out and %d had none %d ms "
+    log.line("the process %s; of %d orders %d were served, %d had no answer at the route's time-out and %d "
+             "had none %d ms "
              "later; %d ran",
              runs_still ? "runs" : "has ended", orders, served.load(), unanswered_at_timeout.load(),
              unanswered_later.load(), answer_slack_ms, runs.load() - 1);
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -66,14 +66,15 @@
     for (int i = 0; i < 20; ++i) {
         const std::string path = i % 2 == 0 ? "/chat/" : "/once/";
         const auto id = "request-" + std::to_string(i);
-        const auto got = ask(front.callers(), "POST", path + std::to_string(i), client_headers(id, 8000), "prompt", 9000);
+        const auto got =
+            ask(front.callers(), "POST", path + std::to_string(i), client_headers(id, 8000), "prompt", 9000);
         int events = 0;
         while (got.body.find(event(events + 1)) != std::string::npos) {
             ++events;
         }
         const bool success = got.status == 200 && got.complete;
-        log.line("client: %s%d status %d, %d of %d events whole, %s", path.c_str(), i, got.status, events, pieces,
-                 got.complete ? "ended as complete" : "broken off");
+        log.line("client: %s%d status %d, %d of %d events whole, %s", path.c_str(), i, got.status, events,
+                 pieces, got.complete ? "ended as complete" : "broken off");
         ended_early += success && events < pieces ? 1 : 0;
         ended_whole += success && events == pieces ? 1 : 0;
     }
--- a/review/kit-2.h
+++ b/review/kit-2.h
@@ -50,7 +50,9 @@
 constexpr int broken = 1;
 constexpr int not_run = 2;
 
-inline void pause(int ms) { std::this_thread::sleep_for(milliseconds(ms)); }
+inline void pause(int ms) {
+    std::this_thread::sleep_for(milliseconds(ms));
+}
 
 /// The record of a run: what was sent, answered and run, with the seconds since the start.
 class record {
@@ -671,8 +673,8 @@
     using responder = std::function<bool(int socket, const message& request)>;
 
     engine(const std::string& ip, std::string id, responder respond)
-        : id_(std::move(id)), respond_(std::move(respond)), server_(ip, [this](int socket) { serve(socket); }) {
-    }
+        : id_(std::move(id)), respond_(std::move(respond)),
+          server_(ip, [this](int socket) { serve(socket); }) {}
 
     const std::string& id() const { return id_; }
     std::string address() const { return server_.address(); }
@@ -683,9 +685,9 @@
 
     json entry(const std::string& service, const std::string& version, const std::string& zone, int slots,
                std::int64_t born) const {
-        return {{"service", service}, {"address", address()}, {"zone", zone},
-                {"version", version}, {"slots", slots},       {"state", "ready"},
-                {"coldRemainingMs", 0}, {"sequence", 1},      {"born", born}};
+        return {{"service", service},   {"address", address()}, {"zone", zone},
+                {"version", version},   {"slots", slots},       {"state", "ready"},
+                {"coldRemainingMs", 0}, {"sequence", 1},        {"born", born}};
     }
 
   private:
@@ -727,8 +729,7 @@
         : id_(std::move(id)), ip_(std::move(ip)), ports_(ports), directory_(std::move(directory)) {
         std::ofstream file(settings_path());
         file << "[node]\nid = \"" << id_ << "\"\nfailure_domain = \"" << zone
-             << "\"\nregion = \"region-1\"\nmemory_mb = 110\ndescriptors = "
-             << descriptors << "\n"
+             << "\"\nregion = \"region-1\"\nmemory_mb = 110\ndescriptors = " << descriptors << "\n"
              << "[regions]\n\"zone-a\" = \"region-1\"\n\"zone-b\" = \"region-1\"\n\"zone-c\" = \"region-1\"\n"
              << "[listen]\ncallers = \"" << callers() << "\"\nreadiness = \"" << readiness()
              << "\"\ndirectory = \"" << lookups() << "\"\npeers = \"" << at(3) << "\"\nmetrics = \"" << at(4)
@@ -853,15 +854,25 @@
     std::string path_;
 };
 
-inline bool trouble() { return setting("TROUBLE", "1") != "0"; }
+inline bool trouble() {
+    return setting("TROUBLE", "1") != "0";
+}
 
 /// A route of the operator's configuration.
 inline json route(const std::string& name, const std::string& kind, const std::string& service,
                   bool resumable) {
-    return {{"name", name},          {"host", "shop.example"},  {"pathPrefix", "/" + name + "/"},
-            {"kind", kind},          {"service", service},      {"timeoutMs", 8000},
-            {"targetLatencyMs", 2000}, {"priority", 1},         {"maxAttempts", 3},
-            {"resumable", resumable}, {"allowAnonymous", false}, {"targetGapMs", 1200},
+    return {{"name", name},
+            {"host", "shop.example"},
+            {"pathPrefix", "/" + name + "/"},
+            {"kind", kind},
+            {"service", service},
+            {"timeoutMs", 8000},
+            {"targetLatencyMs", 2000},
+            {"priority", 1},
+            {"maxAttempts", 3},
+            {"resumable", resumable},
+            {"allowAnonymous", false},
+            {"targetGapMs", 1200},
             {"sticky", false}};
 }
 
