Review case 10: a part of a prompt beyond the 32nd crashes engines without end

Cause: make_fingerprints in relay/forward_evidence.cpp gives a fingerprint to the first 32 parts of a prompt only, so that a later one is never counted.

Change: review/10 shows this with 39 parts and takes the place of the half-sent bodies at the lookup address, which case 9 has in part: both come from the limits with which that server is made.

--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,141 +1,217 @@
 #include "kit-2.h"
 
-#include <sys/resource.h>
-
-// Many chunked bodies at once, in very small chunks, at the address at which callers look up addresses. They
-// stop just short of their end and stay open; a client whose connection is closed comes again. The node's
-// descriptors are lowered, as in the project's own tests of such clients.
+// Requests of long conversations list 39 parts of their prompt. One part, the 36th of some requests, crashes
+// each engine that begins an answer on it; a crashed engine is back after three seconds. POSITION puts the
+// part elsewhere.
 
 using namespace review;
 
 namespace {
 
-constexpr rlim_t descriptors = 460;
-constexpr int crowd = 1000;
-constexpr int orders = 25;
-constexpr int order_pause_ms = 1000;
-constexpr int route_timeout_ms = 1000;
-constexpr int patience_ms = 3000;
-// The rule's bounds: a final answer within this after the route's time-out, for all but a quarter or eight.
-constexpr int answer_slack_ms = 500;
-constexpr int least_unanswered = 8;
-
-void limit_descriptors(rlim_t count) {
-    rlimit limit{};
-    ::getrlimit(RLIMIT_NOFILE, &limit);
-    limit.rlim_cur = std::min(count, limit.rlim_max);
-    ::setrlimit(RLIMIT_NOFILE, &limit);
-}
-
-bool is_closed(int socket) {
-    char byte = 0;
-    const auto size = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-}
+constexpr std::size_t engine_count = 16;
+constexpr int shared_parts = 38;
+constexpr int sound_per_s = 40;
+constexpr int tainted_per_s = 2;
+constexpr int before_s = 4;
+constexpr int tainted_s = 30;
+constexpr int head_to_crash_ms = 10;
+constexpr int down_ms = 3000;
+constexpr int pieces = 5;
+constexpr int first_piece_ms = 150;
+constexpr int piece_ms = 40;
+constexpr double stable_window_s = 3;
+constexpr std::size_t counted_crash = 5;
+constexpr std::size_t allowed = 3;
+constexpr const char* bad_part = "bad0bad0";
 
-int begin_body(const std::string& address, int number) {
-    const int socket = connect_to(address);
-    if (socket >= 0) {
-        send_all(socket, "POST /lookup?name=shop.example&region=region-1&zone=zone-a HTTP/1.1\r\n"
-                         "Host: shop.example\r\nX-Request-Id: crowd-" +
-                             std::to_string(number) +
-                             "\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1\r\na\r\n2\r\nab\r\n");
+std::string prompt(bool tainted, int position, int number) {
+    std::string text;
+    char part[40];
+    for (int i = 1; i <= shared_parts; ++i) {
+        if (tainted && i == position) {
+            text += std::string(bad_part) + ":40,";
+            continue;
+        }
+        std::snprintf(part, sizeof(part), "%08x:40,", 0x5c1e0000 + i);
+        text += part;
     }
-    return socket;
+    std::snprintf(part, sizeof(part), "%08x:40", 0x70000000 + number);
+    return text + part;
 }
 
+struct tally {
+    std::atomic<int> asked{0};
+    std::atomic<int> served{0};
+    std::atomic<int> refused{0};
+    std::atomic<int> lost{0};
+};
+
 } // namespace
 
 int main(int, char** arguments) {
     const std::string folder = arguments[1];
     record log(folder + "/record.txt");
+    const int position = std::stoi(setting("POSITION", "36"));
     const temporary_directory directory;
-    store platform("127.0.65.9");
-    std::atomic<int> runs{0};
-    engine desk("127.0.65.9", "i-desk", [&](int socket, const message& request) {
-        ++runs;
-        return send_all(socket, plain_answer(request, 200, "order placed"));
-    });
-    platform.put("servers/i-desk", desk.entry("desk", "v1", "zone-a", 6, 1000));
-    auto order_route = route("order", "unsafe", "desk", false);
-    order_route["timeoutMs"] = route_timeout_ms;
-    order_route["targetLatencyMs"] = 100;
-    platform.put("op/config", configuration({order_route}));
-    node front("front-1", "zone-a", "127.0.65.1", free_ports("127.0.65.1", 5), "127.0.65.1:1",
-               platform.address(), directory.path(), {}, int(descriptors));
-    rlimit own{};
-    ::getrlimit(RLIMIT_NOFILE, &own);
-    // The process inherits the limit.
-    limit_descriptors(descriptors);
-    front.start();
-    limit_descriptors(own.rlim_max);
-    if (!front.wait_until_ready(15000)) {
-        log.line("the node did not become ready");
-        return not_run;
-    }
-    pause(1500);
-    const auto before = ask(front.callers(), "POST", "/order/0", client_headers("order-before", patience_ms),
-                            "one", patience_ms);
-    log.line("before the crowd: an order is answered with %d", before.status);
-    if (before.status != 200) {
-        return not_run;
+    store platform("127.0.70.9");
+    std::vector<std::unique_ptr<engine>> engines(engine_count);
+    std::array<std::atomic<bool>, engine_count> crashing{};
+    std::mutex mutex;
+    std::vector<double> crashes;
+    std::vector<double> arrivals;
+    std::atomic<int> starts{1000};
+    const auto enter = [&](std::size_t i) {
+        platform.put("servers/" + engines[i]->id(), engines[i]->entry("model", "v1", "zone-a", 64, ++starts));
+    };
+    for (std::size_t i = 0; i < engine_count; ++i) {
+        const auto respond = [&, i](int socket, const message& request) {
+            const bool tainted = request.header("x-prompt-prefix").find(bad_part) != std::string::npos;
+            if (tainted) {
+                const std::lock_guard lock(mutex);
+                arrivals.push_back(log.now());
+                log.line("engine: %s runs %s, which holds the part", engines[i]->id().c_str(),
+                         request.header("x-request-id").c_str());
+            }
+            pause(first_piece_ms);
+            if (!engines[i]->running() || !send_all(socket, stream_head(request))) {
+                return false;
+            }
+            if (tainted) {
+                pause(head_to_crash_ms);
+                crashing[i] = true;
+                return false;
+            }
+            for (int id = 1; id <= pieces; ++id) {
+                if (!engines[i]->running() || !send_all(socket, chunk(event(id)))) {
+                    return false;
+                }
+                pause(piece_ms);
+            }
+            return send_all(socket, last_chunk);
+        };
+        engines[i] = std::make_unique<engine>("127.0.70.9", "i-" + std::to_string(i + 1), respond);
+        enter(i);
     }
+    platform.put("op/config", configuration({route("draft", "streaming", "model", false)}));
+
     std::atomic<bool> stopping{false};
-    std::atomic<int> begun{0};
-    std::thread clients([&] {
-        std::vector<int> sockets(std::size_t(trouble() ? crowd : 0), -1);
-        while (!stopping) {
-            for (auto& socket : sockets) {
-                if (socket >= 0 && is_closed(socket)) {
-                    ::close(socket);
-                    socket = -1;
+    std::list<std::thread> keepers;
+    for (std::size_t i = 0; i < engine_count; ++i) {
+        keepers.emplace_back([&, i] {
+            while (!stopping) {
+                if (!crashing[i].exchange(false)) {
+                    pause(1);
+                    continue;
                 }
-                if (socket < 0) {
-                    socket = begin_body(front.lookups(), ++begun);
+                engines[i]->crash();
+                {
+                    const std::lock_guard lock(mutex);
+                    crashes.push_back(log.now());
+                    log.line("engine: %s crashes", engines[i]->id().c_str());
                 }
+                pause(down_ms);
+                crashing[i] = false;
+                engines[i]->start();
+                enter(i);
             }
-            pause(50);
+        });
+    }
+
+    const auto ports = free_ports("127.0.70.1", 5);
+    const std::vector<std::string> zones = {"zone-a", "zone-b", "zone-c"};
+    std::vector<std::unique_ptr<node>> nodes;
+    for (int i = 1; i <= 3; ++i) {
+        nodes.push_back(std::make_unique<node>(
+            "front-" + std::to_string(i), zones[std::size_t(i - 1)], "127.0.70." + std::to_string(i), ports,
+            "127.0.70.1:" + std::to_string(ports[3]), platform.address(), directory.path()));
+        nodes.back()->start();
+    }
+    const auto end = [&](int result) {
+        stopping = true;
+        for (auto& keeper : keepers) {
+            keeper.join();
         }
-        for (const int socket : sockets) {
-            ::close(socket);
+        return result;
+    };
+    for (auto& front : nodes) {
+        if (!front->wait_until_ready(15000)) {
+            log.line("%s did not become ready", front->id().c_str());
+            return end(not_run);
         }
-    });
-    pause(1500);
-    std::atomic<int> served{0};
-    std::atomic<int> unanswered_at_timeout{0};
-    std::atomic<int> unanswered_later{0};
-    std::list<std::thread> buyers;
-    for (int i = 1; i <= orders; ++i) {
-        buyers.emplace_back([&, i] {
-            const auto id = "order-" + std::to_string(i);
-            const auto began = clock::now();
-            const auto got = ask(front.callers(), "POST", "/order/" + std::to_string(i),
-                                 client_headers(id, patience_ms), "one", patience_ms);
-            const auto took = std::chrono::duration_cast<milliseconds>(clock::now() - began).count();
-            served += got.status == 200 ? 1 : 0;
-            unanswered_at_timeout += got.status == 0 || took > route_timeout_ms ? 1 : 0;
-            unanswered_later += got.status == 0 || took > route_timeout_ms + answer_slack_ms ? 1 : 0;
-            log.line("%s: %s after %ld ms; connections begun by the crowd: %d", id.c_str(),
-                     got.status == 0 ? "no answer" : ("answered with " + std::to_string(got.status)).c_str(),
-                     long(took), begun.load());
-        });
-        pause(order_pause_ms);
     }
-    for (auto& buyer : buyers) {
-        buyer.join();
+    pause(1500);
+
+    std::atomic<int> next_id{0};
+    const auto send = [&](bool tainted, tally& counts) {
+        const auto number = ++next_id;
+        const auto id = (tainted ? "tainted-" : "sound-") + std::to_string(number);
+        auto headers = client_headers(id, 8000);
+        headers.emplace_back("X-Model", "m1");
+        headers.emplace_back("X-Token-Usage", "1560,20");
+        headers.emplace_back("X-Prompt-Prefix", prompt(tainted, position, number));
+        auto& front = *nodes[std::size_t(number) % nodes.size()];
+        ++counts.asked;
+        const auto got = ask(front.callers(), "POST", "/draft/" + std::to_string(number), headers, "", 8000);
+        const bool served = got.status == 200 && got.complete;
+        counts.served += served ? 1 : 0;
+        counts.refused += got.status == 503 ? 1 : 0;
+        counts.lost += !served && got.status != 503 ? 1 : 0;
+        if (tainted || number % 100 == 0) {
+            log.line("client: %s answered with %d, %s", id.c_str(), got.status,
+                     served ? "whole" : "not served");
+        }
+    };
+    // 0: before the tainted requests, 1: beside them.
+    std::array<tally, 2> sound;
+    tally tainted;
+    std::atomic<int> phase{0};
+    std::list<std::thread> callers;
+    const auto add_callers = [&](int count, bool bad) {
+        for (int i = 0; i < count; ++i) {
+            callers.emplace_back([&, i, count, bad] {
+                auto at = clock::now() + milliseconds(1000 * i / count);
+                while (!stopping) {
+                    std::this_thread::sleep_until(at);
+                    send(bad, bad ? tainted : sound.at(std::size_t(phase.load())));
+                    at = std::max(at + milliseconds(1000), clock::now());
+                }
+            });
+        }
+    };
+    add_callers(sound_per_s, false);
+    pause(before_s * 1000);
+    phase = 1;
+    if (trouble()) {
+        log.line("requests with the part begin, as part %d of %d", position, shared_parts + 1);
+        add_callers(tainted_per_s, true);
     }
-    const bool runs_still = front.running();
+    pause(tainted_s * 1000);
     stopping = true;
-    clients.join();
-    log.line("the process %s; of %d orders %d were served, %d had no answer at the route's time-out and %d "
-             "had none %d ms "
-             "later; %d ran",
-             runs_still ? "runs" : "has ended", orders, served.load(), unanswered_at_timeout.load(),
-             unanswered_later.load(), answer_slack_ms, runs.load() - 1);
-    if (!trouble() && served < orders) {
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    end(0);
+
+    log.line("sound requests before: %d asked, %d served", sound[0].asked.load(), sound[0].served.load());
+    log.line("sound requests beside them: %d asked, %d served, %d answered with 503, %d lost",
+             sound[1].asked.load(), sound[1].served.load(), sound[1].refused.load(), sound[1].lost.load());
+    log.line("requests with the part: %d asked, %d answered with 503; engines ran %zu of them and crashed "
+             "%zu times",
+             tainted.asked.load(), tainted.refused.load(), arrivals.size(), crashes.size());
+    if (sound[0].served < sound[0].asked * 0.9 ||
+        (trouble() && crashes.size() < counted_crash && position > 32)) {
         return not_run;
     }
-    const bool rule_broken = unanswered_later >= least_unanswered && unanswered_later > orders / 4 &&
-                             unanswered_later > unanswered_at_timeout / 2;
-    return !runs_still || rule_broken ? broken : held;
+    std::sort(crashes.begin(), crashes.end());
+    std::size_t late = 0;
+    if (crashes.size() >= counted_crash) {
+        const double from = crashes[counted_crash - 1] + stable_window_s;
+        late = std::size_t(
+            std::count_if(arrivals.begin(), arrivals.end(), [&](double at) { return at > from; }));
+    }
+    log.line(
+        "requests with the part that reached engines later than stableWindowMs after the fifth crash: %zu, "
+        "%zu are allowed",
+        late, allowed);
+    return late > allowed ? broken : held;
 }
