An answer counts only with a status from 200 to 599

Callers saw: an engine in trouble answered with status 000 and the caller got that as its answer; a 100 or 103 before the answer became the answer too.

Cause: the HTTP library accepts any three digits as a status, and both clients of engines (relay/upstream_link, adapters/http_client) took the first head of a connection for the final one. A status below 500 counted as good.

Change: one reader of heads, adapters/answer_reader, for both clients. A status outside of 100 to 599, and 101, make the bytes no answer: the request moves to another upstream where it may, else its caller gets 502.

--- a/packages/adapters/http_client.cpp
+++ b/packages/adapters/http_client.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "adapters/answer_reader.h"
 #include "adapters/endpoint.h"
 
 namespace figspoke::adapters {
@@ -152,18 +153,19 @@
     return {};
 }
 
-template <class Parser>
-http_result<void> read_head(connection& link, Parser& parser, const http_call& call,
-                            const operation_deadline& deadline, const asio::yield_context& yield) {
+template <class Body>
+http_result<answer_parser_ptr<Body>> read_head(connection& link, std::optional<std::uint64_t> body_limit,
+                                               const http_call& call, const operation_deadline& deadline,
+                                               const asio::yield_context& yield) {
     beast::error_code code;
-    parser.header_limit(max_header_bytes);
-    http::async_read_header(link.socket, link.buffer, parser, yield[code]);
+    auto parser =
+        read_answer_head<Body>(link.socket, link.buffer, {max_header_bytes, body_limit, false}, yield, code);
     if (code) {
         return tl::make_unexpected(failure(call_progress::sent, code, "read the answer of", call, deadline));
     }
     // An upstream that names the request of its answer may send an earlier answer once more.
     const std::string id_header = "x-request-id";
-    const auto& answer = parser.get();
+    const auto& answer = parser->get();
     const auto sent = call.headers.find(id_header);
     const auto named = answer.find(id_header);
     if (sent != call.headers.end() && named != answer.end() && named->value() != sent->second) {
@@ -171,7 +173,7 @@
             http_failure{call_progress::sent, false, true,
                          "the answer of " + call.address + call.target + " belongs to another request"});
     }
-    return {};
+    return parser;
 }
 
 // An idle connection must have nothing to read: neither its end nor bytes of an earlier answer. A request
@@ -257,11 +259,11 @@
 
 http_result<kept_reply> read_whole(connection& link, const http_call& call, operation_deadline& deadline,
                                    const asio::yield_context& yield) {
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_answer_bytes);
-    if (auto head = read_head(link, parser, call, deadline, yield); !head) {
+    auto head = read_head<http::string_body>(link, max_answer_bytes, call, deadline, yield);
+    if (!head) {
         return tl::make_unexpected(head.error());
     }
+    auto& parser = **head;
     beast::error_code code;
     http::async_read(link.socket, link.buffer, parser, yield[code]);
     if (code) {
@@ -281,11 +283,11 @@
 http_result<kept_reply> read_stream(connection& link, const http_call& call, const head_handler& on_head,
                                     const chunk_handler& on_chunk, operation_deadline& deadline,
                                     const asio::yield_context& yield) {
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
-    if (auto head = read_head(link, parser, call, deadline, yield); !head) {
+    auto head = read_head<http::buffer_body>(link, std::nullopt, call, deadline, yield);
+    if (!head) {
         return tl::make_unexpected(head.error());
     }
+    auto& parser = **head;
     http_reply reply{static_cast<int>(parser.get().result_int()), copy_headers(parser.get().base()), {}};
     if (!on_head(reply.status, reply.headers)) {
         return tl::make_unexpected(cancelled(call));
--- a/packages/relay/upstream_link.cpp
+++ b/packages/relay/upstream_link.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "adapters/answer_reader.h"
 #include "adapters/endpoint.h"
 #include "relay/connection_helpers.h"
 #include "relay/watchdog.h"
@@ -37,7 +38,6 @@
 constexpr core::milliseconds unstated_idle{2000};
 
 using request_message = http::request<http::span_body<const char>>;
-using answer_parser = http::response_parser<http::buffer_body>;
 
 struct outgoing {
     std::shared_ptr<const std::string> body;
@@ -64,7 +64,7 @@
     tcp::socket socket;
     watchdog timer;
     beast::flat_buffer buffer{max_buffered_bytes};
-    std::unique_ptr<answer_parser> parser;
+    adapters::answer_parser_ptr<http::buffer_body> parser;
     std::array<char, piece_bytes> piece{};
     bool head_request = false;
     bool written = true;
@@ -128,18 +128,16 @@
 link_result<answer_head> upstream_link::read_head(core::milliseconds read_timeout,
                                                   const asio::yield_context& yield) {
     const auto self = shared_from_this();
-    impl_->parser = std::make_unique<answer_parser>();
-    auto& parser = *impl_->parser;
-    parser.header_limit(max_answer_header_bytes);
-    parser.body_limit(boost::none);
-    parser.skip(impl_->head_request);
+    const adapters::answer_limits limits{max_answer_header_bytes, std::nullopt, impl_->head_request};
     beast::error_code code;
     impl_->timer.arm(read_timeout);
-    http::async_read_header(impl_->socket, impl_->buffer, parser, yield[code]);
+    impl_->parser =
+        adapters::read_answer_head<http::buffer_body>(impl_->socket, impl_->buffer, limits, yield, code);
     impl_->timer.disarm();
     if (code) {
         return tl::make_unexpected(impl_->failure_of(code));
     }
+    const auto& parser = *impl_->parser;
     answer_head head;
     head.status = static_cast<int>(parser.get().result_int());
     head.headers = copy_fields(parser.get());
--- /dev/null
+++ b/test/platform/broken_answer_test.cpp
@@ -0,0 +1,105 @@
+#include <atomic>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "platform/support/kept_connection.h"
+#include "platform/support/relay_cluster.h"
+
+using namespace figspoke::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds deadline{2000};
+constexpr milliseconds patience{4000};
+
+const std::vector<std::string> all_paths = {"/order/", "/look/", "/once/", "/chat/"};
+
+// The headers that a sound engine adds.
+std::string engine_headers(const engine_request& request) {
+    const auto& id = request.headers.at("x-request-id");
+    return "X-Request-Id: " + id + "\r\nX-Server-Signature: s." + id + "\r\n";
+}
+
+bool is_success(const kept_answer& answer) {
+    return answer.complete && answer.status >= 200 && answer.status < 300;
+}
+
+// A node with one engine for all routes. The engine's answer can be changed between requests.
+class one_engine {
+  public:
+    one_engine()
+        : engine_([this](engine_connection& connection, const engine_request& request) {
+              ++received_;
+              respond_(connection, request);
+          }) {
+        cluster_.configure(1, {"k1"});
+        cluster_.add_engine("i-shop", "shop", engine_);
+        cluster_.add_engine("i-model", "model", engine_);
+        node_ = &cluster_.start_node();
+    }
+
+    // Sends one request on a connection of its own and checks that the engine received it.
+    kept_answer ask(const std::string& path, const engine_stand_in::handler& respond) {
+        respond_ = respond;
+        const int before = received_;
+        kept_connection caller(node_->callers);
+        const auto id = "r" + std::to_string(++sent_);
+        caller.send(path + id, id, deadline);
+        auto answer = caller.read(patience);
+        CHECK(received_ > before);
+        return answer;
+    }
+
+  private:
+    engine_stand_in::handler respond_;
+    std::atomic<int> received_{0};
+    int sent_ = 0;
+    relay_cluster cluster_;
+    engine_stand_in engine_;
+    relay_process* node_ = nullptr;
+};
+
+// Answers with this status line and a sound rest.
+engine_stand_in::handler answer_with_status_line(const std::string& line) {
+    return [line](engine_connection& connection, const engine_request& request) {
+        connection.send(line + "\r\n" + engine_headers(request) +
+                        "Content-Type: text/event-stream\r\nContent-Length: 15\r\n\r\nid: 1\ndata: e\n\n");
+    };
+}
+
+} // namespace
+
+TEST_CASE("an answer whose status is no final status reaches no caller") {
+    // Guards against an engine in trouble whose answer has a status that HTTP doesn't know, or the status of
+    // a protocol change that nobody asked for: the caller got it as an answer.
+    one_engine fixture;
+    for (const char* line : {"HTTP/1.1 000 OK", "HTTP/1.1 007 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK",
+                             "HTTP/1.1 999 OK", "HTTP/1.1 101 Switching Protocols"}) {
+        for (const auto& path : all_paths) {
+            INFO("status line: ", std::string(line), ", path: ", path);
+            const auto answer = fixture.ask(path, answer_with_status_line(line));
+            CHECK(answer.complete);
+            CHECK(answer.status == 502);
+            CHECK(answer.headers.count("x-server-signature") == 0);
+        }
+    }
+}
+
+TEST_CASE("interim answers before the final one don't reach the caller") {
+    // Guards against a `100 Continue` that is taken for the answer of its request.
+    one_engine fixture;
+    for (const auto& path : all_paths) {
+        INFO("path: ", path);
+        const auto answer =
+            fixture.ask(path, [](engine_connection& connection, const engine_request& request) {
+                connection.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\n");
+                connection.answer(request, 200, "id: 1\ndata: e\n\n");
+            });
+        CHECK(is_success(answer));
+        CHECK(answer.body == "id: 1\ndata: e\n\n");
+        CHECK(answer.headers.count("x-hint") == 0);
+    }
+}
--- /dev/null
+++ b/test/relay/answer_reading_test.cpp
@@ -0,0 +1,128 @@
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "adapters/http_client.h"
+#include "platform/support/engine_stand_in.h"
+#include "relay/upstream_link.h"
+
+using namespace figspoke;
+using namespace figspoke::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds patience{2000};
+
+// What a client took for the answer.
+struct reading {
+    int status = 0;
+    std::string body;
+    bool complete = false;
+};
+
+using read_function = reading (*)(const std::string& address);
+
+template <class Read>
+reading run_coroutine(const Read& read) {
+    boost::asio::io_context context;
+    reading result;
+    boost::asio::spawn(
+        boost::asio::make_strand(context),
+        [&](const boost::asio::yield_context& yield) { result = read(context, yield); },
+        [](const std::exception_ptr& thrown) {
+            if (thrown) {
+                std::rethrow_exception(thrown);
+            }
+        });
+    context.run();
+    return result;
+}
+
+reading read_with_link(const std::string& address) {
+    return run_coroutine([&](boost::asio::io_context& context, const boost::asio::yield_context& yield) {
+        reading result;
+        const auto link = std::make_shared<relay::upstream_link>(context);
+        if (!link->connect(address, patience, yield)) {
+            return result;
+        }
+        link->start_request({"POST", "/", {}, true}, {}, std::make_shared<const std::string>("b"));
+        const auto head = link->read_head(patience, yield);
+        if (!head) {
+            return result;
+        }
+        result.status = head->status;
+        auto piece = link->read_some(patience, yield);
+        while (piece && !piece->empty()) {
+            result.body += *piece;
+            piece = link->read_some(patience, yield);
+        }
+        result.complete = piece.has_value();
+        link->close();
+        return result;
+    });
+}
+
+reading read_with_client(const std::string& address) {
+    return run_coroutine([&](boost::asio::io_context& context, const boost::asio::yield_context& yield) {
+        adapters::http_client client(context);
+        adapters::http_call call;
+        call.address = address;
+        call.method = "POST";
+        call.body = "b";
+        call.timeout = patience;
+        call.reuse_connection = false;
+        const auto reply = client.fetch(call, yield);
+        return reply ? reading{reply->status, reply->body, true} : reading{};
+    });
+}
+
+// The clients that read answers of engines.
+constexpr read_function readers[] = {read_with_link, read_with_client};
+
+enum class end_of_bytes { shut, reset };
+
+// Sends bytes to each client that connects and ends the connection.
+class byte_engine {
+  public:
+    byte_engine()
+        : engine_([this](engine_connection& connection, const engine_request&) {
+              connection.send(bytes_);
+              end_ == end_of_bytes::shut ? connection.shut() : connection.reset();
+          }) {}
+
+    reading ask(read_function read, const std::string& bytes, end_of_bytes end) {
+        bytes_ = bytes;
+        end_ = end;
+        return read(engine_.address());
+    }
+
+  private:
+    std::string bytes_;
+    end_of_bytes end_ = end_of_bytes::shut;
+    engine_stand_in engine_;
+};
+
+} // namespace
+
+TEST_CASE("an answer is final only with a status from 200 to 599") {
+    // Guards against a status that HTTP doesn't know, such as 000, and against interim answers.
+    byte_engine engine;
+    for (const auto read : readers) {
+        CHECK(rc::check([&] {
+            const int status = *rc::gen::inRange(0, 1000);
+            char line[32];
+            std::snprintf(line, sizeof(line), "HTTP/1.1 %03d S\r\n", status);
+            const auto got =
+                engine.ask(read, std::string(line) + "Content-Length: 0\r\n\r\n", end_of_bytes::shut);
+            const bool is_final = status >= 200 && status <= 599;
+            RC_ASSERT(got.complete == is_final);
+            RC_ASSERT(got.status == (is_final ? status : 0));
+        }));
+    }
+}
