A reset that the write of the request takes up breaks the answer off

Callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a whole answer.

Cause: the kernel reports a reset once. relay/upstream_link writes and reads at the same time; when the write took the ECONNRESET, the next read found an ordinary end of the stream, and the end of the connection completes an answer without a length. The failed write only kept the connection out of the pool.

Change: an answer without a length is broken off if the write of its request has failed, unless with EPIPE: Linux reports that after the upstream had ended its stream in order. The adapters' own client writes the whole request before it reads, so that its write fails with the call; it has no such state.

Ruled out: to take every failed write for a broken answer.

--- a/packages/relay/upstream_link.cpp
+++ b/packages/relay/upstream_link.cpp
@@ -69,6 +69,8 @@
     bool head_request = false;
     bool written = true;
     bool write_failed = false;
+    /// The write failed since the connection broke off before the upstream had ended its stream.
+    bool reset = false;
     bool closed_as_timed_out = false;
     bool closed_as_too_large = false;
 };
@@ -122,6 +124,7 @@
                       [self = shared_from_this(), out](const beast::error_code& code, std::size_t) {
                           self->impl_->written = !code;
                           self->impl_->write_failed = bool(code);
+                          self->impl_->reset = code && code != asio::error::broken_pipe;
                       });
 }
 
@@ -145,6 +148,9 @@
     return head;
 }
 
+// The kernel reports a broken connection once. If the write of the request takes the error, reads find an
+// ordinary end of the stream, which would complete an answer without a length. EPIPE says that the upstream
+// had ended its stream before.
 link_result<std::string> upstream_link::read_some(core::milliseconds read_timeout,
                                                   const asio::yield_context& yield) {
     const auto self = shared_from_this();
@@ -164,6 +170,10 @@
             return std::string(impl_->piece.data(), size);
         }
     }
+    if (parser.need_eof() && impl_->reset) {
+        return tl::make_unexpected(
+            link_error{link_failure::broken, "the connection broke off during the request"});
+    }
     return std::string();
 }
 
--- a/test/platform/broken_answer_test.cpp
+++ b/test/platform/broken_answer_test.cpp
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -30,11 +31,13 @@
 // A node with one engine for all routes. The engine's answer can be changed between requests.
 class one_engine {
   public:
-    one_engine()
-        : engine_([this](engine_connection& connection, const engine_request& request) {
-              ++received_;
-              respond_(connection, request);
-          }) {
+    explicit one_engine(engine_start start = engine_start::whole_request)
+        : engine_(
+              [this](engine_connection& connection, const engine_request& request) {
+                  ++received_;
+                  respond_(connection, request);
+              },
+              start) {
         cluster_.configure(1, {"k1"});
         cluster_.add_engine("i-shop", "shop", engine_);
         cluster_.add_engine("i-model", "model", engine_);
@@ -42,12 +45,13 @@
     }
 
     // Sends one request on a connection of its own and checks that the engine received it.
-    kept_answer ask(const std::string& path, const engine_stand_in::handler& respond) {
+    kept_answer ask(const std::string& path, const engine_stand_in::handler& respond,
+                    const std::string& body = "b") {
         respond_ = respond;
         const int before = received_;
         kept_connection caller(node_->callers);
         const auto id = "r" + std::to_string(++sent_);
-        caller.send(path + id, id, deadline);
+        caller.send(path + id, id, deadline, {}, body);
         auto answer = caller.read(patience);
         CHECK(received_ > before);
         return answer;
@@ -103,3 +107,48 @@
         CHECK(answer.headers.count("x-hint") == 0);
     }
 }
+
+TEST_CASE("an answer without a length that is reset during the upload does not look complete") {
+    // Guards against the end of a connection that looks like the end of an answer: the write of the body
+    // fails with the reset, and the read after it finds an ordinary end.
+    const std::string long_body(4U * 1024 * 1024, 'u');
+    one_engine fixture(engine_start::head_only);
+    for (const int pause_ms : {0, 20, 200}) {
+        for (const auto& path : all_paths) {
+            INFO("path: ", path, ", pause: ", pause_ms);
+            const auto answer = fixture.ask(
+                path,
+                [pause_ms](engine_connection& connection, const engine_request& request) {
+                    connection.send("HTTP/1.1 200 OK\r\n" + engine_headers(request) +
+                                    "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: e\n\n");
+                    std::this_thread::sleep_for(milliseconds(pause_ms));
+                    connection.reset();
+                },
+                long_body);
+            CHECK_FALSE(is_success(answer));
+        }
+    }
+}
+
+TEST_CASE("an answer without a length that ends in order during the upload reaches the caller whole") {
+    // Guards against early answers of sound engines that are taken for broken ones. The engine ends its
+    // stream and then closes the connection with unread bytes, which resets it.
+    const std::string long_body(4U * 1024 * 1024, 'u');
+    one_engine fixture(engine_start::head_only);
+    for (const milliseconds pause : {milliseconds(0), milliseconds(100)}) {
+        for (const auto& path : all_paths) {
+            INFO("path: ", path, ", pause before the reset: ", pause.count());
+            const auto answer = fixture.ask(
+                path,
+                [pause](engine_connection& connection, const engine_request& request) {
+                    connection.send("HTTP/1.1 200 OK\r\n" + engine_headers(request) +
+                                    "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: e\n\n");
+                    connection.shut();
+                    std::this_thread::sleep_for(pause);
+                },
+                long_body);
+            CHECK(is_success(answer));
+            CHECK(answer.body == "id: 1\ndata: e\n\n");
+        }
+    }
+}
--- a/test/platform/support/engine_stand_in.cpp
+++ b/test/platform/support/engine_stand_in.cpp
@@ -13,6 +13,9 @@
 namespace figspoke::test {
 namespace {
 
+// In bytes.
+constexpr int small_receive_buffer = 8 * 1024;
+
 // Appends received bytes to the buffer; returns false when the connection is closed or broken.
 bool read_more(int socket, std::string& buffer) {
     char bytes[4096];
@@ -42,7 +45,7 @@
     }
 }
 
-std::optional<engine_request> read_request(int socket, std::string& buffer) {
+std::optional<engine_request> read_request(int socket, std::string& buffer, engine_start start) {
     std::size_t end = 0;
     while ((end = buffer.find("\r\n\r\n")) == std::string::npos) {
         if (!read_more(socket, buffer)) {
@@ -52,6 +55,9 @@
     engine_request request;
     parse_head(buffer.substr(0, end + 2), request);
     buffer.erase(0, end + 4);
+    if (start == engine_start::head_only) {
+        return request;
+    }
     const auto length = request.headers.find("content-length");
     const std::size_t size = length == request.headers.end() ? 0 : std::stoul(length->second);
     while (buffer.size() < size) {
@@ -121,8 +127,13 @@
            (peer_closed.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-engine_stand_in::engine_stand_in(handler handle) : handle_(std::move(handle)) {
+engine_stand_in::engine_stand_in(handler handle, engine_start start)
+    : handle_(std::move(handle)), start_(start) {
     listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (start_ == engine_start::head_only) {
+        // A peer that sends a long body is still writing it when the handler runs.
+        ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &small_receive_buffer, sizeof(small_receive_buffer));
+    }
     sockaddr_in listen_address{};
     listen_address.sin_family = AF_INET;
     listen_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -188,7 +199,7 @@
     std::string buffer;
     engine_connection connection(socket);
     while (connection.open() && !stopping_ && !crashed_) {
-        const auto request = read_request(socket, buffer);
+        const auto request = read_request(socket, buffer, start_);
         if (!request) {
             break;
         }
@@ -197,6 +208,9 @@
             requests_.push_back(*request);
         }
         handle_(connection, *request);
+        if (start_ == engine_start::head_only) {
+            break;
+        }
     }
     const std::lock_guard lock(mutex_);
     sockets_.erase(std::remove(sockets_.begin(), sockets_.end(), socket), sockets_.end());
--- a/test/platform/support/engine_stand_in.h
+++ b/test/platform/support/engine_stand_in.h
@@ -48,13 +48,21 @@
     bool open_ = true;
 };
 
+/// When an engine passes a request to its handler.
+enum class engine_start {
+    /// After the body is read.
+    whole_request,
+    /// After the head is read. The body stays unread, and the connection ends with the handler.
+    head_only
+};
+
 /// An HTTP server that passes each request to a handler. Each connection has its own thread, on which the
 /// handler runs.
 class engine_stand_in {
   public:
     using handler = std::function<void(engine_connection&, const engine_request&)>;
 
-    explicit engine_stand_in(handler handle);
+    explicit engine_stand_in(handler handle, engine_start start = engine_start::whole_request);
     ~engine_stand_in();
     engine_stand_in(const engine_stand_in&) = delete;
     engine_stand_in& operator=(const engine_stand_in&) = delete;
@@ -74,6 +82,7 @@
     void serve_connection(int socket);
 
     handler handle_;
+    engine_start start_;
     int listener_ = -1;
     int port_ = 0;
     std::atomic<bool> stopping_{false};
--- a/test/platform/support/kept_connection.cpp
+++ b/test/platform/support/kept_connection.cpp
@@ -51,11 +51,18 @@
 }
 
 void kept_connection::send(const std::string& path, const std::string& id, core::milliseconds deadline,
-                           const std::string& headers) {
+                           const std::string& headers, const std::string& body) {
     const std::string request = "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
                                 "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) +
-                                "\r\nApi-Key: k1\r\n" + headers + "Content-Length: 1\r\n\r\nb";
-    ::send(socket_, request.data(), request.size(), MSG_NOSIGNAL);
+                                "\r\nApi-Key: k1\r\n" + headers +
+                                "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (std::size_t sent = 0; sent < request.size();) {
+        const auto size = ::send(socket_, request.data() + sent, request.size() - sent, MSG_NOSIGNAL);
+        if (size <= 0) {
+            return;
+        }
+        sent += std::size_t(size);
+    }
 }
 
 bool kept_connection::read_more(core::milliseconds timeout) {
--- a/test/platform/support/kept_connection.h
+++ b/test/platform/support/kept_connection.h
@@ -30,7 +30,7 @@
 
     /// Sends a POST request with the key `k1`. `headers` are further header lines, each with its line end.
     void send(const std::string& path, const std::string& id, core::milliseconds deadline,
-              const std::string& headers = {});
+              const std::string& headers = {}, const std::string& body = "b");
 
     /// Reads the next answer, which has a length or chunks. Gives up after `timeout` without a byte.
     kept_answer read(core::milliseconds timeout);
