An answer whose head has a line that begins with a blank is no answer

Callers saw: an engine in trouble sent a head in which the name of a field began with a blank. The caller got a 200 in which the value of the field before, at worst the engine's signature, ended with that line. A length in such a line did not frame the body.

Cause: the HTTP library takes the line for a continuation of the one before it (obs-fold) and joins the two. A proxy has to reject such an answer or to replace the fold (RFC 9112, section 5.2); engines have no reason to send one.

Change: adapters/answer_reader feeds the parser itself and rejects a head with such a line before it is parsed, for both clients of engines. The check is a pure function (core/folded_line) over the bytes that are new. The parser refuses a blank or a control byte anywhere else in a name, and a line without a name or a colon: those cases held before, and their tests stay.

--- a/packages/adapters/answer_reader.h
+++ b/packages/adapters/answer_reader.h
@@ -1,17 +1,21 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include "core/answer_status.h"
+#include "core/folded_line.h"
 
 namespace figspoke::adapters {
 
@@ -48,6 +52,54 @@
 /// Number of interim answers that may precede the final one.
 inline constexpr int max_interim_answers = 16;
 
+/// Reads what has arrived on a connection into the free part of a buffer.
+inline void read_more(boost::asio::ip::tcp::socket& socket, boost::beast::flat_buffer& buffer,
+                      const boost::asio::yield_context& yield, boost::beast::error_code& code) {
+    constexpr std::size_t max_read_bytes = 64U * 1024;
+    const auto size = boost::beast::read_size(buffer, max_read_bytes);
+    if (size == 0) {
+        code = boost::beast::http::error::buffer_overflow;
+        return;
+    }
+    buffer.commit(socket.async_read_some(buffer.prepare(size), yield[code]));
+}
+
+/// Reads the head of one answer. The library joins a folded line to the value of the field before it, so that
+/// a senseless line would be passed on, or a length be missed; lines are checked before it parses them.
+template <class Body>
+void read_one_head(boost::asio::ip::tcp::socket& socket, boost::beast::flat_buffer& buffer,
+                   answer_parser<Body>& parser, const boost::asio::yield_context& yield,
+                   boost::beast::error_code& code) {
+    // Bytes at the end of the checked text that may belong to the end of a line or of the head.
+    constexpr std::size_t overlap = 3;
+    std::size_t checked = 0;
+    code = boost::beast::http::error::need_more;
+    while (true) {
+        if (buffer.size() > 0) {
+            const std::string_view received(static_cast<const char*>(buffer.data().data()), buffer.size());
+            if (core::has_folded_line(received.substr(checked - std::min(checked, overlap)))) {
+                code = boost::beast::http::error::bad_field;
+                return;
+            }
+            const auto parsed = parser.put(buffer.data(), code);
+            buffer.consume(parsed);
+            checked = received.size() - parsed;
+        }
+        if (code != boost::beast::http::error::need_more) {
+            return;
+        }
+        code = {};
+        read_more(socket, buffer, yield, code);
+        if (code == boost::asio::error::eof) {
+            code = parser.got_some() ? boost::beast::http::error::partial_message
+                                     : boost::beast::http::error::end_of_stream;
+        }
+        if (code) {
+            return;
+        }
+    }
+}
+
 /// Reads the head of the final answer from a connection, with the bytes that are already in `buffer`. Skips
 /// interim answers. Returns the parser, which reads the body next, or null with `code` set.
 template <class Body>
@@ -64,7 +116,7 @@
             parser->body_limit(boost::none);
         }
         parser->skip(limits.ends_with_head);
-        boost::beast::http::async_read_header(socket, buffer, *parser, yield[code]);
+        read_one_head(socket, buffer, *parser, yield, code);
         if (code) {
             return nullptr;
         }
--- a/test/platform/broken_answer_test.cpp
+++ b/test/platform/broken_answer_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <string>
 #include <thread>
@@ -24,6 +25,10 @@
     return "X-Request-Id: " + id + "\r\nX-Server-Signature: s." + id + "\r\n";
 }
 
+bool contains(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+}
+
 bool is_success(const kept_answer& answer) {
     return answer.complete && answer.status >= 200 && answer.status < 300;
 }
@@ -74,6 +79,16 @@
     };
 }
 
+// Answers with this line in the middle of a sound head.
+engine_stand_in::handler answer_with_header_line(const std::string& line) {
+    return [line](engine_connection& connection, const engine_request& request) {
+        connection.send(
+            "HTTP/1.1 200 OK\r\n" + engine_headers(request) + line +
+            "\r\nContent-Type: text/event-stream\r\nContent-Length: 15\r\n\r\nid: 1\ndata: e\n\n");
+        connection.shut();
+    };
+}
+
 } // namespace
 
 TEST_CASE("an answer whose status is no final status reaches no caller") {
@@ -152,3 +167,38 @@
         }
     }
 }
+
+TEST_CASE("an answer with a blank or a control byte in the name of a field reaches no caller") {
+    // Guards against an engine in trouble whose head was passed on with that line, or whose body was framed
+    // without it.
+    const std::vector<std::string> lines = {
+        "X-Odd Name: 1",
+        "X-Odd : 1",
+        "Content-Length : 3",
+        "Transfer-Encoding : chunked",
+        " X-Odd: 1",
+        "\tX-Odd: 1",
+        " Content-Length: 3",
+        "X-Odd\tName: 1",
+        "X-Odd\x01Name: 1",
+        "\x02X-Odd: 1",
+        "X-Odd\x7f: 1",
+        std::string("X-Odd\0: 1", 9),
+        ": 1",
+        "X-Odd",
+    };
+    one_engine fixture;
+    for (const auto& line : lines) {
+        for (const auto& path : all_paths) {
+            INFO("line: ", line, ", path: ", path);
+            const auto answer = fixture.ask(path, answer_with_header_line(line));
+            CHECK(answer.complete);
+            CHECK(answer.status == 502);
+            const bool passed_on =
+                std::any_of(answer.headers.begin(), answer.headers.end(), [](const auto& field) {
+                    return contains(field.first, "odd") || contains(field.second, "X-Odd");
+                });
+            CHECK_FALSE(passed_on);
+        }
+    }
+}
--- a/test/relay/answer_reading_test.cpp
+++ b/test/relay/answer_reading_test.cpp
@@ -126,3 +126,24 @@
         }));
     }
 }
+
+TEST_CASE("an answer with a blank or a control byte in the name of a field is not an answer") {
+    // Guards against a line that is passed on, joined to the line before it, or left out of the framing.
+    byte_engine engine;
+    for (const auto read : readers) {
+        CHECK(rc::check([&] {
+            const std::string name =
+                *rc::gen::elementOf(std::vector<std::string>{"X-Odd", "Content-Length", "Connection"});
+            const int byte = *rc::gen::weightedOneOf<int>(
+                {{2, rc::gen::just(int(' '))}, {1, rc::gen::just(0x7f)}, {3, rc::gen::inRange(0, 0x20)}});
+            const auto place = *rc::gen::inRange<std::size_t>(0, name.size() + 1);
+            auto odd = name;
+            odd.insert(place, 1, char(byte));
+            const bool first = *rc::gen::arbitrary<bool>();
+            const std::string sound = "X-Sound: 1\r\n";
+            const auto answer = "HTTP/1.1 200 OK\r\n" + (first ? std::string() : sound) + odd + ": 2\r\n" +
+                                (first ? sound : std::string()) + "\r\nok";
+            RC_ASSERT_FALSE(engine.ask(read, answer, end_of_bytes::shut).complete);
+        }));
+    }
+}
