The product's own client bounds the bytes of an answer

Callers would see: a faulty engine that sends a chunk's size, a chunk's extension or a trailer without end to figspoked fills its memory until the platform ends the process, with all other requests. An endless stream of events fills it too where its text is kept for a cascade or a whole answer, and one long event that comes byte by byte keeps a worker busy for good.

Cause: adapters/http_client reads into a buffer without a limit, and the parser asks for more until such a part ends; the time limit of a call is the only bound, seconds at the rate of the network. run_chat summed up nothing. feed_sse searched all pending bytes again for each piece.

Change: the buffer holds at most 80 KB, as that of the relay's link does; the text of a chat answer at most max_answer_bytes, its stream as much and 1 KB for each token that was asked for; the search goes on where it ended.

The relay's link had its bounds before.

--- a/packages/adapters/chat_upstream.cpp
+++ b/packages/adapters/chat_upstream.cpp
@@ -11,15 +11,26 @@
 
 using nlohmann::json;
 
+// Bytes of an event beside the text of its token.
+constexpr std::size_t max_event_overhead = 1024;
+
 // What was read of a stream so far.
 struct chat_reading {
     chat_outcome outcome;
     sse_buffer events;
+    /// Bytes received, and those of them that are text of tokens.
+    std::size_t bytes = 0;
+    std::size_t text_bytes = 0;
     bool done = false;
     bool malformed = false;
     bool cancelled = false;
 };
 
+// Returns the longest stream of a sound engine, in bytes.
+std::size_t max_stream_bytes(const chat_call& call) {
+    return max_answer_bytes + std::size_t(call.max_tokens) * max_event_overhead;
+}
+
 std::string build_body(const chat_call& call) {
     json body = json::parse(call.body, nullptr, false);
     body["model"] = call.version;
@@ -43,8 +54,14 @@
     if (!delta.is_object() || !delta.contains("content") || !delta["content"].is_string()) {
         return true;
     }
+    const auto& text = delta["content"].get_ref<const std::string&>();
+    reading.text_bytes += text.size();
+    if (reading.text_bytes > max_answer_bytes) {
+        reading.malformed = true;
+        return false;
+    }
     ++reading.outcome.tokens;
-    reading.cancelled = !on_token(delta["content"].get<std::string>());
+    reading.cancelled = !on_token(text);
     return !reading.cancelled;
 }
 
@@ -124,6 +141,11 @@
         return status == 200;
     };
     const auto on_chunk = [&](std::string_view bytes) {
+        reading.bytes += bytes.size();
+        if (reading.bytes > max_stream_bytes(call)) {
+            reading.malformed = true;
+            return false;
+        }
         return feed_sse(reading.events, bytes,
                         [&](std::string_view data) { return read_event(data, reading, on_token); });
     };
--- a/packages/adapters/http_client.cpp
+++ b/packages/adapters/http_client.cpp
@@ -29,11 +29,14 @@
 constexpr std::size_t max_idle_per_address = 64;
 constexpr std::uint32_t max_header_bytes = 16U * 1024;
 constexpr std::size_t stream_buffer_bytes = 16U * 1024;
+// Bytes that are received and not yet parsed. The parser asks for more until a chunk's size or extension or
+// the trailer ends, so that an unlimited buffer would grow without end.
+constexpr std::size_t max_buffered_bytes = max_header_bytes + 64U * 1024;
 
 struct connection {
     explicit connection(asio::io_context& context) : socket(context) {}
     asio::ip::tcp::socket socket;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_buffered_bytes};
 };
 
 // Ends an operation on a connection by closing its socket. A kept connection serves coroutines of different
--- a/packages/adapters/sse.cpp
+++ b/packages/adapters/sse.cpp
@@ -1,5 +1,7 @@
 #include "adapters/sse.h"
 
+#include <algorithm>
+
 namespace figspoke::adapters {
 namespace {
 
@@ -31,7 +33,9 @@
 bool feed_sse(sse_buffer& buffer, std::string_view bytes, const sse_handler& handler) {
     append_without_carriage_returns(buffer.pending, bytes);
     std::size_t begin = 0;
-    for (auto end = buffer.pending.find("\n\n"); end != std::string::npos;
+    // The last byte that was searched may be the first of the two that end an event.
+    const auto unsearched = buffer.searched - std::min<std::size_t>(buffer.searched, 1);
+    for (auto end = buffer.pending.find("\n\n", unsearched); end != std::string::npos;
          end = buffer.pending.find("\n\n", begin)) {
         const auto data = event_data(std::string_view(buffer.pending).substr(begin, end - begin));
         begin = end + 2;
@@ -40,6 +44,7 @@
         }
     }
     buffer.pending.erase(0, begin);
+    buffer.searched = buffer.pending.size();
     return buffer.pending.size() <= max_sse_event_bytes;
 }
 
--- a/packages/adapters/sse.h
+++ b/packages/adapters/sse.h
@@ -12,6 +12,8 @@
 /// The unread rest of a stream of server-sent events.
 struct sse_buffer {
     std::string pending;
+    /// Number of pending bytes in which no event ends.
+    std::size_t searched = 0;
 };
 
 /// The longest event that is accepted, in bytes.
--- a/test/relay/answer_reading_test.cpp
+++ b/test/relay/answer_reading_test.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <functional>
 #include <string>
 #include <vector>
@@ -7,6 +8,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include "adapters/chat_upstream.h"
 #include "adapters/http_client.h"
 #include "platform/support/engine_stand_in.h"
 #include "relay/upstream_link.h"
@@ -18,6 +20,9 @@
 namespace {
 
 constexpr milliseconds patience{2000};
+constexpr std::size_t piece_size = 64U * 1024;
+// What the kernel keeps of bytes that nobody reads.
+constexpr std::size_t kernel_bytes = 12U * 1024 * 1024;
 
 // What a client took for the answer.
 struct reading {
@@ -83,6 +88,27 @@
     });
 }
 
+reading read_chat(const std::string& address) {
+    return run_coroutine([&](boost::asio::io_context& context, const boost::asio::yield_context& yield) {
+        adapters::http_client client(context);
+        adapters::chat_call call;
+        call.address = address;
+        call.request_id = "r";
+        call.body = "{}";
+        call.max_tokens = 100;
+        call.idle_timeout = patience;
+        reading result;
+        const auto keep = [&](std::string_view token) {
+            result.body += token;
+            return true;
+        };
+        const auto outcome = adapters::run_chat(client, call, keep, yield);
+        result.status = outcome.status;
+        result.complete = outcome.end == adapters::chat_end::complete;
+        return result;
+    });
+}
+
 // The clients that read answers of engines.
 constexpr read_function readers[] = {read_with_link, read_with_client};
 
@@ -148,3 +174,50 @@
         }));
     }
 }
+
+TEST_CASE("bytes without end in an answer are given up before they take much memory") {
+    // Guards against a faulty engine whose bytes the product's own client keeps until the process is out of
+    // memory.
+    struct endless_bytes {
+        const char* name;
+        std::string begin;
+        std::string repeated;
+        // Bytes on the connection for each byte of the body.
+        std::size_t expansion = 1;
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string token = "data: {\"choices\":[{\"delta\":{\"content\":\"token\"}}]}\n\n";
+    const std::vector<endless_bytes> all = {
+        {"status line", "HTTP/1.1 200 ", "O"},
+        {"header line", "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+        {"header fields", "HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"},
+        {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+        {"chunk size", chunked, "0"},
+        {"chunk extension", chunked + "1;", "x"},
+        {"trailer fields", chunked + "0\r\n", "X-More: 1\r\n"},
+        {"chunked body", chunked, "10\r\n0123456789abcdef\r\n", 2},
+        {"chunked body byte by byte", chunked, "1\r\nx\r\n", 6},
+        {"body until the connection ends", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+        {"events", "HTTP/1.1 200 OK\r\n\r\n", token},
+        {"comments", "HTTP/1.1 200 OK\r\n\r\n", ": wait\n\n"},
+    };
+    for (const auto read : {read_with_client, read_chat}) {
+        for (const auto& bytes : all) {
+            INFO("bytes: ", std::string(bytes.name), ", chat: ", read == read_chat);
+            std::atomic<std::size_t> sent{0};
+            engine_stand_in engine([&](engine_connection& connection, const engine_request&) {
+                std::string piece;
+                while (piece.size() < piece_size) {
+                    piece += bytes.repeated;
+                }
+                connection.send(bytes.begin);
+                while (connection.open() && !connection.wait_for_close(1)) {
+                    connection.send(piece);
+                    sent += piece.size();
+                }
+            });
+            CHECK_FALSE(read(engine.address()).complete);
+            CHECK(sent.load() < bytes.expansion * adapters::max_answer_bytes + kernel_bytes);
+        }
+    }
+}
