A long grace period no longer lets a stopping node take long requests for longer

Callers would see: in a planned stop with a grace period of more than 10 s, requests that were sent later than 3 s after the signal are accepted whatever their length, and cut where they outlast the process.

Cause: the time for new work was a fraction of the grace period only, 9 s of 30 s, while a request may be cut only if it was sent within 3 s of the signal.

Change: stop_plan accepts requests of any length for at most 3 s, and first requests of connections for at most 1 s longer. With a grace period of 8 s nothing changes. Later requests start if their deadlines pass before the end.

--- a/packages/policy/stop_plan.cpp
+++ b/packages/policy/stop_plan.cpp
@@ -13,11 +13,13 @@
 
 stop_plan plan_stop(core::steady_time signalled, core::milliseconds grace, const stop_settings& settings) {
     stop_plan plan;
-    plan.accept_until = signalled + fraction_of(grace, settings.accept_fraction);
+    plan.accept_until =
+        signalled + std::min(fraction_of(grace, settings.accept_fraction), settings.max_accept_time);
     plan.end = std::max(signalled + grace - settings.end_margin, plan.accept_until);
     plan.answer_until = std::max(plan.end - settings.answer_time, plan.accept_until);
-    plan.accept_first_until =
-        std::min(plan.accept_until + fraction_of(grace, settings.first_request_fraction), plan.answer_until);
+    const auto first_request_time =
+        std::min(fraction_of(grace, settings.first_request_fraction), settings.max_first_request_time);
+    plan.accept_first_until = std::min(plan.accept_until + first_request_time, plan.answer_until);
     return plan;
 }
 
--- a/packages/policy/stop_plan.h
+++ b/packages/policy/stop_plan.h
@@ -7,11 +7,15 @@
 struct stop_settings {
     /// Fraction of the grace period in which requests are accepted as before.
     double accept_fraction = 0.3;
+    /// Maximum of that time.
+    core::milliseconds max_accept_time{3000};
     /// The process exits this long before the platform would kill it.
     core::milliseconds end_margin{700};
     /// Fraction of the grace period, after the listening socket has closed, in which the first request of a
     /// connection is still accepted.
     double first_request_fraction = 0.125;
+    /// Maximum of that time.
+    core::milliseconds max_first_request_time{1000};
     /// Time between the end of the wait for upstreams and the exit, in which callers get their final answers.
     core::milliseconds answer_time{300};
 };
--- a/test/correctness/policy_stop_plan_test.cpp
+++ b/test/correctness/policy_stop_plan_test.cpp
@@ -41,3 +41,16 @@
         RC_ASSERT(plan.end <= at(500) + grace);
     }));
 }
+
+TEST_CASE("a long grace period does not make a stopping node accept long requests for longer") {
+    // Guards against requests that are accepted seconds after the signal because the grace period is long,
+    // and are cut at its end. A request may be cut only if it was sent within 3 s after the signal.
+    CHECK(rc::check([] {
+        const milliseconds grace(*rc::gen::inRange(0, 120000));
+        const auto plan = plan_stop(at(500), grace, {});
+        const late_request endless{at(500) + milliseconds(3000), at(1000) + grace, false};
+        RC_ASSERT_FALSE(accepts_request(plan, endless));
+        const late_request endless_first{at(500) + milliseconds(4000), at(1000) + grace, true};
+        RC_ASSERT_FALSE(accepts_request(plan, endless_first));
+    }));
+}
