Soak: engines send heads that are no answer

Two in a hundred runs of an engine now end with status 000, with a folded line, within the head, or with a reset right after a head without a length. A caller that gets a status outside of 200 to 599 is a broken promise. The draws of the other faults stay as they were, so that the regression seeds do.

--- a/test/platform/soak/soak_caller.cpp
+++ b/test/platform/soak/soak_caller.cpp
@@ -12,6 +12,7 @@
 #include "adapters/await.h"
 #include "adapters/endpoint.h"
 #include "adapters/http_client.h"
+#include "core/answer_status.h"
 #include "platform/soak/soak_engine.h"
 
 namespace figspoke::soak {
@@ -168,6 +169,9 @@
             if (message["X-Request-Id"] != plan.id && !answer.signature.empty()) {
                 violate(plan, "got the answer of request " + std::string(message["X-Request-Id"]));
             }
+            if (core::kind_of_status(answer.status) != core::answer_kind::final_answer) {
+                violate(plan, "got the status " + std::to_string(answer.status));
+            }
             if (answer.complete && buffer.size() > 0) {
                 violate(plan, "got bytes after its answer");
             }
--- a/test/platform/soak/soak_engine.cpp
+++ b/test/platform/soak/soak_engine.cpp
@@ -53,6 +53,7 @@
 
     bool chance(double part) { return std::uniform_real_distribution<>(0, 1)(random) < part; }
     bool later_chance(double part) { return std::uniform_real_distribution<>(0, 1)(later_random) < part; }
+    bool head_chance(double part) { return std::uniform_real_distribution<>(0, 1)(head_random) < part; }
 
     std::string head(const request_message& request, const std::string& status, const std::string& more) {
         const auto name = header_of(request, "X-Request-Id");
@@ -73,6 +74,8 @@
     std::mt19937 random;
     /// Apart from `random`, whose draws seeds that failed depend on.
     std::mt19937 later_random{std::mt19937::default_seed};
+    /// Apart from both for the same reason.
+    std::mt19937 head_random{std::mt19937::default_seed + 1};
     engine_manners manners;
     /// The last refusal on each connection.
     std::map<const tcp::socket*, std::string> refusals;
@@ -119,6 +122,27 @@
     return false;
 }
 
+// The forms in which an engine in trouble sends a head that is no answer, or no more than a head.
+bool break_head(engine_state& engine, tcp::socket& socket, const request_message& request,
+                const asio::yield_context& yield) {
+    const std::string rest = "Content-Type: text/event-stream\r\nContent-Length: 6\r\n\r\nbroken";
+    note_end(engine, request, false);
+    switch (engine.head_random() % 4) {
+    case 0:
+        write(socket, engine.head(request, "000 OK", rest), yield);
+        return false;
+    case 1:
+        write(socket, engine.head(request, "200 OK", " X-Odd: 1\r\n" + rest), yield);
+        return false;
+    case 2:
+        write(socket, engine.head(request, "200 OK", "Content-Length: 6\r\n"), yield);
+        return false;
+    default:
+        write(socket, engine.head(request, "200 OK", "\r\n"), yield);
+        return break_off(engine, socket, request);
+    }
+}
+
 // The forms in which an engine reports an error instead of going on with a stream.
 bool fail_continuation(engine_state& engine, tcp::socket& socket, const request_message& request,
                        const asio::yield_context& yield) {
@@ -207,6 +231,9 @@
     }
     const auto id = header_of(request, "X-Request-Id");
     engine.ledger.runs[id].push_back({engine.id, std::chrono::steady_clock::now(), false});
+    if (engine.head_chance(engine.manners.breaks_head)) {
+        return break_head(engine, socket, request, yield);
+    }
     const bool stream = request.target().find("/chat/") == 0 || request.target().find("/once/") == 0;
     return stream ? run_stream(engine, socket, request, yield) : run_plain(engine, socket, request, yield);
 }
--- a/test/platform/soak/soak_engine.h
+++ b/test/platform/soak/soak_engine.h
@@ -27,6 +27,8 @@
     double repeats_refusal = 0.3;
     /// The continuation of a stream is answered with an error.
     double fails_continuation = 0.1;
+    /// The head of the answer is none of HTTP, or the connection ends within or right after it.
+    double breaks_head = 0.02;
 };
 
 /// Bodies that begin so get a stream that lasts for up to three seconds.
