An answer whose body has a coding that the node doesn't decode is no answer

Callers would see: a body with `Transfer-Encoding: gzip` or `gzip, chunked` reaches them without the name of its coding, as a body that is not the engine's; `chunked, gzip` passes the sizes of chunks on as text.

Cause: the same as for the status and the folded line: the HTTP library parses such heads, and hop-by-hop headers, which name the coding, are not passed on. Requests of callers were checked for it, answers were not.

Change: the check of requests moves to adapters/framing and holds for the heads of answers too, in both clients: one length, or the coding `chunked` alone, or neither. Two lengths are refused even if they are equal.

--- a/packages/adapters/answer_reader.h
+++ b/packages/adapters/answer_reader.h
@@ -15,6 +15,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include "adapters/framing.h"
 #include "core/answer_status.h"
 #include "core/folded_line.h"
 
@@ -146,9 +147,14 @@
             return nullptr;
         }
         const auto status = static_cast<int>(parser->get().result_int());
-        if (core::kind_of_status(status) == core::answer_kind::final_answer) {
+        if (core::kind_of_status(status) != core::answer_kind::final_answer) {
+            continue;
+        }
+        if (has_unambiguous_framing(parser->get())) {
             return parser;
         }
+        code = boost::beast::http::error::bad_transfer_encoding;
+        return nullptr;
     }
     code = boost::beast::http::error::bad_status;
     return nullptr;
--- a/packages/relay/caller_connection.cpp
+++ b/packages/relay/caller_connection.cpp
@@ -15,6 +15,7 @@
 
 #include "adapters/await.h"
 #include "adapters/endpoint.h"
+#include "adapters/framing.h"
 #include "core/error_json.h"
 #include "relay/boot_clock.h"
 #include "relay/connection_helpers.h"
@@ -123,22 +124,6 @@
     return socket.is_open() && ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-// Returns whether the length of the body is unambiguous. Other transfer codings than chunked, or both a
-// coding and a length, would permit request smuggling.
-bool has_unambiguous_framing(const parser_type& parser) {
-    const auto range = parser.get().equal_range(http::field::transfer_encoding);
-    int codings = 0;
-    for (auto it = range.first; it != range.second; ++it) {
-        ++codings;
-        if (!beast::iequals(it->value(), "chunked")) {
-            return false;
-        }
-    }
-    const auto lengths = parser.get().equal_range(http::field::content_length);
-    const auto length_count = std::distance(lengths.first, lengths.second);
-    return codings <= 1 && length_count <= 1 && (codings == 0 || length_count == 0);
-}
-
 class connection final : public caller_exchange, public std::enable_shared_from_this<connection> {
   public:
     connection(tcp::socket socket, std::shared_ptr<server_shared> shared, policy::memory_reservation memory)
@@ -314,7 +299,8 @@
         if (!read_head(parser, limits)) {
             return false;
         }
-        if (!has_unambiguous_framing(parser)) {
+        // Other framing would permit request smuggling.
+        if (!adapters::has_unambiguous_framing(parser.get())) {
             return refuse_with(400, "the framing of the body is ambiguous");
         }
         // Taken before the body is read, as the parser adds trailers to the fields of the head.
--- a/test/relay/answer_reading_test.cpp
+++ b/test/relay/answer_reading_test.cpp
@@ -215,6 +215,25 @@
     }
 }
 
+TEST_CASE("an answer whose body has a coding that no client decodes is not an answer") {
+    // Guards against a body that reaches the caller in a coding that its head no longer names.
+    byte_engine engine;
+    for (const auto read : readers) {
+        for (const std::string lines :
+             {"Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, gzip",
+              "Transfer-Encoding: gzip", "Transfer-Encoding: xchunked",
+              "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+              "Content-Length: 10\r\nContent-Length: 10"}) {
+            CAPTURE(lines);
+            const auto answer = "HTTP/1.1 200 OK\r\n" + lines + "\r\n\r\n5\r\nab\r\nc\r\n0\r\n\r\n";
+            CHECK_FALSE(engine.ask(read, answer, end_of_bytes::shut).complete);
+        }
+        const std::string chunked =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+        CHECK(engine.ask(read, chunked, end_of_bytes::shut).body == "ok");
+    }
+}
+
 TEST_CASE("bytes without end in an answer are given up before they take much memory") {
     // Guards against a faulty engine whose bytes the product's own client keeps until the process is out of
     // memory.
