The memory that an answer takes is a decision of its own

What a head and a body take from the budget stood beside the I/O of a send. No figure and no behaviour changes.

--- a/packages/adapters/answer_reader.h
+++ b/packages/adapters/answer_reader.h
@@ -93,7 +93,7 @@
     // Bytes at the end of the checked text that may belong to the end of a line or of the head.
     constexpr std::size_t overlap = 3;
     std::size_t checked = 0;
-    std::size_t parsed_before = 0;
+    std::size_t parsed_bytes = 0;
     code = boost::beast::http::error::need_more;
     while (true) {
         if (buffer.size() > 0) {
@@ -104,14 +104,14 @@
             }
             const auto parsed = parser.put(buffer.data(), code);
             buffer.consume(parsed);
-            parsed_before += parsed;
+            parsed_bytes += parsed;
             checked = received.size() - parsed;
         }
         if (code != boost::beast::http::error::need_more) {
             return;
         }
         code = {};
-        if (!hold(parsed_before + buffer.size())) {
+        if (!hold(parsed_bytes + buffer.size())) {
             code = boost::asio::error::no_memory;
             return;
         }
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "policy/answer_memory.h"
 #include "relay/boot_clock.h"
 #include "relay/restrictions.h"
 
@@ -11,24 +12,6 @@
 // An upstream may answer an earlier request twice. More than a few such answers mean that requests and
 // answers on the connection no longer correspond.
 constexpr int max_discarded_answers = 2;
-// Bytes of an answer that the memory of its caller's connection covers.
-constexpr std::size_t short_answer_bytes = 16U * 1024;
-// Unit in which a longer answer takes bytes from the budget.
-constexpr std::size_t answer_step_bytes = 64U * 1024;
-// Length of a head whose memory is that of a short answer.
-constexpr std::size_t short_head_bytes = 4U * 1024;
-// A head stands in a buffer of up to twice its length, in the parser, in the list of its fields and in the
-// list for the caller.
-constexpr std::size_t head_copies = 5;
-
-std::size_t round_up_to_step(std::size_t bytes) {
-    return (bytes / answer_step_bytes + 1) * answer_step_bytes;
-}
-
-// Returns the bytes that a head of this length takes from the budget.
-std::size_t memory_of_head(std::size_t length) {
-    return length <= short_head_bytes ? 0 : round_up_to_step(head_copies * length);
-}
 
 attempt_failure failure_of(const link_error& error) {
     const bool sent = error.cause != link_failure::not_connected && error.cause != link_failure::refused;
@@ -50,7 +33,7 @@
             return true;
         });
         const auto hold_head = [&answer](std::size_t length) {
-            answer.head_memory = memory_of_head(length);
+            answer.head_memory = policy::memory_of_head(length);
             return answer.memory.resize(answer.head_memory, boot_now());
         };
         auto head = link->read_head(left, hold_head, yield);
@@ -106,8 +89,7 @@
 bool hold_answer_bytes(begun_answer& answer, std::size_t bytes) {
     const auto now = boot_now();
     answer.memory.progress(now);
-    const auto body_memory = bytes <= short_answer_bytes ? 0 : round_up_to_step(bytes);
-    return answer.memory.resize(answer.head_memory + body_memory, now);
+    return answer.memory.resize(answer.head_memory + policy::memory_of_body(bytes), now);
 }
 
 link_result<std::string> read_answer_body(begun_answer& answer, const policy::body_limits& limits,
