Test: name the descriptor limit of a crowd's node, and why its check changed

It now has the name of what it is.

Result: both cases of "engines answer with" pass; no product code changes.

--- a/test/platform/uncontrolled_clients_test.cpp
+++ b/test/platform/uncontrolled_clients_test.cpp
@@ -135,11 +135,12 @@
 };
 
 struct crowd_fixture {
-    explicit crowd_fixture(long memory = memory_mb, std::size_t files = descriptors) : files_allowed(files) {
+    explicit crowd_fixture(long memory = memory_mb, std::size_t most_descriptors = descriptors)
+        : descriptor_limit(most_descriptors) {
         cluster.configure(1, {"k1"});
         cluster.add_engine("i-shop", "shop", shop);
         cluster.add_node_settings("memory_mb = " + std::to_string(memory) +
-                                  "\ndescriptors = " + std::to_string(files_allowed) + "\n");
+                                  "\ndescriptors = " + std::to_string(descriptor_limit) + "\n");
     }
 
     relay_process& start() {
@@ -155,7 +156,7 @@
             answer_time));
         REQUIRE(running());
         CHECK(memory_kb(node->process->pid(), "VmHWM") <= memory_mb * 1024);
-        CHECK(open_descriptors(node->process->pid()) <= files_allowed);
+        CHECK(open_descriptors(node->process->pid()) <= descriptor_limit);
     }
 
     void check_crowd(const crowd_bytes& bytes, int clients = crowd_size) {
@@ -181,7 +182,7 @@
 
     /// Called once the crowd has sent its bytes.
     std::function<void()> after_crowd = [] {};
-    std::size_t files_allowed;
+    std::size_t descriptor_limit;
     engine_stand_in shop{serve_shop};
     relay_cluster cluster;
     relay_process* node = nullptr;
