The parts of a prompt are read from all fields that list them

Callers may divide a list among several fields of one name; the fields are passed on unchanged, and an engine may read them as one list. The node read the first field only, so that a part in the second could crash engines without end, like one beyond the 32nd place (BUDGET).

Cause: the first field with the name was taken for the whole list.

--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -259,6 +259,16 @@
     CHECK(invalid.request_id.empty());
 }
 
+TEST_CASE("the parts of a prompt are read from all fields that list them") {
+    // Guards against a part that crashes engines and is named in a second field, where nothing looks.
+    const auto protocol = make_wire_protocol();
+    const auto read = protocol.read_request(
+        request_with({{"X-Prompt-Prefix", "a:1,b:2"}, {"Host", "h"}, {"x-prompt-prefix", "c:3,d:4"}}));
+    REQUIRE(read.prompt.size() == 4);
+    CHECK(read.prompt[2].id == "c");
+    CHECK(read.prompt[3].tokens == 4);
+}
+
 TEST_CASE("an answer's headers tell whether the request was refused") {
     const auto protocol = make_wire_protocol();
     relay::answer_head refused;
