--- a/packages/relay/crash_records.cpp
+++ b/packages/relay/crash_records.cpp
@@ -38,7 +38,7 @@
     records.insert(records.end(), told.begin(), told.end());
 }
 
-// Adds at most `most` records of fingerprints with so many crashes, all of which are told or none.
+// Adds at most `most` records of fingerprints with so many crashes. Each is told with all its crashes.
 void add_crashes(std::vector<crash_record>& records, const policy::crash_ledger& ledger, std::size_t crashes,
                  core::steady_time since, std::size_t most, core::steady_time now) {
     for (const auto& rank : slice_of(policy::ranks_with(ledger, crashes, since), most / crashes, now)) {
--- a/packages/relay/event_splitter.h
+++ b/packages/relay/event_splitter.h
@@ -36,7 +36,7 @@
     std::string pending_;
     /// Number of pending bytes in which no event ends.
     std::size_t scanned_ = 0;
-    /// The scanned bytes end with an empty line's start: the line before has ended.
+    /// A line has ended with the scanned bytes, so that an empty one would end the event.
     bool at_line_start_ = false;
     /// The last byte received is a CR. An LF that follows ends the same line.
     bool after_cr_ = false;
--- a/test/platform/soak/soak_engine.cpp
+++ b/test/platform/soak/soak_engine.cpp
@@ -54,6 +54,7 @@
     bool chance(double part) { return std::uniform_real_distribution<>(0, 1)(random) < part; }
     bool later_chance(double part) { return std::uniform_real_distribution<>(0, 1)(later_random) < part; }
     bool head_chance(double part) { return std::uniform_real_distribution<>(0, 1)(head_random) < part; }
+    bool cut_chance(double part) { return std::uniform_real_distribution<>(0, 1)(cut_random) < part; }
 
     std::string head(const request_message& request, const std::string& status, const std::string& more) {
         const auto name = header_of(request, "X-Request-Id");
@@ -76,6 +77,8 @@
     std::mt19937 later_random{std::mt19937::default_seed};
     /// Apart from both for the same reason.
     std::mt19937 head_random{std::mt19937::default_seed + 1};
+    /// Apart from these for the same reason.
+    std::mt19937 cut_random{std::mt19937::default_seed + 2};
     engine_manners manners;
     /// The last refusal on each connection.
     std::map<const tcp::socket*, std::string> refusals;
@@ -162,6 +165,17 @@
     }
 }
 
+// Ends a stream within an event.
+bool cut_event(engine_state& engine, tcp::socket& socket, const request_message& request,
+               const std::string& event, const asio::yield_context& yield) {
+    write(socket, chunk_of(event.substr(0, event.size() / 2)), yield);
+    if (!engine.cut_chance(engine.manners.ends_cut_in_order)) {
+        return break_off(engine, socket, request);
+    }
+    note_end(engine, request, false);
+    return write(socket, "0\r\n\r\n", yield);
+}
+
 bool run_stream(engine_state& engine, tcp::socket& socket, const request_message& request,
                 const asio::yield_context& yield) {
     const auto after = header_of(request, "Last-Event-Id");
@@ -179,8 +193,7 @@
         adapters::sleep_for(gap, yield);
         auto text = stream_event(number, number == last, request.body());
         if (cuts && number > last / 2) {
-            write(socket, chunk_of(text.substr(0, text.size() / 2)), yield);
-            return break_off(engine, socket, request);
+            return cut_event(engine, socket, request, text, yield);
         }
         if (!write(socket, chunk_of(text), yield)) {
             return false;
