Tests of cut events in three cases; the heartbeat interval stands once

The turns of crash records follow the interval of heartbeats, which stood a second time as a number.

--- a/packages/relay/crash_records.cpp
+++ b/packages/relay/crash_records.cpp
@@ -11,14 +11,13 @@
 // those that may be refused next.
 constexpr std::size_t max_cleared_records = max_crash_records / 4;
 constexpr std::size_t max_refused_records = max_crash_records / 2;
-// The interval of heartbeats. Each round tells the next records of a list that is longer than one heartbeat.
-constexpr core::milliseconds round_time{250};
 
-// Returns the part of a list that is told in this round, at most `most` of its entries.
+// Returns the part of a list that the heartbeats of this moment tell, at most `most` of its entries. Those of
+// the next interval tell the entries that follow.
 template <class Entry>
 std::vector<Entry> slice_of(std::vector<Entry> list, std::size_t most, core::steady_time now) {
     if (list.size() > most) {
-        const auto round = std::size_t(now.time_since_epoch() / round_time);
+        const auto round = std::size_t(now.time_since_epoch() / heartbeat_interval);
         const auto first = std::ptrdiff_t(round % list.size() * most % list.size());
         std::rotate(list.begin(), list.begin() + first, list.end());
         list.resize(most);
--- a/packages/relay/fleet.cpp
+++ b/packages/relay/fleet.cpp
@@ -17,7 +17,6 @@
 using asio::ip::udp;
 using std::chrono::microseconds;
 
-constexpr core::milliseconds heartbeat_interval{250};
 // Failed members and seeds that never answered are contacted once in this many rounds, at most as many of
 // them at a time as a fleet of one cell has members.
 constexpr std::uint64_t contact_every = 4;
--- a/packages/relay/heartbeat_message.h
+++ b/packages/relay/heartbeat_message.h
@@ -24,6 +24,9 @@
 enum class document_kind : std::uint8_t { operator_config, registry };
 inline constexpr std::size_t document_count = 2;
 
+/// Time between the heartbeats to a node of the same cell.
+inline constexpr core::milliseconds heartbeat_interval{250};
+
 using policy::add_use;
 using policy::upstream_use;
 
--- a/test/platform/cut_event_test.cpp
+++ b/test/platform/cut_event_test.cpp
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,7 @@
 
 // Sends a body whose framing is complete.
 void send_framed(engine_connection& connection, const engine_request& request, framing kind,
-                 const std::string& body, const std::string& type = as_events) {
+                 const std::string& body, const std::string& type) {
     if (kind == framing::length || kind == framing::connection) {
         const auto length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
         connection.send(head_of(request, type + (kind == framing::length ? length : "")) + body);
@@ -68,7 +69,7 @@
     return request.headers.count("last-event-id") > 0;
 }
 
-// A node with two engines of one kind. The engines' answer can be changed between requests.
+// A node with two engines of one kind.
 class two_engines {
   public:
     two_engines() : first_(handler()), second_(handler()) {
@@ -78,9 +79,13 @@
         node_ = &cluster_.start_node();
     }
 
-    // Sends one request on a connection of its own. Returns the answer and counts the engines' runs.
-    kept_answer ask(const std::string& path, const engine_stand_in::handler& respond) {
-        respond_ = respond;
+    // Sends one request on a connection of its own. The engines answer each run with the body for it.
+    kept_answer ask(const std::string& path, framing kind,
+                    const std::function<std::string(const engine_request&)>& body_of,
+                    const std::string& type = as_events) {
+        respond_ = [=](engine_connection& connection, const engine_request& request) {
+            send_framed(connection, request, kind, body_of(request), type);
+        };
         runs_ = 0;
         kept_connection caller(node_->callers);
         const auto id = "r" + std::to_string(++sent_);
@@ -109,124 +114,85 @@
 
 } // namespace
 
-TEST_CASE("a stream that can't be resumed and ends within an event does not look complete") {
+TEST_CASE("a stream that ends within an event is broken off where it can't be resumed, else continued") {
     // Guards against an engine that fails in the middle of an event and ends its framing in order: the caller
     // got a part of the stream as the whole (ORDER).
     two_engines fixture;
     for (const auto kind : all_framings) {
         CAPTURE(int(kind));
-        const auto answer =
-            fixture.ask("/once/", [&](engine_connection& connection, const engine_request& request) {
-                send_framed(connection, request, kind, events(1, 2) + partial_event);
-            });
-        CHECK(answer.status == 200);
-        CHECK_FALSE(answer.complete);
-        CHECK(answer.body.substr(0, events(1, 2).size()) == events(1, 2));
+        const auto body_of = [](const engine_request& request) {
+            return is_continuation(request) ? events(3, 4) : events(1, 2) + partial_event;
+        };
+        const auto broken_off = fixture.ask("/once/", kind, body_of);
+        CHECK(broken_off.status == 200);
+        CHECK_FALSE(broken_off.complete);
+        CHECK(broken_off.body.substr(0, events(1, 2).size()) == events(1, 2));
         CHECK(fixture.runs() == 1);
-    }
-}
-
-TEST_CASE("a stream that can be resumed and ends within an event is continued") {
-    // Guards against a resumable stream that ends early although another engine would have gone on with it.
-    two_engines fixture;
-    for (const auto kind : all_framings) {
-        CAPTURE(int(kind));
-        const auto answer =
-            fixture.ask("/chat/", [&](engine_connection& connection, const engine_request& request) {
-                send_framed(connection, request, kind,
-                            is_continuation(request) ? events(3, 4) : events(1, 2) + partial_event);
-            });
-        CHECK(answer.status == 200);
-        CHECK(answer.complete);
-        CHECK(answer.body == events(1, 4));
+        const auto continued = fixture.ask("/chat/", kind, body_of);
+        CHECK(continued.status == 200);
+        CHECK(continued.complete);
+        CHECK(continued.body == events(1, 4));
         CHECK(fixture.runs() == 2);
     }
 }
 
-TEST_CASE("a stream whose first event is cut runs again from its beginning") {
-    two_engines fixture;
-    for (const auto kind : all_framings) {
-        CAPTURE(int(kind));
-        std::atomic<int> run{0};
-        const auto answer =
-            fixture.ask("/chat/", [&](engine_connection& connection, const engine_request& request) {
-                CHECK_FALSE(is_continuation(request));
-                send_framed(connection, request, kind, ++run == 1 ? "id: 1" : events(1, 4));
-            });
-        CHECK(answer.status == 200);
-        CHECK(answer.complete);
-        CHECK(answer.body == events(1, 4));
-    }
-}
-
-TEST_CASE("a stream all of whose runs end within an event does not look complete") {
+TEST_CASE("a stream whose first event is cut runs again, and does not look complete when each run is cut") {
     // Guards against a continuation, or a last attempt, that is cut as well.
     two_engines fixture;
     for (const auto kind : all_framings) {
         CAPTURE(int(kind));
-        const auto answer =
-            fixture.ask("/chat/", [&](engine_connection& connection, const engine_request& request) {
-                send_framed(connection, request, kind,
-                            is_continuation(request) ? partial_event : events(1, 2) + partial_event);
-            });
-        CHECK_FALSE(answer.complete);
-        CHECK(answer.body == events(1, 2));
-        const auto empty =
-            fixture.ask("/chat/", [&](engine_connection& connection, const engine_request& request) {
-                send_framed(connection, request, kind, "id: 1");
-            });
-        CHECK((empty.status != 200 || !empty.complete));
+        std::atomic<int> run{0};
+        const auto again = fixture.ask("/chat/", kind, [&](const engine_request& request) {
+            CHECK_FALSE(is_continuation(request));
+            return ++run == 1 ? "id: 1" : events(1, 4);
+        });
+        CHECK(again.status == 200);
+        CHECK(again.complete);
+        CHECK(again.body == events(1, 4));
+        const auto all_cut = fixture.ask("/chat/", kind, [](const engine_request& request) {
+            return is_continuation(request) ? partial_event : events(1, 2) + partial_event;
+        });
+        CHECK_FALSE(all_cut.complete);
+        CHECK(all_cut.body == events(1, 2));
+        const auto none = fixture.ask("/chat/", kind, [](const engine_request&) { return "id: 1"; });
+        CHECK((none.status != 200 || !none.complete));
     }
 }
 
-TEST_CASE("whole streams in each framing and with each line end reach the caller as complete") {
-    // Guards against sound streams that are taken for cut ones.
-    const std::vector<std::string> streams = {events(1, 2),
-                                              events(1, 2) + ": end\n",
-                                              events(1, 2) + "\n",
-                                              "",
-                                              "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
-                                              "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"};
+TEST_CASE("whole streams, and answers of another type than events, reach the caller as complete") {
+    // Guards against sound streams, whatever ends their lines, and JSON or encoded answers on a streaming
+    // route that are taken for cut streams.
+    struct whole_answer {
+        std::string type;
+        std::string body;
+    };
+    const std::vector<whole_answer> answers = {
+        {as_events, events(1, 2)},
+        {as_events, events(1, 2) + ": end\n"},
+        {as_events, events(1, 2) + "\n"},
+        {as_events, ""},
+        {as_events, "id: 1\rdata: a\r\rid: 2\rdata: b\r\r"},
+        {as_events, "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"},
+        {"Content-Type: application/json\r\n", R"({"text":"whole"})"},
+        {as_events + "Content-Encoding: gzip\r\n", "0123456789"}};
     two_engines fixture;
     for (const auto kind : all_framings) {
         for (const auto& path : stream_paths) {
-            for (const auto& body : streams) {
+            for (const auto& whole : answers) {
                 CAPTURE(int(kind));
                 CAPTURE(path);
-                CAPTURE(body);
-                const auto answer =
-                    fixture.ask(path, [&](engine_connection& connection, const engine_request& request) {
-                        send_framed(connection, request, kind, body);
-                    });
+                CAPTURE(whole.body);
+                // Without a length, only events show that a body is whole.
+                if (kind == framing::connection && whole.type != as_events) {
+                    continue;
+                }
+                const auto answer = fixture.ask(
+                    path, kind, [&](const engine_request&) { return whole.body; }, whole.type);
                 CHECK(answer.status == 200);
                 CHECK(answer.complete);
-                CHECK(answer.body == body);
+                CHECK(answer.body == whole.body);
                 CHECK(fixture.runs() == 1);
             }
         }
     }
 }
-
-TEST_CASE("an answer of another type than events is judged by its framing alone") {
-    // Guards against a JSON or an encoded answer on a streaming route that is taken for a cut stream.
-    const std::vector<std::string> types = {"Content-Type: application/json\r\n",
-                                            as_events + "Content-Encoding: gzip\r\n"};
-    two_engines fixture;
-    for (const auto kind : {framing::chunks, framing::one_chunk, framing::length}) {
-        for (const std::string path : {"/once/", "/chat/"}) {
-            for (const std::string type : {"Content-Type: application/json\r\n",
-                                           "Content-Type: text/event-stream\r\nContent-Encoding: gzip\r\n"}) {
-                CAPTURE(int(kind));
-                CAPTURE(path);
-                CAPTURE(type);
-                const auto answer =
-                    fixture.ask(path, [&](engine_connection& connection, const engine_request& request) {
-                        send_framed(connection, request, kind, R"({"text":"whole"})", type);
-                    });
-                CHECK(answer.status == 200);
-                CHECK(answer.complete);
-                CHECK(answer.body == R"({"text":"whole"})");
-            }
-        }
-    }
-}
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -76,6 +76,16 @@
     return text;
 }
 
+// Sends a peer the crash records of so many heartbeats from `at(4000)` on.
+void tell_crashes(const policy::crash_ledger& from, policy::crash_ledger& to, int heartbeats) {
+    for (int i = 0; i < heartbeats; ++i) {
+        const auto now = at(4000) + i * heartbeat_interval;
+        const auto records = crash_records(from, core::milliseconds(4000), now);
+        CHECK(records.size() <= 200U);
+        merge_crash_records(to, records, now);
+    }
+}
+
 } // namespace
 
 TEST_CASE("events are forwarded whole, whatever the sizes of the received pieces") {
@@ -693,12 +703,7 @@
     for (std::uint64_t part = 0; part < parts; ++part) {
         policy::record_crash(ledger, {}, part, "u", at(4000));
     }
-    for (int round = 0; round < 8; ++round) {
-        const auto now = at(4000 + round * 250);
-        const auto records = crash_records(ledger, core::milliseconds(4000), now);
-        CHECK(records.size() <= 200U);
-        merge_crash_records(peer, records, now);
-    }
+    tell_crashes(ledger, peer, 8);
     CHECK(peer.crashes.size() == parts);
 }
 
@@ -762,12 +767,7 @@
         policy::clear_fingerprint(ledger, cleared + i, at(4000));
         policy::record_crash(ledger, {}, i, "u", at(4000));
     }
-    for (int round = 0; round < 16; ++round) {
-        const auto now = at(4000 + round * 250);
-        const auto records = crash_records(ledger, core::milliseconds(4000), now);
-        CHECK(records.size() <= 200U);
-        merge_crash_records(peer, records, now);
-    }
+    tell_crashes(ledger, peer, 16);
     CHECK(peer.cleared.size() == count);
     CHECK(policy::ranks_with(peer, 1, core::steady_time::min()).size() == count);
     CHECK(policy::ranks_with(peer, 3, core::steady_time::min()).size() == count);
