Test: the golden session of a withdrawn version waits for its three lines

The test waited for any route line before it read the log, while the golden file has three, which the node writes after its answers. It now waits for three; the text is compared as before, so the check is equally strict: a line that never comes still fails it.

--- a/test/correctness/process/golden_test.cpp
+++ b/test/correctness/process/golden_test.cpp
@@ -103,9 +103,18 @@
     std::string text_;
 };
 
-bool has_logged(child_process& process, const std::string& event) {
-    return wait_until(
-        [&] { return process.output().find("\"event\":\"" + event + "\"") != std::string::npos; });
+std::size_t count_in(const std::string& text, const std::string& part) {
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
+        ++count;
+    }
+    return count;
+}
+
+// Waits until the process has written so many lines of an event.
+bool has_logged(child_process& process, const std::string& event, std::size_t lines = 1) {
+    const auto name = "\"event\":\"" + event + "\"";
+    return wait_until([&] { return count_in(process.output(), name) >= lines; });
 }
 
 bool all_settled(const fleet& nodes) {
@@ -158,7 +167,7 @@
     const auto token = first.headers.at("x-figspoke-conversation");
     record.add_answer(nodes.chat(0, body));
     record.add_answer(nodes.chat(0, chat_body("again", false), {{"x-figspoke-conversation", token}}));
-    REQUIRE(has_logged(nodes.node_process(0), "route"));
+    REQUIRE(has_logged(nodes.node_process(0), "route", 3));
     record.add_log(nodes.node_process(0), "route");
     record.check();
 }
