A connection that is accepted at once no longer proves that an upstream survived

Cause: a broken connection is followed by a connection probe, and an accepted one removed the evidence. The sockets of a process that ends close one after the other; the probe came before the listening socket was closed. Ruled out: that the part has no fingerprint, or that heartbeats lose it (one node sent all requests with it).

Change: record_accepted_connection removes what was broken survival_time (100 ms) or longer before the accepted connection. The upstream is tried again until nothing is left, so that one that dies a moment later is still found.

Why it works: a process that accepts connections 100 ms after it has closed one in a crash does not exist; until then the evidence stays. A broken connection costs a second connection probe.

--- a/packages/policy/crash_ledger.h
+++ b/packages/policy/crash_ledger.h
@@ -38,6 +38,9 @@
     /// The same for a connection that the node itself closed: an upstream crashes some tens of milliseconds
     /// after it has begun an answer, whether or not the caller still waits.
     core::milliseconds closed_window{500};
+    /// Time after a broken connection from which an accepted one shows that the upstream did not crash. The
+    /// sockets of a process that crashes close one after the other, and the listening one not always first.
+    core::milliseconds survival_time{100};
     /// Beyond this number, the fingerprint with the fewest crashes whose latest crash is the oldest is
     /// removed. Enough for the requests on a few upstreams, each with a prompt of a thousand parts.
     std::size_t max_fingerprints = 16384;
@@ -123,6 +126,11 @@
 /// Removes the unconfirmed crashes of an upstream up to a time at which it was found to be running.
 void discard_unconfirmed_crashes(crash_ledger& ledger, const std::string& upstream, core::steady_time until);
 
+/// Records that an upstream accepted a connection: removes the unconfirmed crashes that it has survived by
+/// then. Returns whether others are left, of which only a later connection can tell.
+bool record_accepted_connection(crash_ledger& ledger, const crash_ledger_settings& settings,
+                                const std::string& upstream, core::steady_time at);
+
 /// Removes the crashes of a fingerprint, because one of its requests succeeded on this node. Earlier crashes
 /// that are reported later are ignored.
 void clear_fingerprint(crash_ledger& ledger, std::uint64_t fingerprint, core::steady_time now);
--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/spawn.hpp>
 #include <nlohmann/json.hpp>
 
+#include "adapters/await.h"
 #include "core/erase_where.h"
 #include "relay/boot_clock.h"
 #include "relay/candidates.h"
@@ -41,28 +42,54 @@
     return fingerprints;
 }
 
+// Tries a connection to an upstream and returns whether it was accepted.
+bool try_connection(relay_state& node, const std::string& id, const std::string& address,
+                    const boost::asio::yield_context& yield) {
+    const auto began = boot_now();
+    node.probes[id] = {began, true, false};
+    const auto link = std::make_shared<upstream_link>(node.context);
+    const auto connected = link->connect(address, probe_timeout, yield);
+    const bool alive = connected.has_value();
+    link->close();
+    node.probes[id] = {boot_now(), false, alive};
+    node.log.state("upstream_probed", {{"upstream", id}, {"accepts_connections", alive}});
+    if (alive) {
+        policy::record_accepted_connection(node.crashes, {}, id, began);
+    } else {
+        record_upstream_down(node, id, connected.error().cause);
+        confirm_upstream_crash(node, id, began);
+    }
+    return alive;
+}
+
 void probe(relay_state& node, const std::string& id, const std::string& address) {
     node.probes[id] = {boot_now(), true, false};
     boost::asio::spawn(
         node.context,
         [&node, id, address](const boost::asio::yield_context& yield) {
-            const auto link = std::make_shared<upstream_link>(node.context);
-            const auto began = boot_now();
-            const auto connected = link->connect(address, probe_timeout, yield);
-            const bool alive = connected.has_value();
-            link->close();
-            node.probes[id] = {boot_now(), false, alive};
-            node.log.state("upstream_probed", {{"upstream", id}, {"accepts_connections", alive}});
-            if (alive) {
-                policy::discard_unconfirmed_crashes(node.crashes, id, began);
-            } else {
-                record_upstream_down(node, id, connected.error().cause);
-                confirm_upstream_crash(node, id, began);
-            }
+            try_connection(node, id, address, yield);
         },
         boost::asio::detached);
 }
 
+// Tries an upstream until it is down, gone or has survived the ends of all its connections.
+void watch_for_crash(relay_state& node, const std::string& id, const boost::asio::yield_context& yield) {
+    const policy::crash_ledger_settings settings;
+    while (!node.stopped) {
+        const auto entry = node.registry.upstreams.find(id);
+        if (entry == node.registry.upstreams.end()) {
+            break;
+        }
+        const auto address = entry->second.entry.address;
+        if (!try_connection(node, id, address, yield) ||
+            !policy::record_accepted_connection(node.crashes, settings, id, boot_now())) {
+            break;
+        }
+        adapters::sleep_for(settings.survival_time, yield);
+    }
+    node.crash_watches.erase(id);
+}
+
 // Returns whether an upstream that sends no byte to any node doesn't accept connections either. Starts a
 // probe if there is no valid result, and returns false until it ends.
 bool is_unreachable(relay_state& node, const std::string& id) {
@@ -193,12 +220,15 @@
 }
 
 void probe_for_crash(relay_state& node, const std::string& upstream) {
-    const auto entry = node.registry.upstreams.find(upstream);
-    const auto known = node.probes.find(upstream);
-    const bool running = known != node.probes.end() && known->second.running;
-    if (entry != node.registry.upstreams.end() && !running) {
-        probe(node, upstream, entry->second.entry.address);
+    if (!node.crash_watches.insert(upstream).second) {
+        return;
     }
+    boost::asio::spawn(
+        node.context,
+        [&node, upstream](const boost::asio::yield_context& yield) {
+            watch_for_crash(node, upstream, yield);
+        },
+        boost::asio::detached);
 }
 
 // Peers hear of it at once where it may be what makes a request refused: until then they go on sending it.
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -147,6 +147,8 @@
     std::map<std::uint64_t, unproven_send> unproven_sends;
     /// Probes of upstreams that sent no byte to any node.
     std::map<std::string, upstream_probe> probes;
+    /// Upstreams that are tried since a connection to them broke.
+    std::set<std::string> crash_watches;
     policy::prefill_rates prefill;
     policy::speed_table speeds;
     /// The latest load that each upstream stated to this node.
@@ -222,8 +224,8 @@
 /// upstream.
 void close_silent_streams(relay_state& node, core::nanoseconds paused);
 
-/// Finds out with a connection whether an upstream whose connection broke has crashed, and records the crash
-/// if it has.
+/// Finds out with connections whether an upstream whose connection broke has crashed, and records the crash
+/// if it has. Ends once the upstream has accepted one long enough after the last that broke.
 void probe_for_crash(relay_state& node, const std::string& upstream);
 
 /// Records the crash of an upstream that was found to be down or restarted at `crashed_at`.
--- a/test/correctness/policy_crash_ledger_test.cpp
+++ b/test/correctness/policy_crash_ledger_test.cpp
@@ -225,6 +225,26 @@
     CHECK(ledger.unconfirmed_fingerprints == 1U);
 }
 
+TEST_CASE("an upstream that accepts a connection at once after one broke may have crashed with it") {
+    // Guards against crashes that are never counted: a process that ends closes its connections first, and
+    // its listening socket a moment later.
+    const crash_ledger_settings settings;
+    crash_ledger ledger;
+    record_broken_send(ledger, settings, {7}, {"u1", at(1000), false});
+    CHECK(record_accepted_connection(ledger, settings, "u1", at(1001)));
+    confirm_crash(ledger, settings, "u1", at(1100));
+    CHECK(crash_count(ledger, 7) == 1U);
+    record_broken_send(ledger, settings, {7}, {"u2", at(5000), false});
+    record_broken_send(ledger, settings, {7}, {"u2", at(5050), false});
+    record_broken_send(ledger, settings, {7}, {"u3", at(5000), false});
+    CHECK(record_accepted_connection(ledger, settings, "u2", at(5000) + settings.survival_time));
+    CHECK_FALSE(record_accepted_connection(ledger, settings, "u2", at(5050) + settings.survival_time));
+    confirm_crash(ledger, settings, "u2", at(5400));
+    CHECK(crash_count(ledger, 7) == 1U);
+    confirm_crash(ledger, settings, "u3", at(5400));
+    CHECK(crash_count(ledger, 7) == 2U);
+}
+
 TEST_CASE("the ledger's order of importance follows all its changes") {
     // Guards against a fingerprint that is refused, told or removed by an order that is out of date.
     const auto holds = rc::check([] {
--- a/test/platform/deadly_part_test.cpp
+++ b/test/platform/deadly_part_test.cpp
@@ -1,6 +1,9 @@
 #include <csignal>
 #include <deque>
+#include <future>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -21,7 +24,9 @@
 // replaced, as by a restart.
 class engine_group {
   public:
-    explicit engine_group(relay_cluster& cluster) : cluster_(cluster) {
+    // Engines that crash listen for so long after their connections have broken.
+    explicit engine_group(relay_cluster& cluster, milliseconds listens_for = milliseconds(0))
+        : cluster_(cluster), listens_for_(listens_for) {
         for (int i = 0; i < 3; ++i) {
             add();
         }
@@ -58,13 +63,25 @@
         return parts != request.headers.end() && parts->second.find(deadly_part) != std::string::npos;
     }
 
+    void crash(engine_stand_in& engine) {
+        if (listens_for_ == milliseconds(0)) {
+            engine.crash();
+            return;
+        }
+        const std::lock_guard lock(mutex_);
+        crashing_.push_back(std::async(std::launch::async, [this, &engine] {
+            std::this_thread::sleep_for(listens_for_);
+            engine.crash();
+        }));
+    }
+
     void add() {
         const auto position = engines_.size();
         engines_.push_back(std::make_unique<engine_stand_in>(
             [this, position](engine_connection& connection, const engine_request& request) {
                 connection.begin_stream(request);
                 if (is_deadly(request)) {
-                    engines_.at(position)->crash();
+                    crash(*engines_.at(position));
                     connection.reset();
                     return;
                 }
@@ -75,7 +92,10 @@
     }
 
     relay_cluster& cluster_;
+    milliseconds listens_for_;
     std::deque<std::unique_ptr<engine_stand_in>> engines_;
+    std::mutex mutex_;
+    std::vector<std::future<void>> crashing_;
 };
 
 http_answer send_prompt(relay_cluster& cluster, const relay_process& node, const std::string& id,
@@ -155,6 +175,28 @@
     }
 }
 
+TEST_CASE("a part is found although engines still accept connections when theirs break") {
+    // Guards against crashes that count as survived, so that the part crashes engines without end (BUDGET).
+    relay_cluster cluster;
+    cluster.configure(1, {"k1"});
+    engine_group engines(cluster, milliseconds(30));
+    auto& node = cluster.start_node();
+    engines.replace_crashed(node);
+    for (int i = 0; i < 5; ++i) {
+        const auto id = "d" + std::to_string(i);
+        CHECK(send_prompt(cluster, node, id, "first:20,dead:30").status >= 502);
+        std::this_thread::sleep_for(milliseconds(300));
+        engines.replace_crashed(node);
+        CHECK(send_prompt(cluster, node, "s" + id, "first:20,sound:30").status == 200);
+    }
+    const auto reached = engines.deadly_requests();
+    for (int i = 5; i < 10; ++i) {
+        CHECK(send_prompt(cluster, node, "d" + std::to_string(i), "first:20,dead:30").status == 503);
+    }
+    CHECK(send_prompt(cluster, node, "s5", "first:20,sound:30").status == 200);
+    CHECK(engines.deadly_requests() == reached);
+}
+
 TEST_CASE("a part that crashes engines stays refused after all nodes were killed") {
     // Guards against a fleet that learns after each restart, at the cost of engines, what it knew before.
     relay_cluster cluster;
