--- a/test/platform/soak/soak_engine.h
+++ b/test/platform/soak/soak_engine.h
@@ -19,8 +19,6 @@
     double resets_after = 0.01;
     /// The answer, or an event of the stream, ends half-way.
     double truncates = 0.02;
-    /// Of the streams that end half-way: the chunks end in order after a part of an event.
-    double ends_cut_in_order = 0.5;
     /// Bytes of no request follow a complete answer.
     double sends_more = 0.01;
     /// The connection is closed without notice after the answer, while it seems to be kept.
@@ -31,6 +29,8 @@
     double fails_continuation = 0.1;
     /// The head of the answer is none of HTTP, or the connection ends within or right after it.
     double breaks_head = 0.02;
+    /// Of the streams that end half-way: the chunks end in order after a part of an event.
+    double ends_cut_in_order = 0.5;
 };
 
 /// Bodies that begin so get a stream that lasts for up to three seconds.
--- a/test/platform/soak/soak_run.cpp
+++ b/test/platform/soak/soak_run.cpp
@@ -120,7 +120,7 @@
             adapters::sleep_for(watch_interval, yield);
         }
         for (auto& slot : engines_) {
-            slot.engine->set_manners({0, 0, 0, 0, 0, 0, 0, 0, 0, 0});
+            slot.engine->set_manners({0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0});
         }
         adapters::sleep_for(recovery_time, yield);
         callers_.calm = true;
