Test: the stream of a stopping node begins before the stop

Cause: the test sent SIGTERM as soon as the engine ran the request. Where that is faster than the first token, the head of the stream announces the end of the connection, rightly, and the node closes it after the stream, while the test sends the late request there.

--- a/test/correctness/process/stop_test.cpp
+++ b/test/correctness/process/stop_test.cpp
@@ -81,13 +81,16 @@
     const raw_connection other(nodes.node(0));
     REQUIRE(kept.send(raw_post("/v1/chat/completions", chat_body("long", true, 500).dump())));
     REQUIRE(wait_until([&] { return nodes.executions().size() == 1; }));
+    // The head of the stream is written before the stop, so that it doesn't announce the end.
+    std::string stream = kept.read_some();
+    REQUIRE(stream.find("HTTP/1.1 200") == 0);
+    REQUIRE(stream.find("Connection: close") == std::string::npos);
     nodes.node_process(0).send_signal(SIGTERM);
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
     REQUIRE(other.send(raw_post("/v1/orders/parts_order", R"({"units":3})", "Idempotency-Key: early\r\n")));
     const auto early = other.read_to_end();
     CHECK(early.find("HTTP/1.1 200") == 0);
     CHECK(early.find("Connection: close") != std::string::npos);
-    std::string stream;
     const std::string last_chunk = "0\r\n\r\n";
     while (stream.size() < last_chunk.size() ||
            stream.compare(stream.size() - last_chunk.size(), last_chunk.size(), last_chunk) != 0) {
