A slow connection doesn't shorten the time that an upstream must survive

The watch on an upstream judged once more at the end of the connection. One that takes longer than survival_time to be accepted, over a slow path, would have removed evidence that the upstream had not survived by its beginning.

--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -42,9 +42,13 @@
     return fingerprints;
 }
 
-// Tries a connection to an upstream and returns whether it was accepted.
-bool try_connection(relay_state& node, const std::string& id, const std::string& address,
-                    const boost::asio::yield_context& yield) {
+// What a connection that was tried tells of an upstream.
+enum class survival { down, undecided, survived };
+
+// Tries a connection to an upstream. It may be accepted as soon as it is begun, so that it tells of that
+// time.
+survival try_connection(relay_state& node, const std::string& id, const std::string& address,
+                        const boost::asio::yield_context& yield) {
     const auto began = boot_now();
     node.probes[id] = {began, true, false};
     const auto link = std::make_shared<upstream_link>(node.context);
@@ -53,13 +57,13 @@
     link->close();
     node.probes[id] = {boot_now(), false, alive};
     node.log.state("upstream_probed", {{"upstream", id}, {"accepts_connections", alive}});
-    if (alive) {
-        policy::record_accepted_connection(node.crashes, {}, id, began);
-    } else {
+    if (!alive) {
         record_upstream_down(node, id, connected.error().cause);
         confirm_upstream_crash(node, id, began);
+        return survival::down;
     }
-    return alive;
+    return policy::record_accepted_connection(node.crashes, {}, id, began) ? survival::undecided
+                                                                           : survival::survived;
 }
 
 void probe(relay_state& node, const std::string& id, const std::string& address) {
@@ -74,18 +78,16 @@
 
 // Tries an upstream until it is down, gone or has survived the ends of all its connections.
 void watch_for_crash(relay_state& node, const std::string& id, const boost::asio::yield_context& yield) {
-    const policy::crash_ledger_settings settings;
     while (!node.stopped) {
         const auto entry = node.registry.upstreams.find(id);
         if (entry == node.registry.upstreams.end()) {
             break;
         }
         const auto address = entry->second.entry.address;
-        if (!try_connection(node, id, address, yield) ||
-            !policy::record_accepted_connection(node.crashes, settings, id, boot_now())) {
+        if (try_connection(node, id, address, yield) != survival::undecided) {
             break;
         }
-        adapters::sleep_for(settings.survival_time, yield);
+        adapters::sleep_for(policy::crash_ledger_settings{}.survival_time, yield);
     }
     node.crash_watches.erase(id);
 }
