Only broken connections keep the watch on an upstream going

Callers that leave and answers dropped for a larger model leave unproven sends too, at a high rate on routes with several models. They would have kept a watch going at ten connection probes a second. Found by reading; the pure test of the watch holds the case and fails without the condition by its reading (not run).

--- a/packages/policy/crash_ledger.cpp
+++ b/packages/policy/crash_ledger.cpp
@@ -256,11 +256,14 @@
                      [&](const broken_send& send) { return send.upstream == upstream && send.at <= until; });
 }
 
+// Sends that the node closed itself are frequent and aren't worth further connections.
 bool record_accepted_connection(crash_ledger& ledger, const crash_ledger_settings& settings,
                                 const std::string& upstream, core::steady_time at) {
     discard_unconfirmed_crashes(ledger, upstream, at - settings.survival_time);
     return std::any_of(ledger.unconfirmed.begin(), ledger.unconfirmed.end(),
-                       [&](const unconfirmed_crash& crash) { return crash.send.upstream == upstream; });
+                       [&](const unconfirmed_crash& crash) {
+                           return crash.send.upstream == upstream && !crash.send.closed_here;
+                       });
 }
 
 void clear_fingerprint(crash_ledger& ledger, std::uint64_t fingerprint, core::steady_time now) {
--- a/packages/policy/crash_ledger.h
+++ b/packages/policy/crash_ledger.h
@@ -127,7 +127,7 @@
 void discard_unconfirmed_crashes(crash_ledger& ledger, const std::string& upstream, core::steady_time until);
 
 /// Records that an upstream accepted a connection: removes the unconfirmed crashes that it has survived by
-/// then. Returns whether others are left, of which only a later connection can tell.
+/// then. Returns whether it broke off others itself, of which only a later connection can tell.
 bool record_accepted_connection(crash_ledger& ledger, const crash_ledger_settings& settings,
                                 const std::string& upstream, core::steady_time at);
 
--- a/test/correctness/policy_crash_ledger_test.cpp
+++ b/test/correctness/policy_crash_ledger_test.cpp
@@ -234,6 +234,8 @@
     CHECK(record_accepted_connection(ledger, settings, "u1", at(1001)));
     confirm_crash(ledger, settings, "u1", at(1100));
     CHECK(crash_count(ledger, 7) == 1U);
+    record_broken_send(ledger, settings, {8}, {"u1", at(3000), true});
+    CHECK_FALSE(record_accepted_connection(ledger, settings, "u1", at(3001)));
     record_broken_send(ledger, settings, {7}, {"u2", at(5000), false});
     record_broken_send(ledger, settings, {7}, {"u2", at(5050), false});
     record_broken_send(ledger, settings, {7}, {"u3", at(5000), false});
