--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -42,7 +42,7 @@
     return fingerprints;
 }
 
-// What a connection that was tried tells of an upstream.
+// What a connection probe tells of an upstream.
 enum class survival { down, undecided, survived };
 
 // Tries a connection to an upstream. It may be accepted as soon as it is begun, so that it tells of that
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -147,7 +147,7 @@
     std::map<std::uint64_t, unproven_send> unproven_sends;
     /// Probes of upstreams that sent no byte to any node.
     std::map<std::string, upstream_probe> probes;
-    /// Upstreams that are tried since a connection to them broke.
+    /// Upstreams that are probed since a connection to them broke.
     std::set<std::string> crash_watches;
     policy::prefill_rates prefill;
     policy::speed_table speeds;
