Log each document that comes into force or is turned down

One line now names the source (the store or a peer), the position in the store and the hash, of the new content and of the known one. Mere confirmations are left out: a node gets several a second.

--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -124,9 +124,33 @@
     }
 }
 
+// One line for each content that comes into force or is turned down. Confirmations of the content that is in
+// force are left out, since each node receives several a second.
+void log_adoption(relay_state& node, document_kind kind, const state::document_content& content,
+                  const std::string& source, const std::optional<state::document_content>& previous,
+                  bool changed) {
+    const bool ignored = previous && content.at < previous->at && content.hash != previous->hash;
+    if (!changed && !ignored) {
+        return;
+    }
+    node.log.state(changed ? "document_in_force" : "document_ignored",
+                   {{"document", name_of(kind)},
+                    {"source", source},
+                    {"at", content.at},
+                    {"hash", content.hash},
+                    {"known_at", previous ? previous->at : 0},
+                    {"known_hash", previous ? previous->hash : 0}});
+}
+
 void adopt(relay_state& node, document_kind kind, const state::document_content& content,
-           core::steady_time confirmed_at) {
-    const bool changed = state::adopt_content(document_of(node, kind), content, confirmed_at);
+           core::steady_time confirmed_at, const std::string& source) {
+    auto& document = document_of(node, kind);
+    std::optional<state::document_content> previous;
+    if (document.content) {
+        previous = state::document_content{{}, document.content->at, document.content->hash};
+    }
+    const bool changed = state::adopt_content(document, content, confirmed_at);
+    log_adoption(node, kind, content, source, previous, changed);
     apply(node, kind, changed);
     update_readiness(node);
 }
@@ -170,7 +194,7 @@
     if (const auto document = decode_document(reply->body)) {
         // The peer replied after the call started, so the confirmation is no older than its age before that
         // time.
-        adopt(node, kind, document->first, started - document->second);
+        adopt(node, kind, document->first, started - document->second, address);
         // In a fleet of one cell the node that read the document has already informed all others.
         if (node.peers->layout().cells > 1) {
             node.peers->announce();
@@ -213,7 +237,7 @@
             }
             failing = false;
             retry = min_retry_delay;
-            adopt(node, kind, *content, now);
+            adopt(node, kind, *content, now, "store");
             node.peers->announce();
             continue;
         }
