A position in the store is an era and a revision

Nodes keep, compare and exchange bare revisions. After the store has come back from an older copy these are given out again, so that an older content may bear a higher revision than a newer one, and both may bear the same.

The type orders positions by era first. An era is stated by the store or, where it states none or forgets to raise it, detected by a revision that goes back: the store is linearizable, so only a return explains it. A packed position is one number with the same order, equal to the bare revision in the first era, so that releases without eras and those with them understand each other.

--- /dev/null
+++ b/packages/state/store_position.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+namespace figspoke::state {
+
+/// A span in which the store loses nothing that it has acknowledged. It ends when the store comes back from
+/// an older copy: revisions then go back and are given out again.
+struct store_era {
+    /// The number that the store states in its answers; 0 if it states none.
+    std::uint16_t stated = 0;
+    /// Returns that nodes have detected since then although the stated number stayed the same.
+    std::uint8_t detected = 0;
+};
+
+bool operator==(const store_era& a, const store_era& b);
+bool operator!=(const store_era& a, const store_era& b);
+bool operator<(const store_era& a, const store_era& b);
+
+/// A revision of the store. Revisions of different eras can't be compared without their eras.
+struct store_position {
+    store_era era;
+    std::uint64_t revision = 0;
+};
+
+bool operator==(const store_position& a, const store_position& b);
+bool operator!=(const store_position& a, const store_position& b);
+bool operator<(const store_position& a, const store_position& b);
+
+/// Largest revision that a packed position can hold.
+inline constexpr std::uint64_t max_packed_revision = (std::uint64_t(1) << 40) - 1;
+
+/// Packs a position into one number that has the same order. In the first era it equals the revision, which
+/// is what releases without eras exchange. A larger revision than `max_packed_revision` is packed as that.
+std::uint64_t pack_position(const store_position& position);
+store_position unpack_position(std::uint64_t packed);
+
+/// What a node makes of an answer of the store, by the position that it knew when it sent the call.
+enum class answer_age {
+    /// The store is in the era that the node knows.
+    same_era,
+    /// The store has come back from an older copy.
+    new_era,
+    /// The answer is older than what the node knew when it called.
+    outdated
+};
+
+/// The era of an answer, and how it compares with the known one.
+struct answer_era {
+    answer_age age = answer_age::same_era;
+    store_era era;
+};
+
+/// Classifies an answer. `known` is the highest position that the node knew when it sent the call, and
+/// `stated` the era that the answer states. `revision` is the store's revision in the answer; empty if it
+/// names none.
+answer_era classify_answer(const store_position& known, std::optional<std::uint16_t> stated,
+                           std::optional<std::uint64_t> revision);
+
+} // namespace figspoke::state
