Let the key-value stand-in return from an older copy

docs/platform.md says nothing of a service that comes back from a backup, and no test could show what a node makes of one. Two control fields do it: `keep_copy` keeps the whole content, `return_to_copy` brings it back with the versions and the lease numbers of that time, which are then given out again. Open watches stay open until their timeout, the harder case for a node that waits for a version above the lost one.

Measured: standins_test "a key-value service that returns from a copy gives versions and leases out again" passes (9 assertions).

--- a/packages/standins/kv_service.cpp
+++ b/packages/standins/kv_service.cpp
@@ -23,8 +23,11 @@
     bool down = false;
     int drop_replies = 0;
     bool lease_pause = false;
+    bool keep_copy = false;
+    bool return_to_copy = false;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(kv_control, delay_ms, down, drop_replies, lease_pause)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(kv_control, delay_ms, down, drop_replies, lease_pause, keep_copy,
+                                   return_to_copy)
 
 struct kv_counts {
     std::uint64_t reads = 0;
@@ -38,6 +41,8 @@
 
 struct kv_data {
     kv_store store;
+    /// What `return_to_copy` brings back.
+    kv_store copy;
     kv_counts counts;
     std::vector<std::shared_ptr<adapters::wakeup>> watchers;
 };
@@ -224,9 +229,20 @@
 
 std::optional<std::string> apply(kv_service& service, const json& patch) {
     auto problem = service.control.with([&](kv_control& fields) { return apply_patch(fields, patch); });
-    const bool paused = service.control.with([](const kv_control& fields) { return fields.lease_pause; });
-    service.data.with([paused](kv_data& data) {
-        kv_pause_leases(data.store, paused, now());
+    const auto fields = service.control.with([](kv_control& current) {
+        const auto asked = current;
+        current.keep_copy = false;
+        current.return_to_copy = false;
+        return asked;
+    });
+    service.data.with([&](kv_data& data) {
+        kv_pause_leases(data.store, fields.lease_pause, now());
+        if (fields.return_to_copy) {
+            kv_return(data.store, data.copy);
+        }
+        if (fields.keep_copy) {
+            data.copy = data.store;
+        }
         wake_watchers(data);
     });
     return problem;
--- a/packages/standins/kv_store.cpp
+++ b/packages/standins/kv_store.cpp
@@ -97,6 +97,12 @@
     }
 }
 
+void kv_return(kv_store& store, const kv_store& copy) {
+    store.entries = copy.entries;
+    store.leases = copy.leases;
+    store.next_lease = copy.next_lease;
+}
+
 void kv_pause_leases(kv_store& store, bool paused, core::steady_time now) {
     if (paused && !store.paused_since) {
         kv_expire(store, now);
--- a/packages/standins/kv_store.h
+++ b/packages/standins/kv_store.h
@@ -66,6 +66,10 @@
 /// Ends the leases whose time is over.
 void kv_expire(kv_store& store, core::steady_time now);
 
+/// Puts the content of an older copy in place of the current one, as a service does that is restored from a
+/// backup: versions and lease numbers go back and are given out again.
+void kv_return(kv_store& store, const kv_store& copy);
+
 /// Stops or resumes the time of all leases.
 void kv_pause_leases(kv_store& store, bool paused, core::steady_time now);
 
--- a/test/correctness/process/standins_test.cpp
+++ b/test/correctness/process/standins_test.cpp
@@ -68,6 +68,26 @@
     CHECK(read.headers.at("x-version") == "1");
 }
 
+// Guards against a stand-in that loses nothing when it returns, which hides trust in versions alone.
+TEST_CASE("a key-value service that returns from a copy gives versions and leases out again") {
+    running_standin kv("kv");
+    const auto grant = [&] {
+        return json_of(send(kv.address, "POST", "/lease?ttl_ms=60000")).at("lease").get<std::string>();
+    };
+    CHECK(send(kv.address, "PUT", "/kv/k?expect=0", "one").status == 200);
+    set_control(kv.address, {{"keep_copy", true}});
+    const auto lost = grant();
+    CHECK(send(kv.address, "PUT", "/kv/k?expect=1", "two").status == 200);
+    CHECK(send(kv.address, "PUT", "/kv/new?expect=0&lease=" + lost, "me").status == 200);
+    set_control(kv.address, {{"return_to_copy", true}});
+    CHECK(http_get(kv.address, "/kv/k").body == "one");
+    CHECK(http_get(kv.address, "/kv/new").status == 404);
+    CHECK(send(kv.address, "POST", "/lease/" + lost + "/renew").status == 404);
+    CHECK(grant() == lost);
+    CHECK(json_of(send(kv.address, "PUT", "/kv/k?expect=1", "other")).at("version") == 2);
+    CHECK(json_of(http_get(kv.address, "/control")).at("return_to_copy") == false);
+}
+
 // Guards against keys that outlive their lease, and against leases that end while they are paused.
 TEST_CASE("the end of a lease removes its keys") {
     running_standin kv("kv");
