Follow a key-value service that came back from an older copy

What callers saw: after the service of `figspoked` came back with an older table, an edit stored there (a withdrawn version, an account that lost its rights) was not in force until the revision had passed the lost one, or never where it reached the same number with another content. The nodes counted their lost table as fresh.

Cause: a table was compared by its bare revision, in `apply_table`, in the digests of the mesh and in the freshness; and a watch for a version above a lost one stays silent, which was taken for "nothing changed".

The fix: a table has a position, its era and its revision (state/store_position.h, packed into the number that digests carried already). A read that was sent when the node knew a higher position, or that returns another table at the same one, can only be from a service that went back, as every known position had been stored: it starts the next era, and eras are compared first, so that nodes agree whoever finds it and the lost table doesn't come back over the mesh. A late answer from before is older than the table in force and is read again. A node that read the table itself reads again when a peer tells of a later era, as its table may be the newer one. Lost changes are logged, counted (`figspoke_store_returns_total`) and listed in `/admin/status`.

node_tables_test names the functions that replaced `apply_table` and `current_encoded`; its checks are the same.

--- a/packages/adapters/mesh_messages.h
+++ b/packages/adapters/mesh_messages.h
@@ -27,7 +27,8 @@
     state::member_digest digest;
 };
 
-/// The whole configuration table, as the key-value service holds it.
+/// The whole configuration table, as the key-value service holds it. Here and below `revision` is a packed
+/// position (state/table_freshness.h).
 struct table_message {
     std::uint64_t revision = 0;
     std::string text;
--- a/packages/cli/status.cpp
+++ b/packages/cli/status.cpp
@@ -47,6 +47,18 @@
     return text.str();
 }
 
+std::string render_returns(const json& status) {
+    const json returns = status.value("store_returns", json::object());
+    if (returns.value("count", 0) == 0) {
+        return "";
+    }
+    const json last = returns.value("last", json::object());
+    return "the key-value service came back from an older copy, " + cell(returns, "count") +
+           " times since the node started; last from revision " + cell(last, "from_revision") + " to " +
+           cell(last, "to_revision") +
+           ", changes lost: " + std::to_string(last.value("lost", json::array()).size()) + "\n";
+}
+
 std::string render_status(const json& status) {
     std::ostringstream text;
     const json charges = status.value("charges", json::object());
@@ -56,8 +68,8 @@
          << "service: " << describe_service(cell(status, "service")) << "\n"
          << "table revision " << cell(status, "table_revision") << ", journal shards "
          << cell(status, "shards") << "\n"
-         << "requests: " << cell(admission, "running") << " running, " << cell(admission, "waiting")
-         << " waiting\n"
+         << render_returns(status) << "requests: " << cell(admission, "running") << " running, "
+         << cell(admission, "waiting") << " waiting\n"
          << "charges: " << cell(charges, "unsettled") << " unsettled, " << cell(charges, "copies")
          << " held for peers\n"
          << render_members(status.value("members", json::array()));
--- a/packages/node/admin_reply.cpp
+++ b/packages/node/admin_reply.cpp
@@ -8,6 +8,7 @@
 #include "node/error_reply.h"
 #include "node/new_work.h"
 #include "node/shutdown.h"
+#include "state/store_position.h"
 
 namespace figspoke::node {
 namespace {
@@ -44,7 +45,7 @@
                            {"failure_domain", member.entry.failure_domain},
                            {"state", state_name(member.entry.state)},
                            {"silent_ms", id == node.nodes.known.self ? 0 : silence},
-                           {"table_revision", member.entry.table_revision},
+                           {"table_revision", state::unpack_position(member.entry.table_revision).revision},
                            {"load_percent", member.entry.load}});
     }
     return members;
@@ -64,6 +65,30 @@
             {"waiting", policy::waiting_count(node.admission.queue)}};
 }
 
+json render_return(const table_return& gone_back) {
+    json lost = json::array();
+    for (const auto& change : gone_back.lost) {
+        lost.push_back({{"revision", change.revision},
+                        {"action", change.action},
+                        {"kind", change.key.kind},
+                        {"name", change.key.name},
+                        {"author", change.author},
+                        {"edit_id", change.edit_id}});
+    }
+    return {{"from_revision", gone_back.from_revision},
+            {"to_revision", gone_back.to_revision},
+            {"lost", std::move(lost)}};
+}
+
+json render_returns(const config_table& config) {
+    const std::lock_guard lock(config.mutex);
+    json returns = {{"count", config.return_count}};
+    if (config.last_return) {
+        returns["last"] = render_return(*config.last_return);
+    }
+    return returns;
+}
+
 void serve_status(node_state& node, http_exchange& exchange) {
     const json status = {{"id", node.settings.node.id},
                          {"failure_domain", node.settings.node.failure_domain},
@@ -71,6 +96,7 @@
                          {"draining", node.draining.load()},
                          {"service", service_name(decide_service(node.nodes, clock::now()))},
                          {"table_revision", current_revision(node.config)},
+                         {"store_returns", render_returns(node.config)},
                          {"shards", held_shard_count(node.journal)},
                          {"charges", render_charges(node)},
                          {"admission", render_admission(node)},
@@ -87,7 +113,9 @@
     };
     const auto now = clock::now();
     const auto stored_at = now - std::chrono::milliseconds(std::min(number("age_ms"), 3600000ULL));
-    const auto progress = edit_progress_of(node.nodes, number("revision"), stored_at, now);
+    const auto era = state::unpack_position(current_table(node.config).position).era;
+    const auto position = state::pack_position({era, number("revision")});
+    const auto progress = edit_progress_of(node.nodes, position, stored_at, now);
     const json body = {{"accepted", progress.accepted},
                        {"confirmed", progress.confirmed},
                        {"waiting_for", progress.waiting_for}};
--- a/packages/node/cluster.cpp
+++ b/packages/node/cluster.cpp
@@ -113,7 +113,9 @@
     const auto news =
         state::receive_digest(found->second.digest, message->digest, nodes.known, nodes.freshness, now);
     std::vector<outgoing_message> requests;
-    if (news && news->peer_has_newer_table) {
+    if (news && state::prefers_own_read(nodes.freshness, message->digest.table_revision, now)) {
+        nodes.read_wanted = true;
+    } else if (news && news->peer_has_newer_table) {
         requests.push_back({delivery.from, adapters::table_get_message{nodes.freshness.revision}});
     }
     if (news && news->peer_has_newer_roster) {
--- a/packages/node/cluster.h
+++ b/packages/node/cluster.h
@@ -34,6 +34,8 @@
     state::roster roster;
     std::string roster_text;
     state::table_freshness freshness;
+    /// Set when a peer tells of a later era than that of the table that this node read itself.
+    bool read_wanted = false;
     state::removed_vm_ids gone;
     state::gossip_plan plan;
     state::pause_detector pauses;
@@ -72,8 +74,8 @@
     std::vector<std::string> waiting_for;
 };
 
-/// Tells which members have put a revision in force. `stored_at` is when this node first heard of the
-/// question.
+/// Tells which members have put a packed table position in force. `stored_at` is when this node first heard
+/// of the question.
 edit_progress edit_progress_of(const cluster& nodes, std::uint64_t revision, core::steady_time stored_at,
                                core::steady_time now);
 
--- a/packages/node/cluster_loops.cpp
+++ b/packages/node/cluster_loops.cpp
@@ -27,11 +27,10 @@
     }
 }
 
-void serve_table_get(node_state& node, const std::string& peer, std::uint64_t known_revision) {
-    const auto encoded = current_encoded(node.config);
-    const auto revision = current_revision(node.config);
-    if (encoded && revision > known_revision) {
-        node.nodes.mesh->send(peer, adapters::table_message{revision, *encoded});
+void serve_table_get(node_state& node, const std::string& peer, std::uint64_t known_position) {
+    const auto table = current_table(node.config);
+    if (table.encoded && table.position > known_position) {
+        node.nodes.mesh->send(peer, adapters::table_message{table.position, *table.encoded});
     }
 }
 
@@ -50,7 +49,7 @@
     if (std::holds_alternative<adapters::digest_message>(delivery.message)) {
         send_all(node, handle_digest(node.nodes, delivery, clock::now()));
     } else if (const auto* table = std::get_if<adapters::table_message>(&delivery.message)) {
-        put_table_in_force(node, table->text);
+        put_peer_table_in_force(node, table->revision, table->text);
     } else if (const auto* get = std::get_if<adapters::table_get_message>(&delivery.message)) {
         serve_table_get(node, delivery.from, get->revision);
     } else if (const auto* roster = std::get_if<adapters::roster_message>(&delivery.message)) {
--- a/packages/node/version_stop.cpp
+++ b/packages/node/version_stop.cpp
@@ -43,8 +43,9 @@
 // A conflict or a lost reply is left to the next step: the test then finds the version stopped or tries
 // again.
 void write_stop(node_state& node, const policy::version_stop& stop, const boost::asio::yield_context& yield) {
+    const auto known_at_read = known_position(node);
     const auto read = node.kv.get(table_key, yield);
-    if (!read) {
+    if (!read || !put_stored_table_in_force(node, known_at_read, read->text)) {
         return;
     }
     const auto current = core::decode_table(read->text);
@@ -53,9 +54,10 @@
         return;
     }
     const auto encoded = core::encode_table(*next);
+    const auto known_at_write = known_position(node);
     if (node.kv.compare_and_swap(table_key, encoded, read->version, "", yield)) {
         log_stop(stop, next->revision);
-        put_table_in_force(node, encoded);
+        put_stored_table_in_force(node, known_at_write, encoded);
     }
 }
 
--- a/packages/state/member_digest.cpp
+++ b/packages/state/member_digest.cpp
@@ -241,6 +241,7 @@
     if (in_order && !receive_deltas(link, digest.encoded_deltas, known, changes, now)) {
         return std::nullopt;
     }
+    freshness.peer_revision = std::max(freshness.peer_revision, digest.table_revision);
     receive_table_age(link, digest, freshness);
     changes.peer_has_newer_table = digest.table_revision > freshness.revision;
     changes.peer_has_newer_roster = digest.roster_version > self_entry(known).roster_version;
--- a/packages/state/table_freshness.cpp
+++ b/packages/state/table_freshness.cpp
@@ -1,6 +1,9 @@
 #include "state/table_freshness.h"
 
 #include <algorithm>
+#include <limits>
+
+#include "state/store_position.h"
 
 namespace figspoke::state {
 namespace {
@@ -14,6 +17,13 @@
     }
 }
 
+store_era next_era(const store_era& era) {
+    if (era.detected < std::numeric_limits<std::uint8_t>::max()) {
+        return {era.stated, std::uint8_t(era.detected + 1)};
+    }
+    return {std::uint16_t(era.stated + 1), 0};
+}
+
 bool is_fresh(const table_freshness& freshness, const majority_view& view, core::steady_time now) {
     return freshness.current_as_of && *freshness.current_as_of >= view.valid_since &&
            now - *freshness.current_as_of <= max_fresh_table_age;
@@ -45,16 +55,34 @@
 
 } // namespace
 
+std::uint64_t position_of_read(std::uint64_t known, std::uint64_t revision, bool same_content) {
+    const auto before = unpack_position(known);
+    const bool went_back = revision < before.revision || (revision == before.revision && !same_content);
+    return pack_position({went_back ? next_era(before.era) : before.era, revision});
+}
+
+bool is_same_era(std::uint64_t a, std::uint64_t b) {
+    return unpack_position(a).era == unpack_position(b).era;
+}
+
+bool prefers_own_read(const table_freshness& freshness, std::uint64_t peer_revision, core::steady_time now) {
+    return freshness.revision != 0 && peer_revision > freshness.revision &&
+           !is_same_era(peer_revision, freshness.revision) && freshness.read_at &&
+           now - *freshness.read_at <= max_fresh_table_age;
+}
+
 void record_table_read(table_freshness& freshness, std::uint64_t revision, core::steady_time requested_at) {
     // The caller raises the revision in effect once it has applied the table.
     if (revision <= freshness.revision) {
         advance_current_as_of(freshness, requested_at);
     }
+    freshness.read_at = std::max(freshness.read_at.value_or(requested_at), requested_at);
 }
 
 void record_peer_table_age(table_freshness& freshness, std::uint64_t revision, core::milliseconds age,
                            core::steady_time requested_at) {
-    if (revision <= freshness.revision && age >= core::milliseconds(0)) {
+    if (revision <= freshness.revision && is_same_era(revision, freshness.revision) &&
+        age >= core::milliseconds(0)) {
         advance_current_as_of(freshness, requested_at - age);
     }
 }
--- a/packages/state/table_freshness.h
+++ b/packages/state/table_freshness.h
@@ -16,19 +16,39 @@
 /// Time without a new heartbeat after which a member no longer delays the acceptance of an edit.
 inline constexpr core::milliseconds unreachable_timeout{4000};
 
-/// How recently this node's table was known to be current.
+/// How recently this node's table was known to be current. All revisions here and in digests are packed
+/// positions (state/store_position.h): the table's revision below the number of times that nodes found the
+/// key-value service back at an older copy. Without such a return they equal the table's revision.
 struct table_freshness {
     /// Revision in effect at this node. It never decreases.
     std::uint64_t revision = 0;
+    /// Highest revision that a peer told of. It was stored before the peer told of it.
+    std::uint64_t peer_revision = 0;
     /// A time on this node's clock at which no revision above `revision` existed.
     std::optional<core::steady_time> current_as_of;
+    /// When this node's last own read of the key-value service began.
+    std::optional<core::steady_time> read_at;
 };
 
+/// Returns the packed position of a table that was read from the key-value service. `known` is the highest
+/// position that the node knew when it sent the read, and `same_content` is false if the node knows another
+/// table at that position. A lower revision, or another table at the same one, starts a new era: the service
+/// came back from an older copy.
+std::uint64_t position_of_read(std::uint64_t known, std::uint64_t revision, bool same_content);
+
+/// Returns whether two packed positions are of one era.
+bool is_same_era(std::uint64_t a, std::uint64_t b);
+
+/// Returns whether the node should read the key-value service itself rather than take a peer's table at
+/// `peer_revision`: the peer's is of a later era, and the node's own table comes from a read that may have
+/// begun in that era too and have returned a newer table.
+bool prefers_own_read(const table_freshness& freshness, std::uint64_t peer_revision, core::steady_time now);
+
 /// Records a read of the key-value service that began at `requested_at` and returned `revision`.
 void record_table_read(table_freshness& freshness, std::uint64_t revision, core::steady_time requested_at);
 
 /// Records that a peer, in reply to a request sent at `requested_at`, had the table at `revision` with this
-/// age. Ignored if the peer's revision is above the one in effect at this node.
+/// age. Ignored if the peer's revision is above the one in effect at this node, or of an earlier era.
 void record_peer_table_age(table_freshness& freshness, std::uint64_t revision, core::milliseconds age,
                            core::steady_time requested_at);
 
--- a/test/correctness/process/config_test.cpp
+++ b/test/correctness/process/config_test.cpp
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <csignal>
 #include <future>
+#include <thread>
 
 #include <doctest/doctest.h>
 
@@ -183,3 +184,64 @@
     CHECK(runs_of(nodes, "large@1") == before);
     CHECK(before < 3);
 }
+
+TEST_CASE("an edit made after the key-value service came back from an older copy is in force on every node") {
+    // Guards against nodes that take the table for an older or for the same one by its revision alone.
+    fleet nodes(two_versions(3));
+    REQUIRE(wait_for_members(nodes));
+    const auto change_price = [&](const std::string& price) {
+        nodes.change_table([&](core::table& table) {
+            table.rows.at({"version", "small@1"}).columns["price_in"] = price;
+        });
+    };
+    const auto in_force = [&](std::uint64_t revision) {
+        for (int i = 0; i < 3; ++i) {
+            if (status_of(nodes, i).at("table_revision") != revision) {
+                return false;
+            }
+        }
+        return true;
+    };
+    const std::chrono::seconds limit(4);
+    set_control(nodes.kv(), {{"keep_copy", true}});
+    const auto kept = nodes.read_table().revision;
+    change_price("11");
+    change_price("12");
+    REQUIRE(wait_until([&] { return in_force(kept + 2); }, limit));
+    REQUIRE(nodes.chat(0, large_body("before")).status == 200);
+
+    SUBCASE("with a lower revision") {
+        set_control(nodes.kv(), {{"return_to_copy", true}});
+        withdraw(nodes, "large@1");
+        CHECK(wait_until([&] { return in_force(kept + 1); }, limit));
+    }
+    SUBCASE("with the same revision") {
+        set_control(nodes.kv(), {{"return_to_copy", true}});
+        change_price("13");
+        withdraw(nodes, "large@1");
+    }
+    SUBCASE("twice in a row") {
+        set_control(nodes.kv(), {{"return_to_copy", true}});
+        change_price("13");
+        CHECK(wait_until([&] { return in_force(kept + 1); }, limit));
+        set_control(nodes.kv(), {{"return_to_copy", true}});
+        withdraw(nodes, "large@1");
+    }
+    for (int i = 0; i < 3; ++i) {
+        http_answer refused;
+        const bool withdrawn = wait_until(
+            [&] {
+                refused = nodes.chat(i, large_body("after"));
+                return refused.status != 200;
+            },
+            limit);
+        CHECK_MESSAGE(withdrawn, i);
+        CHECK(kind_of(refused) == "version_withdrawn");
+    }
+    CHECK(status_of(nodes, 0).at("store_returns").at("count") >= 1);
+    CHECK(http_get(nodes.node(0), "/metrics").body.find("figspoke_store_returns_total") != std::string::npos);
+    for (int round = 0; round < 30; ++round) {
+        CHECK(kind_of(nodes.chat(round % 3, large_body("still"))) == "version_withdrawn");
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+}
--- a/test/correctness/tables/node_tables_test.cpp
+++ b/test/correctness/tables/node_tables_test.cpp
@@ -58,9 +58,9 @@
     run_workers([&](int worker, int round) {
         const auto before = current_revision(config);
         const auto revision = static_cast<std::uint64_t>(1 + (round * 7 + worker * 13) % rounds);
-        CHECK(apply_table(config, core::encode_table(table_at(revision))).has_value());
+        CHECK(apply_peer_table(config, revision, core::encode_table(table_at(revision))).has_value());
         CHECK(current_revision(config) >= std::max(before, revision));
-        CHECK(current_encoded(config) != nullptr);
+        CHECK(current_table(config).encoded != nullptr);
     });
     CHECK(current_revision(config) == rounds);
 }
