Documents bear positions

The content of a shared document and a peer's claim about it hold a position in the store instead of a bare revision. On the wire and in the log it is the packed number, which equals the revision while the store has never come back from an older copy. No behaviour changes: nothing sets an era yet.

--- a/packages/relay/document_codec.cpp
+++ b/packages/relay/document_codec.cpp
@@ -42,7 +42,7 @@
 
 std::string encode_document(const state::document_content& content, const packed_document& packed,
                             core::milliseconds age) {
-    return to_bytes({{"at", content.at},
+    return to_bytes({{"at", state::pack_position(content.at)},
                      {"hash", content.hash},
                      {"age", age.count()},
                      {"items", binary_of(packed.items)}});
@@ -53,7 +53,7 @@
     try {
         const json value = json::from_cbor(bytes.begin(), bytes.end());
         state::document_content content;
-        content.at = value.at("at").get<std::uint64_t>();
+        content.at = state::unpack_position(value.at("at").get<std::uint64_t>());
         content.hash = value.at("hash").get<std::uint64_t>();
         const auto items = adapters::inflate_bytes(text_of(value.at("items")), max_document_bytes);
         if (!items) {
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -81,13 +81,13 @@
 void apply_routes(relay_state& node, const state::document_content& content) {
     auto table = node.platform.decode_routes(content);
     if (!table) {
-        node.log.state("configuration_unreadable", {{"at", content.at}});
+        node.log.state("configuration_unreadable", {{"at", state::pack_position(content.at)}});
         return;
     }
     if (!node.routes || node.routes->version != table->version) {
         node.log.state("configuration_in_effect", {{"version", table->version},
                                                    {"previous", node.routes ? node.routes->version : 0},
-                                                   {"at", content.at}});
+                                                   {"at", state::pack_position(content.at)}});
     }
     node.routes = std::make_shared<const state::route_table>(std::move(*table));
 }
@@ -136,9 +136,9 @@
     node.log.state(changed ? "document_in_force" : "document_ignored",
                    {{"document", name_of(kind)},
                     {"source", source},
-                    {"at", content.at},
+                    {"at", state::pack_position(content.at)},
                     {"hash", content.hash},
-                    {"known_at", previous ? previous->at : 0},
+                    {"known_at", previous ? state::pack_position(previous->at) : 0},
                     {"known_hash", previous ? previous->hash : 0}});
 }
 
@@ -233,7 +233,8 @@
                          {{"document", name_of(kind)}, {"outcome", content ? "read" : "failed"}});
         if (content) {
             if (failing) {
-                node.log.state("store_regained", {{"document", name_of(kind)}, {"at", content->at}});
+                node.log.state("store_regained",
+                               {{"document", name_of(kind)}, {"at", state::pack_position(content->at)}});
             }
             failing = false;
             retry = min_retry_delay;
--- a/packages/relay/heartbeat_message.cpp
+++ b/packages/relay/heartbeat_message.cpp
@@ -231,7 +231,7 @@
         core::append_signed(out, message.echo_held.count());
     }
     for (const auto& claim : message.documents) {
-        core::append_varint(out, claim.at);
+        core::append_varint(out, state::pack_position(claim.at));
         core::append_fixed64(out, claim.hash);
         append_age(out, claim.age);
     }
@@ -258,7 +258,7 @@
         message.echo_held = std::chrono::microseconds(core::read_signed(reader));
     }
     for (auto& claim : message.documents) {
-        claim.at = core::read_varint(reader);
+        claim.at = state::unpack_position(core::read_varint(reader));
         claim.hash = core::read_fixed64(reader);
         claim.age = read_age(reader);
     }
--- a/packages/state/shared_document.cpp
+++ b/packages/state/shared_document.cpp
@@ -28,7 +28,7 @@
 
 claim_verdict merge_claim(shared_document& document, const document_claim& claim, const clock_echo& echo,
                           core::steady_time now) {
-    if (claim.at == 0) {
+    if (claim.at == store_position{}) {
         return claim_verdict::no_change;
     }
     if (!document.content) {
@@ -36,7 +36,7 @@
     }
     auto& content = *document.content;
     if (claim.hash != content.hash) {
-        return claim.at > content.at ? claim_verdict::newer : claim_verdict::no_change;
+        return content.at < claim.at ? claim_verdict::newer : claim_verdict::no_change;
     }
     // Content with the same hash at a later revision was current in between as well. The store is
     // linearizable, and although equal values may return after a change, the hash covers revisions and so
--- a/packages/state/shared_document.h
+++ b/packages/state/shared_document.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/time.h"
+#include "state/store_position.h"
 
 namespace figspoke::state {
 
@@ -19,8 +20,8 @@
 /// The keys below one prefix of the store, as returned by one read.
 struct document_content {
     std::vector<document_item> items;
-    /// Revision of the store at the read.
-    std::uint64_t at = 0;
+    /// Position of the store at the read.
+    store_position at;
     /// Hash of the relevant parts of the items; equal contents have equal hashes.
     std::uint64_t hash = 0;
 };
@@ -32,9 +33,9 @@
     core::steady_time confirmed_at = core::steady_time::min();
 };
 
-/// What a peer's heartbeat message reports of its copy. `at` is 0 if the peer has no copy.
+/// What a peer's heartbeat message reports of its copy. `at` is the default position if the peer has no copy.
 struct document_claim {
-    std::uint64_t at = 0;
+    store_position at;
     std::uint64_t hash = 0;
     /// Age of the peer's confirmation when it sent the message.
     core::milliseconds age{0};
--- a/test/correctness/relay_documents_test.cpp
+++ b/test/correctness/relay_documents_test.cpp
@@ -12,9 +12,13 @@
 
 namespace {
 
+store_position position(std::uint64_t revision) {
+    return {{}, revision};
+}
+
 document_content content(std::uint64_t revision, std::uint64_t hash) {
     document_content result;
-    result.at = revision;
+    result.at.revision = revision;
     result.hash = hash;
     return result;
 }
@@ -45,7 +49,7 @@
     shared_document document;
     adopt_content(document, content(10, 1), at(0));
     const clock_echo echo{at(100), milliseconds(20)};
-    const document_claim claim{10, 1, milliseconds(30)};
+    const document_claim claim{position(10), 1, milliseconds(30)};
     CHECK(merge_claim(document, claim, echo, at(5000)) == claim_verdict::confirmed);
     CHECK(document.confirmed_at == at(90));
 }
@@ -61,7 +65,7 @@
         const int heartbeat_sent = stamp_sent + delay_to_peer + held;
         shared_document document;
         adopt_content(document, content(1, 1), at(-1000));
-        merge_claim(document, {1, 1, milliseconds(heartbeat_sent - peer_confirmed)},
+        merge_claim(document, {position(1), 1, milliseconds(heartbeat_sent - peer_confirmed)},
                     {at(stamp_sent), milliseconds(held)}, at(heartbeat_sent + delay_from_peer));
         RC_ASSERT(document.confirmed_at <= at(peer_confirmed));
     }));
@@ -70,11 +74,11 @@
 TEST_CASE("newer content of a peer is fetched, older content is ignored") {
     shared_document document;
     const clock_echo echo{at(0), milliseconds(0)};
-    CHECK(merge_claim(document, {5, 1, milliseconds(0)}, echo, at(1)) == claim_verdict::newer);
+    CHECK(merge_claim(document, {position(5), 1, milliseconds(0)}, echo, at(1)) == claim_verdict::newer);
     adopt_content(document, content(5, 1), at(0));
-    CHECK(merge_claim(document, {6, 2, milliseconds(0)}, echo, at(1)) == claim_verdict::newer);
-    CHECK(merge_claim(document, {4, 2, milliseconds(0)}, echo, at(1)) == claim_verdict::no_change);
-    CHECK(merge_claim(document, {0, 0, milliseconds(0)}, echo, at(1)) == claim_verdict::no_change);
+    CHECK(merge_claim(document, {position(6), 2, milliseconds(0)}, echo, at(1)) == claim_verdict::newer);
+    CHECK(merge_claim(document, {position(4), 2, milliseconds(0)}, echo, at(1)) == claim_verdict::no_change);
+    CHECK(merge_claim(document, {position(0), 0, milliseconds(0)}, echo, at(1)) == claim_verdict::no_change);
 }
 
 TEST_CASE("the first node reads while confirmations arrive, and otherwise the next ranks take over in turn") {
@@ -103,7 +107,7 @@
     for (int i = 1; i <= 8; ++i) {
         const int heartbeat_sent = 250 * i;
         const int delay = 10 - i;
-        merge_claim(document, {5, 1, milliseconds(heartbeat_sent)},
+        merge_claim(document, {position(5), 1, milliseconds(heartbeat_sent)},
                     {at(heartbeat_sent - delay), milliseconds(0)}, at(heartbeat_sent + 1));
         CHECK(document.confirmed_at == at(-delay));
         CHECK(next_read_time(document, schedule, 1) <= due);
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -13,7 +13,7 @@
 
 state::document_content content_with(const std::string& key, const std::string& value) {
     state::document_content content;
-    content.at = 1;
+    content.at.revision = 1;
     content.items.push_back({key, value, 1});
     return content;
 }
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -54,7 +54,7 @@
     message.stamp = 123456;
     message.echoed_stamp = 99;
     message.echo_held = std::chrono::microseconds(1500);
-    message.documents[0] = {7, 8, core::milliseconds(9)};
+    message.documents[0] = {{{}, 7}, 8, core::milliseconds(9)};
     message.uses["u1"] = {3, 4000, {}, {}};
     policy::trial_report report{"n2", 4, 9, {10, 8, 1, 700}, {20, 19, 1, 900}, 3};
     message.trials.push_back({"s", 12, report, core::milliseconds(15)});
@@ -207,7 +207,8 @@
         auto message = sample_heartbeat();
         message.sender.heartbeat = *rc::gen::arbitrary<std::uint64_t>();
         message.stamp = *rc::gen::arbitrary<std::int64_t>();
-        message.documents[1] = {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>(),
+        message.documents[1] = {state::unpack_position(*rc::gen::arbitrary<std::uint64_t>()),
+                                *rc::gen::arbitrary<std::uint64_t>(),
                                 core::milliseconds(*rc::gen::inRange(0, 1000000))};
         message.uses["u2"] = {*rc::gen::arbitrary<int>(),
                               *rc::gen::arbitrary<std::int64_t>(),
@@ -322,7 +323,7 @@
 
 TEST_CASE("a document with arbitrary bytes survives encoding and decoding") {
     state::document_content content;
-    content.at = 5;
+    content.at.revision = 5;
     content.hash = 6;
     content.items.push_back({"k", std::string("\xff\x00z", 3), 4});
     const auto decoded =
