The store's client learns the era of each answer

Nothing read the header Store-Era, and a revision that goes back was taken for an older content. The client now classifies each answer, refusals too, against the highest position that the node knew when it sent the call. An answer of an earlier era than is known by now fails its call. The known position is one struct that the client and the node share; it is raised by answers and by what peers claim. The first position of a later era calls a hook, logs store_returned and counts relay_store_returns_total.

A repeated header field is joined by the HTTP client, as RFC 9110 says, so that a repeated era isn't taken for a number.

--- a/packages/adapters/http_client.cpp
+++ b/packages/adapters/http_client.cpp
@@ -97,8 +97,9 @@
 http_headers copy_headers(const Fields& fields) {
     http_headers headers;
     for (const auto& field : fields) {
-        headers[lower_case({field.name_string().data(), field.name_string().size()})] =
-            std::string(field.value());
+        // One field that is repeated means the same as one with the values joined (RFC 9110, 5.3).
+        auto& value = headers[lower_case({field.name_string().data(), field.name_string().size()})];
+        value += (value.empty() ? "" : ", ") + std::string(field.value());
     }
     return headers;
 }
--- a/packages/adapters/http_types.h
+++ b/packages/adapters/http_types.h
@@ -9,7 +9,8 @@
 
 namespace figspoke::adapters {
 
-/// Header fields by lower-case name. A repeated field keeps its last value.
+/// Header fields by lower-case name. Of a repeated field a server keeps the last value, and a client joins
+/// the values with commas.
 using http_headers = std::map<std::string, std::string>;
 
 /// One HTTP/1.1 request as a server sees it.
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -33,6 +33,11 @@
     return kind == document_kind::operator_config ? "operator_config" : "registry";
 }
 
+json position_json(const state::store_position& position) {
+    return {
+        {"era", position.era.stated}, {"detected", position.era.detected}, {"revision", position.revision}};
+}
+
 state::shared_document& document_of(relay_state& node, document_kind kind) {
     return node.documents.at(static_cast<std::size_t>(kind));
 }
@@ -192,6 +197,7 @@
         return;
     }
     if (const auto document = decode_document(reply->body)) {
+        record_position(*node.platform.store, document->first.at);
         // The peer replied after the call started, so the confirmation is no older than its age before that
         // time.
         adopt(node, kind, document->first, started - document->second, address);
@@ -217,6 +223,13 @@
     return {document.content->at, document.content->hash, age};
 }
 
+void handle_store_return(relay_state& node, const state::store_position& previous) {
+    const auto& known = node.platform.store->known;
+    node.store_returned_at = boot_now();
+    node.metrics.add("relay_store_returns_total", {});
+    node.log.state("store_returned", {{"previous", position_json(previous)}, {"at", position_json(known)}});
+}
+
 void run_document_loop(relay_state& node, document_kind kind, const boost::asio::yield_context& yield) {
     auto retry = min_retry_delay;
     bool failing = false;
@@ -254,6 +267,7 @@
 
 void handle_claim(relay_state& node, document_kind kind, const state::document_claim& claim,
                   const state::clock_echo& echo, const state::member_entry& peer) {
+    record_position(*node.platform.store, claim.at);
     auto& document = document_of(node, kind);
     const auto verdict = state::merge_claim(document, claim, echo, boot_now());
     if (verdict == state::claim_verdict::confirmed) {
--- a/packages/relay/document_loops.h
+++ b/packages/relay/document_loops.h
@@ -14,6 +14,10 @@
 void handle_claim(relay_state& node, document_kind kind, const state::document_claim& claim,
                   const state::clock_echo& echo, const state::member_entry& peer);
 
+/// Records that the store has come back from an older copy: what was written to it since is gone, and writers
+/// write again what they still need. `previous` is the highest position known before.
+void handle_store_return(relay_state& node, const state::store_position& previous);
+
 /// Returns this node's claim about a document, for its heartbeats.
 state::document_claim own_claim(const relay_state& node, document_kind kind);
 
--- a/packages/relay/document_source.h
+++ b/packages/relay/document_source.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -36,8 +37,8 @@
     std::uint64_t order = 0;
     /// Time since the start of the roll-out, so that another node continues from there.
     core::milliseconds elapsed{0};
-    /// Revision of the status in the store; 0 if there is none.
-    std::uint64_t revision = 0;
+    /// Position of the status in the store; revision 0 if there is none.
+    state::store_position revision;
 };
 
 enum class store_failure {
@@ -57,16 +58,35 @@
 template <class T>
 using store_result = tl::expected<T, store_error>;
 
-/// Crashes in the store, and the revision of its item; 0 if there is none.
+/// Crashes in the store, and the position of its item; revision 0 if there is none.
 struct stored_crashes {
     std::vector<crash_record> records;
-    std::uint64_t revision = 0;
+    state::store_position revision;
+};
+
+/// What a node knows of the store, shared by the store's client and the node.
+struct store_view {
+    /// The highest position that an answer of the store or a peer has named.
+    state::store_position known;
+    /// How often the store was noticed to have come back from an older copy.
+    std::uint64_t returns = 0;
+    /// Answers whose statement of the era can't be used.
+    std::uint64_t unusable_eras = 0;
+    /// Answers that were older than what the node knew, and so were ignored.
+    std::uint64_t outdated_answers = 0;
+    /// Called after a return was noticed, with the position known before.
+    std::function<void(const state::store_position& previous)> on_return;
 };
 
+/// Raises the known position, and calls `on_return` if the position shows that the store has come back.
+void record_position(store_view& view, const state::store_position& seen);
+
 /// Access to the platform: its store and the decoding of its documents.
 struct platform_port {
     using yield_context = boost::asio::yield_context;
 
+    std::shared_ptr<store_view> store = std::make_shared<store_view>();
+
     /// Read the two shared documents.
     std::function<store_result<state::document_content>(const yield_context&)> read_operator_config;
     std::function<store_result<state::document_content>(const yield_context&)> read_registry;
@@ -81,16 +101,17 @@
     /// Reads the status of a service's roll-out; the revision is 0 if there is none.
     std::function<store_result<rollout_status>(const std::string& service, const yield_context&)>
         read_rollout_status;
-    /// Writes a status if the stored one still has the revision that `status` was read at; returns the new
+    /// Writes a status if the stored one still has the position that `status` was read at; returns the new
     /// one.
-    std::function<store_result<std::uint64_t>(const std::string& service, const rollout_status& status,
-                                              const yield_context&)>
+    std::function<store_result<state::store_position>(const std::string& service,
+                                                      const rollout_status& status, const yield_context&)>
         write_rollout_status;
 
     /// Read and write the crashes for which requests are refused. A write fails if the stored ones have
-    /// another revision than those that were read.
+    /// another position than those that were read.
     std::function<store_result<stored_crashes>(const yield_context&)> read_crashes;
-    std::function<store_result<std::uint64_t>(const stored_crashes&, const yield_context&)> write_crashes;
+    std::function<store_result<state::store_position>(const stored_crashes&, const yield_context&)>
+        write_crashes;
 
     /// Lists the heartbeat addresses of registered nodes.
     std::function<store_result<std::vector<std::string>>(const yield_context&)> list_nodes;
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -68,6 +68,9 @@
         : state_(context_, settings, protocol, platform(context_)), directory_(std::move(directory)),
           reload_(std::move(reload)), signals_(context_, SIGTERM, SIGINT, SIGHUP) {
         state_.peers = std::make_unique<fleet>(context_, make_fleet_settings(), make_fleet_hooks());
+        state_.platform.store->on_return = [this](const state::store_position& previous) {
+            handle_store_return(state_, previous);
+        };
         state_.aggregators =
             std::make_unique<load_aggregators>(state_.settings.node_id, state_.peers->incarnation(),
                                                aggregator_settings(), make_aggregator_hooks());
@@ -261,6 +264,14 @@
         }
     }
 
+    void render_store() {
+        const auto& store = *state_.platform.store;
+        state_.metrics.set("relay_store_era", {{"source", "stated"}}, store.known.era.stated);
+        state_.metrics.set("relay_store_era", {{"source", "detected"}}, store.known.era.detected);
+        state_.metrics.set("relay_store_unusable_eras", {}, double(store.unusable_eras));
+        state_.metrics.set("relay_store_outdated_answers", {}, double(store.outdated_answers));
+    }
+
     using simple_handler = std::function<std::optional<adapters::http_reply>(const adapters::http_request&)>;
 
     std::unique_ptr<adapters::http_server> make_server(const std::string& address, simple_handler handler) {
@@ -323,6 +334,7 @@
         state_.metrics.set("relay_live_members", {}, double(state_.peers->size()));
         const auto age = document_age(state_, document_kind::operator_config, boot_now());
         state_.metrics.set("relay_configuration_age_seconds", {}, core::to_seconds(age));
+        render_store();
         return adapters::http_reply{
             200, {{"content-type", "text/plain; version=0.0.4"}}, state_.metrics.render()};
     }
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -124,6 +124,8 @@
     std::array<state::shared_document, document_count> documents;
     /// The documents as peers fetch them.
     std::array<packed_document, document_count> packed;
+    /// When the store was last noticed to have come back from an older copy.
+    core::steady_time store_returned_at = core::steady_time::min();
     state::route_table_ptr routes;
     state::upstream_registry registry;
     std::map<std::string, rollout_progress> rollouts;
--- a/packages/state/store_position.cpp
+++ b/packages/state/store_position.cpp
@@ -58,12 +58,21 @@
     return position;
 }
 
+bool raise_position(store_position& known, const store_position& seen) {
+    if (!(known < seen)) {
+        return false;
+    }
+    const bool is_return = known != store_position{} && known.era < seen.era;
+    known = seen;
+    return is_return;
+}
+
 answer_era classify_answer(const store_position& known, std::optional<std::uint16_t> stated,
                            std::optional<std::uint64_t> revision) {
     const auto number = stated.value_or(known.era.stated);
     if (number > known.era.stated) {
         // The first answer that states a number is no return: the node knew of no era before.
-        const bool first = known.revision == 0;
+        const bool first = known == store_position{};
         return {first ? answer_age::same_era : answer_age::new_era, {number, 0}};
     }
     if (number < known.era.stated) {
@@ -79,4 +88,10 @@
     return {answer_age::same_era, known.era};
 }
 
+answer_era classify_arrival(const store_position& known_when_sent, const store_position& known_now,
+                            std::optional<std::uint16_t> stated, std::optional<std::uint64_t> revision) {
+    const auto answer = classify_answer(known_when_sent, stated, revision);
+    return answer.era < known_now.era ? answer_era{answer_age::outdated, known_now.era} : answer;
+}
+
 } // namespace figspoke::state
--- a/packages/state/store_position.h
+++ b/packages/state/store_position.h
@@ -52,10 +52,19 @@
     store_era era;
 };
 
+/// Raises the known position to one that was seen. Returns whether that shows that the store has come back
+/// from an older copy, which the first position doesn't.
+bool raise_position(store_position& known, const store_position& seen);
+
 /// Classifies an answer. `known` is the highest position that the node knew when it sent the call, and
 /// `stated` the era that the answer states. `revision` is the store's revision in the answer; empty if it
 /// names none.
 answer_era classify_answer(const store_position& known, std::optional<std::uint16_t> stated,
                            std::optional<std::uint64_t> revision);
 
+/// Like `classify_answer`, for an answer that arrives when `known_now` is known: it is outdated if the store
+/// has come back since the call was sent and the answer is of the era before.
+answer_era classify_arrival(const store_position& known_when_sent, const store_position& known_now,
+                            std::optional<std::uint16_t> stated, std::optional<std::uint64_t> revision);
+
 } // namespace figspoke::state
--- a/test/correctness/state_store_position_test.cpp
+++ b/test/correctness/state_store_position_test.cpp
@@ -48,6 +48,29 @@
     CHECK(classify_answer(position(3, 0, 120), 2, 500).age == answer_age::outdated);
 }
 
+TEST_CASE("an answer that was sent before a return and arrives after it is outdated") {
+    // A peer has told of the return while the call was under way.
+    const auto sent = position(0, 0, 120);
+    const auto now = position(0, 1, 90);
+    CHECK(classify_arrival(sent, now, std::nullopt, 121).age == answer_age::outdated);
+    CHECK(classify_arrival(sent, now, std::nullopt, 91).era == now.era);
+    CHECK(classify_arrival(sent, sent, std::nullopt, 121).age == answer_age::same_era);
+}
+
+TEST_CASE("only a later era than the known one shows that the store has come back") {
+    store_position known;
+    CHECK_FALSE(raise_position(known, position(3, 0, 120)));
+    CHECK_FALSE(raise_position(known, position(3, 0, 140)));
+    CHECK_FALSE(raise_position(known, position(2, 0, 500)));
+    CHECK(raise_position(known, position(4, 0, 90)));
+    CHECK(known == position(4, 0, 90));
+}
+
+TEST_CASE("a refusal as the first answer doesn't hide the next return") {
+    // A refusal names an era and no revision.
+    CHECK(classify_answer(position(4, 0, 0), 5, 80).age == answer_age::new_era);
+}
+
 TEST_CASE("the first answer that a node reads is no return of the store") {
     const auto first = classify_answer({}, 9, 40);
     CHECK(first.age == answer_age::same_era);
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -37,6 +37,20 @@
 
 } // namespace
 
+TEST_CASE("an era that is missing, malformed, out of range or repeated is not taken for a number") {
+    CHECK(read_stated_era({{"store-era", "3"}}).number == 3);
+    CHECK(read_stated_era({{"store-era", "65535"}}).number == 65535);
+    CHECK_FALSE(read_stated_era({}).number.has_value());
+    CHECK_FALSE(read_stated_era({}).unusable);
+    for (const auto* text :
+         {"", "x", "-1", "+4", "3.0", "4x", "0x4", "65536", "99999999999999999999", "3, 4"}) {
+        CAPTURE(text);
+        const auto era = read_stated_era({{"store-era", text}});
+        CHECK_FALSE(era.number.has_value());
+        CHECK(era.unusable);
+    }
+}
+
 TEST_CASE("the operator's configuration is decoded into routes, services and accounts") {
     const auto table = decode_routes(content_with("op/config", config));
     REQUIRE(table.has_value());
