A configuration follows the store over its return from an older copy

Callers saw withdrawn keys let in for good, and changes that were never applied. After the store had come back from an older copy a changed configuration could bear the revision of the one in force, and the hash covered keys and revisions only, so that it was taken for the same; or it bore a lower one and was ignored as older. Both lasted until the revisions had passed the old ones.

The hash now covers values. Contents and claims are compared by position, era first. The configuration's own version decides what is in force: a lower one, or none that can be read, never replaces it, whether a node reads it or a peer sends it, and a peer that knows a higher one is asked for it even if its position is older. Orders that the copy lacks are kept for 2 s. A read that finds an older configuration, or an unreadable one, no longer confirms the one in force for keys, except in these 2 s. A node that starts asks two seeds for their document before it reads the store.

--- a/packages/relay/document_codec.cpp
+++ b/packages/relay/document_codec.cpp
@@ -12,6 +12,9 @@
 // Far larger than a registry of thousands of upstreams.
 constexpr std::size_t max_document_bytes = 16U * 1024 * 1024;
 
+// Age of a document that was never found to be current. Older than any bound, and no time overflows by it.
+constexpr core::milliseconds max_age{std::chrono::hours(24 * 365)};
+
 std::string to_bytes(const json& value) {
     std::string bytes;
     json::to_cbor(value, bytes);
@@ -35,24 +38,32 @@
 packed_document pack_document(const state::document_content& content) {
     json items = json::array();
     for (const auto& item : content.items) {
-        items.push_back({item.key, binary_of(item.value), item.revision});
+        items.push_back({item.key, binary_of(item.value), item.revision, item.kept});
     }
     return {content.hash, adapters::deflate_bytes(to_bytes(items))};
 }
 
+document_ages ages_of(const state::shared_document& document, core::steady_time now) {
+    const auto age_of = [&](core::steady_time at) {
+        return at == core::steady_time::min() ? max_age : std::chrono::ceil<core::milliseconds>(now - at);
+    };
+    return {age_of(document.confirmed_at), age_of(document.current_at)};
+}
+
 std::string encode_document(const state::document_content& content, const packed_document& packed,
-                            core::milliseconds age) {
+                            const document_ages& ages) {
     return to_bytes({{"at", state::pack_position(content.at)},
                      {"hash", content.hash},
-                     {"age", age.count()},
+                     {"age", ages.confirmed.count()},
+                     {"current_age", ages.current.count()},
                      {"items", binary_of(packed.items)}});
 }
 
-std::optional<std::pair<state::document_content, core::milliseconds>>
-decode_document(std::string_view bytes) {
+std::optional<received_document> decode_document(std::string_view bytes) {
     try {
         const json value = json::from_cbor(bytes.begin(), bytes.end());
-        state::document_content content;
+        received_document document;
+        auto& content = document.content;
         content.at = state::unpack_position(value.at("at").get<std::uint64_t>());
         content.hash = value.at("hash").get<std::uint64_t>();
         const auto items = adapters::inflate_bytes(text_of(value.at("items")), max_document_bytes);
@@ -60,10 +71,16 @@
             return std::nullopt;
         }
         for (const auto& item : json::from_cbor(*items)) {
-            content.items.push_back(
-                {item.at(0).get<std::string>(), text_of(item.at(1)), item.at(2).get<std::uint64_t>()});
+            state::document_item decoded{item.at(0).get<std::string>(), text_of(item.at(1)),
+                                         item.at(2).get<std::uint64_t>(), std::nullopt, false};
+            // Nodes without eras send neither this nor the second age.
+            decoded.kept = item.size() > 3 && item.at(3).get<bool>();
+            content.items.push_back(std::move(decoded));
         }
-        return std::make_pair(std::move(content), core::milliseconds(value.at("age").get<std::int64_t>()));
+        document.ages.confirmed = core::milliseconds(value.at("age").get<std::int64_t>());
+        document.ages.current =
+            core::milliseconds(value.value("current_age", document.ages.confirmed.count()));
+        return document;
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/packages/relay/document_codec.h
+++ b/packages/relay/document_codec.h
@@ -3,7 +3,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 #include "core/time.h"
 #include "state/shared_document.h"
@@ -19,11 +18,26 @@
 /// Compresses the items of a document.
 packed_document pack_document(const state::document_content& content);
 
-/// Encodes a document and the age of its confirmation. `packed` holds the content's items.
+/// Times since `confirmed_at` and `current_at` of a document.
+struct document_ages {
+    core::milliseconds confirmed{0};
+    core::milliseconds current{0};
+};
+
+/// Returns the ages of a document that has content.
+document_ages ages_of(const state::shared_document& document, core::steady_time now);
+
+/// A document that a peer has sent. The versions of its items aren't set.
+struct received_document {
+    state::document_content content;
+    document_ages ages;
+};
+
+/// Encodes a document and its ages. `packed` holds the content's items.
 std::string encode_document(const state::document_content& content, const packed_document& packed,
-                            core::milliseconds age);
+                            const document_ages& ages);
 
-/// Decodes a document and the age of its confirmation; empty if the bytes are not a valid one.
-std::optional<std::pair<state::document_content, core::milliseconds>> decode_document(std::string_view bytes);
+/// Decodes a document and its ages; empty if the bytes are not a valid one.
+std::optional<received_document> decode_document(std::string_view bytes);
 
 } // namespace figspoke::relay
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -1,5 +1,9 @@
 #include "relay/document_loops.h"
 
+#include <algorithm>
+#include <memory>
+
+#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include "adapters/await.h"
@@ -26,6 +30,9 @@
 constexpr core::milliseconds min_retry_delay{250};
 constexpr core::milliseconds max_retry_delay{1000};
 constexpr core::milliseconds peer_fetch_timeout{400};
+// Peers that a node asks for a document at its start.
+constexpr std::size_t max_first_fetches = 2;
+constexpr core::milliseconds first_fetch_poll{10};
 // Smallest advance of a confirmation that is forwarded immediately: half of the shorter read interval.
 constexpr core::milliseconds min_forward_advance{400};
 
@@ -147,15 +154,43 @@
                     {"known_hash", previous ? previous->hash : 0}});
 }
 
+// The version of the configuration in force, if the store has an older one or none.
+std::optional<std::uint64_t> kept_version(const std::optional<state::document_content>& content) {
+    if (content) {
+        for (const auto& item : content->items) {
+            if (item.kept && item.version) {
+                return item.version;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+void log_kept_version(relay_state& node, std::optional<std::uint64_t> before,
+                      std::optional<std::uint64_t> version) {
+    if (before == version) {
+        return;
+    }
+    if (version) {
+        node.log.state("configuration_kept", {{"version", *version}});
+    } else {
+        node.log.state("configuration_regained", {{"version", *before}});
+    }
+}
+
+// Adopts content with one of the functions that compare it with the known one.
+template <class Adopt>
 void adopt(relay_state& node, document_kind kind, const state::document_content& content,
-           core::steady_time confirmed_at, const std::string& source) {
+           const std::string& source, const Adopt& adopt_into) {
     auto& document = document_of(node, kind);
     std::optional<state::document_content> previous;
     if (document.content) {
         previous = state::document_content{{}, document.content->at, document.content->hash};
     }
-    const bool changed = state::adopt_content(document, content, confirmed_at);
+    const auto kept_before = kept_version(document.content);
+    const bool changed = adopt_into(document);
     log_adoption(node, kind, content, source, previous, changed);
+    log_kept_version(node, kept_before, kept_version(document.content));
     apply(node, kind, changed);
     update_readiness(node);
 }
@@ -181,7 +216,8 @@
     }
 }
 
-void fetch_from_peer(relay_state& node, document_kind kind, const std::string& address,
+// Returns whether the peer sent its document.
+bool fetch_from_peer(relay_state& node, document_kind kind, const std::string& address,
                      const boost::asio::yield_context& yield) {
     adapters::http_call call;
     call.address = address;
@@ -189,27 +225,55 @@
     call.timeout = peer_fetch_timeout;
     const auto started = boot_now();
     const auto reply = node.peer_client.fetch(call, yield);
-    if (!reply || reply->status != 200) {
+    auto received = reply && reply->status == 200 ? decode_document(reply->body) : std::nullopt;
+    if (!received) {
         node.log.state("peer_document_failed", {{"document", name_of(kind)},
                                                 {"peer", address},
                                                 {"cause", reply ? "status " + std::to_string(reply->status)
                                                                 : reply.error().message}});
-        return;
+        return false;
     }
-    if (const auto document = decode_document(reply->body)) {
-        record_position(*node.platform.store, document->first.at);
-        // The peer replied after the call started, so the confirmation is no older than its age before that
-        // time.
-        adopt(node, kind, document->first, started - document->second, address);
-        // In a fleet of one cell the node that read the document has already informed all others.
-        if (node.peers->layout().cells > 1) {
-            node.peers->announce();
-        }
+    auto& content = received->content;
+    if (kind == document_kind::operator_config) {
+        node.platform.complete_operator_config(content);
     }
+    record_position(*node.platform.store, content.at);
+    // The peer replied after the call started, so its confirmation is no older than its age before that time.
+    adopt(node, kind, content, address, [&](state::shared_document& document) {
+        return state::adopt_content(document, content, started - received->ages.confirmed,
+                                    started - received->ages.current);
+    });
+    // In a fleet of one cell the node that read the document has already informed all others.
+    if (node.peers->layout().cells > 1) {
+        node.peers->announce();
+    }
+    return true;
 }
 
 } // namespace
 
+void fetch_first_document(relay_state& node, document_kind kind, std::vector<std::string> addresses,
+                          const boost::asio::yield_context& yield) {
+    addresses.erase(std::remove(addresses.begin(), addresses.end(), node.settings.listen.peers),
+                    addresses.end());
+    std::shuffle(addresses.begin(), addresses.end(), node.random);
+    addresses.resize(std::min(addresses.size(), max_first_fetches));
+    const auto open = std::make_shared<std::size_t>(addresses.size());
+    for (const auto& address : addresses) {
+        boost::asio::spawn(
+            node.context,
+            [&node, kind, address, open](const boost::asio::yield_context& fetch_yield) {
+                fetch_from_peer(node, kind, address, fetch_yield);
+                --*open;
+            },
+            boost::asio::detached);
+    }
+    const auto end = boot_now() + peer_fetch_timeout;
+    while (*open > 0 && !document_of(node, kind).content && boot_now() < end && !node.stopped) {
+        adapters::sleep_for(first_fetch_poll, yield);
+    }
+}
+
 std::string document_path(document_kind kind) {
     return std::string("/documents/") + name_of(kind);
 }
@@ -226,6 +290,9 @@
 void handle_store_return(relay_state& node, const state::store_position& previous) {
     const auto& known = node.platform.store->known;
     node.store_returned_at = boot_now();
+    for (auto& document : node.documents) {
+        state::begin_grace(document, node.store_returned_at, state::registry_timeouts{}.reregistration_grace);
+    }
     node.metrics.add("relay_store_returns_total", {});
     node.log.state("store_returned", {{"previous", position_json(previous)}, {"at", position_json(known)}});
 }
@@ -251,7 +318,9 @@
             }
             failing = false;
             retry = min_retry_delay;
-            adopt(node, kind, *content, now, "store");
+            adopt(node, kind, *content, "store", [&](state::shared_document& document) {
+                return state::adopt_read(document, *content, now);
+            });
             node.peers->announce();
             continue;
         }
@@ -281,8 +350,11 @@
     fetching = true;
     boost::asio::spawn(
         node.context,
-        [&node, kind, address = peer.mesh_address](const boost::asio::yield_context& yield) {
-            fetch_from_peer(node, kind, address, yield);
+        [&node, kind, address = peer.mesh_address,
+         hash = claim.hash](const boost::asio::yield_context& yield) {
+            if (fetch_from_peer(node, kind, address, yield)) {
+                state::record_compared(document_of(node, kind), hash);
+            }
             node.fetching.at(static_cast<std::size_t>(kind)) = false;
         },
         boost::asio::detached);
--- a/packages/relay/document_loops.h
+++ b/packages/relay/document_loops.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <string>
+#include <vector>
+
 #include <boost/asio/spawn.hpp>
 
 #include "relay/relay_state.h"
@@ -10,6 +13,12 @@
 /// process ends.
 void run_document_loop(relay_state& node, document_kind kind, const boost::asio::yield_context& yield);
 
+/// Asks peers for their copy of a document, so that a node that starts after the store has come back from an
+/// older copy doesn't serve by that. Waits for at most one timeout, and not at all if no peer has the
+/// document.
+void fetch_first_document(relay_state& node, document_kind kind, std::vector<std::string> addresses,
+                          const boost::asio::yield_context& yield);
+
 /// Merges a peer's claim about a document, and fetches newer content from that peer.
 void handle_claim(relay_state& node, document_kind kind, const state::document_claim& claim,
                   const state::clock_echo& echo, const state::member_entry& peer);
--- a/packages/relay/document_source.h
+++ b/packages/relay/document_source.h
@@ -91,6 +91,9 @@
     std::function<store_result<state::document_content>(const yield_context&)> read_operator_config;
     std::function<store_result<state::document_content>(const yield_context&)> read_registry;
 
+    /// Sets the versions of the items and the hash of an operator's configuration that a peer has sent.
+    std::function<void(state::document_content&)> complete_operator_config;
+
     /// Translate documents. A part that can't be read is left out and named in the log.
     std::function<std::optional<state::route_table>(const state::document_content&)> decode_routes;
     std::function<std::vector<rollout_order>(const state::document_content&)> decode_rollouts;
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -84,6 +84,8 @@
         state_.peers->start();
         spawn([this](const asio::yield_context& yield) { wait_for_signals(yield); });
         spawn([this](const asio::yield_context& yield) {
+            fetch_first_document(state_, document_kind::operator_config, seed_addresses(state_.settings),
+                                 yield);
             run_document_loop(state_, document_kind::operator_config, yield);
         });
         spawn([this](const asio::yield_context& yield) {
@@ -310,12 +312,12 @@
             const auto kind = static_cast<document_kind>(i);
             const auto& known = state_.documents.at(i);
             if (request.path == document_path(kind) && known.content) {
-                const auto age = std::chrono::ceil<core::milliseconds>(boot_now() - known.confirmed_at);
                 auto& packed = state_.packed.at(i);
                 if (packed.hash != known.content->hash) {
                     packed = pack_document(*known.content);
                 }
-                return adapters::http_reply{200, {}, encode_document(*known.content, packed, age)};
+                return adapters::http_reply{
+                    200, {}, encode_document(*known.content, packed, ages_of(known, boot_now()))};
             }
         }
         return std::nullopt;
--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -116,6 +116,7 @@
       memory(policy::divide_memory(std::size_t(settings.memory_mb) * bytes_per_mb)),
       random(std::random_device{}()), peer_client(io), pool(max_idle_per_upstream) {
     health.settings = upstream_health_settings();
+    documents.at(static_cast<std::size_t>(document_kind::operator_config)).keeps_items = true;
 }
 
 policy::health_settings upstream_health_settings() {
@@ -177,8 +178,8 @@
 
 core::nanoseconds document_age(const relay_state& node, document_kind kind, core::steady_time now) {
     const auto& document = node.documents.at(static_cast<std::size_t>(kind));
-    return document.confirmed_at == core::steady_time::min() ? core::nanoseconds::max()
-                                                             : now - document.confirmed_at;
+    return document.current_at == core::steady_time::min() ? core::nanoseconds::max()
+                                                           : now - document.current_at;
 }
 
 bool is_configured(const relay_state& node) {
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -198,7 +198,7 @@
 /// Returns a random number in [0, 1).
 double draw(relay_state& node);
 
-/// Returns the age of a document's last confirmation; the maximum if there is none.
+/// Returns the time since a document was last known to be current; the maximum if it never was.
 core::nanoseconds document_age(const relay_state& node, document_kind kind, core::steady_time now);
 
 /// Returns whether the fleet is so large that load aggregators are used.
--- a/test/correctness/relay_documents_test.cpp
+++ b/test/correctness/relay_documents_test.cpp
@@ -23,6 +23,39 @@
     return result;
 }
 
+document_item config(std::uint64_t version, std::uint64_t revision, const std::string& value) {
+    return {"op/config", value, revision, version, false};
+}
+
+document_item order(const std::string& key, std::uint64_t revision) {
+    return {key, "order", revision, std::nullopt, false};
+}
+
+document_content read_at(std::uint16_t era, std::uint64_t revision, std::vector<document_item> items) {
+    document_content result;
+    result.at = {{era, 0}, revision};
+    result.hash = hash_items(items);
+    result.items = std::move(items);
+    return result;
+}
+
+std::optional<std::uint64_t> version_of(const shared_document& document) {
+    for (const auto& item : document.content->items) {
+        if (item.version) {
+            return item.version;
+        }
+    }
+    return std::nullopt;
+}
+
+shared_document returned_document(std::uint64_t version) {
+    shared_document document;
+    document.keeps_items = true;
+    adopt_read(document, read_at(1, 100, {config(version, 90, "new"), order("op/rollout/s", 95)}), at(0));
+    begin_grace(document, at(1000), milliseconds(2000));
+    return document;
+}
+
 upstream_entry entry(const std::string& id, bool draining = false) {
     upstream_entry result;
     result.id = id;
@@ -81,6 +114,128 @@
     CHECK(merge_claim(document, {position(0), 0, milliseconds(0)}, echo, at(1)) == claim_verdict::no_change);
 }
 
+TEST_CASE("contents with equal revisions and different values aren't taken for the same") {
+    // Revisions are given out again when the store comes back from an older copy.
+    CHECK(hash_items({config(4, 90, "a")}) != hash_items({config(5, 90, "b")}));
+    CHECK(hash_items({order("ab", 1)}) != hash_items({order("a", 1)}));
+}
+
+TEST_CASE("a change that the operator makes after the store's return comes into force at a lower revision") {
+    auto document = returned_document(4);
+    CHECK(adopt_read(document, read_at(2, 60, {config(5, 60, "changed")}), at(1100)));
+    CHECK(version_of(document) == 5);
+    CHECK(document.content->at == store_position{{2, 0}, 60});
+    CHECK(document.current_at == at(1100));
+}
+
+TEST_CASE("a configuration older than the known one never comes into force") {
+    const std::vector<std::vector<document_item>> copies = {
+        {config(3, 50, "old")}, {}, {{"op/config", "unreadable", 50, std::nullopt, false}}};
+    for (const auto& copy : copies) {
+        for (const std::uint16_t era : {std::uint16_t(1), std::uint16_t(2)}) {
+            auto document = returned_document(4);
+            adopt_read(document, read_at(era, 150, copy), at(1100));
+            CHECK(version_of(document) == 4);
+            CHECK(document.content->items.front().kept);
+            adopt_read(document, read_at(era, 160, copy), at(9000));
+            CHECK(version_of(document) == 4);
+        }
+    }
+}
+
+TEST_CASE("a store without the configuration in force confirms it only while it may be written again") {
+    // Otherwise a key that a lost version withdrew would stay valid for good.
+    auto document = returned_document(4);
+    adopt_read(document, read_at(2, 60, {config(3, 50, "old")}), at(1500));
+    CHECK(document.current_at == at(1500));
+    adopt_read(document, read_at(2, 61, {config(3, 50, "old")}), at(8000));
+    CHECK(document.current_at == at(3000));
+    CHECK(document.confirmed_at == at(8000));
+    adopt_read(document, read_at(2, 62, {config(4, 62, "new")}), at(8800));
+    CHECK(document.current_at == at(8800));
+}
+
+TEST_CASE("an unreadable configuration doesn't confirm the one in force") {
+    // Guards against an older configuration that stays valid for good while the store holds a malformed one.
+    shared_document document;
+    adopt_read(document, read_at(0, 90, {config(4, 90, "readable")}), at(0));
+    adopt_read(document, read_at(0, 91, {{"op/config", "{", 91, std::nullopt, false}}), at(800));
+    CHECK(version_of(document) == 4);
+    CHECK(document.current_at == at(0));
+    const auto hash = document.content->hash;
+    merge_claim(document, {{{}, 92}, hash, milliseconds(0)}, {at(1600), milliseconds(0)}, at(1601));
+    CHECK(document.confirmed_at == at(1600));
+    CHECK(document.current_at == at(0));
+}
+
+TEST_CASE("orders that the store lacks after its return are kept until they had time to be written again") {
+    auto document = returned_document(4);
+    adopt_read(document, read_at(2, 60, {config(4, 60, "new")}), at(1100));
+    REQUIRE(document.content->items.size() == 2);
+    CHECK(document.content->items[1].kept);
+    adopt_read(document, read_at(2, 61, {config(4, 60, "new"), order("op/rollout/s", 61)}), at(1900));
+    CHECK_FALSE(document.content->items[1].kept);
+    adopt_read(document, read_at(2, 62, {config(4, 60, "new")}), at(2900));
+    CHECK(document.content->items.size() == 2);
+    CHECK(adopt_read(document, read_at(2, 62, {config(4, 60, "new")}), at(3700)));
+    CHECK(document.content->items.size() == 1);
+}
+
+TEST_CASE("an older order in the copy isn't obeyed, and a new one with a lower revision is") {
+    const auto changed = [](std::uint64_t revision) {
+        return document_item{"op/rollout/s", "other", revision, std::nullopt, false};
+    };
+    auto document = returned_document(4);
+    adopt_read(document, read_at(2, 60, {config(4, 60, "new"), changed(40)}), at(1100));
+    CHECK(document.content->items[1].value == "order");
+    adopt_read(document, read_at(2, 61, {config(4, 60, "new"), changed(61)}), at(1900));
+    CHECK(document.content->items[1].value == "other");
+}
+
+TEST_CASE("a claim of an earlier era doesn't confirm the content") {
+    auto document = returned_document(4);
+    const auto content = read_at(2, 60, {config(4, 90, "new"), order("op/rollout/s", 95)});
+    adopt_read(document, content, at(1100));
+    CHECK(merge_claim(document, {{{1, 0}, 120}, content.hash, milliseconds(0)}, {at(2000), milliseconds(0)},
+                      at(2001)) == claim_verdict::no_change);
+    CHECK(document.confirmed_at == at(1100));
+    CHECK(merge_claim(document, {{{3, 0}, 20}, content.hash, milliseconds(0)}, {at(2000), milliseconds(0)},
+                      at(2001)) == claim_verdict::confirmed);
+    CHECK(document.content->at == store_position{{3, 0}, 20});
+}
+
+TEST_CASE("of two contents at one position the one that was confirmed later comes into force") {
+    shared_document document;
+    adopt_read(document, read_at(0, 90, {config(4, 90, "a")}), at(0));
+    const auto other = read_at(0, 90, {config(4, 90, "b")});
+    CHECK(merge_claim(document, {other.at, other.hash, milliseconds(0)}, {at(500), milliseconds(0)},
+                      at(501)) == claim_verdict::newer);
+    CHECK(adopt_content(document, other, at(499)));
+    CHECK(document.content->hash == other.hash);
+}
+
+TEST_CASE("a newer version that only a peer in an earlier era knows is fetched, and only once") {
+    auto document = returned_document(4);
+    adopt_read(document, read_at(2, 60, {config(3, 50, "old")}), at(1100));
+    const auto newer = read_at(1, 102, {config(5, 102, "newest")});
+    const document_claim claim{newer.at, newer.hash, milliseconds(0)};
+    const clock_echo echo{at(900), milliseconds(0)};
+    CHECK(merge_claim(document, claim, echo, at(1200)) == claim_verdict::newer);
+    CHECK(adopt_content(document, newer, at(900)));
+    CHECK(version_of(document) == 5);
+    CHECK(document.content->at == store_position{{2, 0}, 60});
+    CHECK(merge_claim(document, claim, echo, at(1300)) == claim_verdict::no_change);
+}
+
+TEST_CASE("a node that starts after the store's return takes over how current a peer's copy is") {
+    shared_document document;
+    document_item kept = config(4, 90, "new");
+    kept.kept = true;
+    adopt_content(document, read_at(2, 60, {kept}), at(8000), at(3000));
+    CHECK(document.confirmed_at == at(8000));
+    CHECK(document.current_at == at(3000));
+}
+
 TEST_CASE("the first node reads while confirmations arrive, and otherwise the next ranks take over in turn") {
     shared_document document;
     const read_schedule schedule;
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -325,12 +325,14 @@
     state::document_content content;
     content.at.revision = 5;
     content.hash = 6;
-    content.items.push_back({"k", std::string("\xff\x00z", 3), 4});
-    const auto decoded =
-        decode_document(encode_document(content, pack_document(content), core::milliseconds(12)));
+    content.items.push_back({"k", std::string("\xff\x00z", 3), 4, std::nullopt, true});
+    const auto decoded = decode_document(
+        encode_document(content, pack_document(content), {core::milliseconds(12), core::milliseconds(34)}));
     REQUIRE(decoded.has_value());
-    CHECK(decoded->first.items.at(0).value == content.items.at(0).value);
-    CHECK(decoded->second == core::milliseconds(12));
+    CHECK(decoded->content.items.at(0).value == content.items.at(0).value);
+    CHECK(decoded->content.items.at(0).kept);
+    CHECK(decoded->ages.confirmed == core::milliseconds(12));
+    CHECK(decoded->ages.current == core::milliseconds(34));
 }
 
 TEST_CASE("the registry of a large fleet is compressed to less than a fifth of its size") {
@@ -349,9 +351,9 @@
     }
     const auto packed = pack_document(content);
     CHECK(packed.items.size() * 5 < bytes);
-    const auto decoded = decode_document(encode_document(content, packed, core::milliseconds(0)));
+    const auto decoded = decode_document(encode_document(content, packed, {}));
     REQUIRE(decoded);
-    CHECK(decoded->first.items.back().value == content.items.back().value);
+    CHECK(decoded->content.items.back().value == content.items.back().value);
 }
 
 TEST_CASE("bytes that can't be inflated, or inflate beyond the limit, are rejected") {
