--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -131,6 +131,8 @@
     std::array<state::shared_document, document_count> documents;
     /// The documents as peers fetch them.
     std::array<packed_document, document_count> packed;
+    /// When the store was last noticed to have come back from an older copy.
+    core::steady_time store_returned_at = core::steady_time::min();
     state::route_table_ptr routes;
     state::upstream_registry registry;
     std::map<std::string, rollout_progress> rollouts;
@@ -203,7 +205,7 @@
 /// Returns a random number in [0, 1).
 double draw(relay_state& node);
 
-/// Returns the age of a document's last confirmation; the maximum if there is none.
+/// Returns the time since a document was last known to be current; the maximum if it never was.
 core::nanoseconds document_age(const relay_state& node, document_kind kind, core::steady_time now);
 
 /// Returns whether the fleet is so large that load aggregators are used.
