A copy of the store doesn't bring back engines that left

What callers saw: after the store came back from an older copy, engines that had left or were draining stood in it as ready, and requests went to them; engines that the copy lacked got no requests until they had registered again.

Cause: the registry took each list as the truth, whatever it had known before.

A node now remembers engines that left (60 s, at most 4,096, oldest out first) and the sequence of each entry. In one era an entry with a lower sequence of the same start is ignored. After a return, an entry of an engine that had left, was draining or has started again since is held back until it differs from the first one seen in the new era: what a node knows may lag behind the store, as nodes confirm lists without copying them, so that a higher sequence than the known one proves nothing. An engine that the copy lacks is kept for the grace of 2 s also when the store was away for less than the outage gap.

The hash leaves out sequences, so a node that holds entries back copies the list from a peer that has confirmed it, at least 1 s apart and ever less often; no read of the store is added. Packed documents are packed again when an item has a later revision, or such a copy would be as old as the first one.

Nothing sets an era yet: the nodes pass the first one.

--- a/packages/relay/document_codec.cpp
+++ b/packages/relay/document_codec.cpp
@@ -1,5 +1,7 @@
 #include "relay/document_codec.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "adapters/deflate.h"
@@ -27,6 +29,14 @@
     return {bytes.begin(), bytes.end()};
 }
 
+std::uint64_t latest_revision(const state::document_content& content) {
+    std::uint64_t latest = 0;
+    for (const auto& item : content.items) {
+        latest = std::max(latest, item.revision);
+    }
+    return latest;
+}
+
 } // namespace
 
 // The items are compressed, since entries of one kind share most of their bytes. Uncompressed, a registry of
@@ -37,7 +47,11 @@
     for (const auto& item : content.items) {
         items.push_back({item.key, binary_of(item.value), item.revision});
     }
-    return {content.hash, adapters::deflate_bytes(to_bytes(items))};
+    return {content.hash, latest_revision(content), adapters::deflate_bytes(to_bytes(items))};
+}
+
+bool holds_items(const packed_document& packed, const state::document_content& content) {
+    return packed.hash == content.hash && packed.revision == latest_revision(content);
 }
 
 std::string encode_document(const state::document_content& content, const packed_document& packed,
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -39,13 +39,16 @@
 
 void log_registry_changes(relay_state& node, const state::registry_changes& changes) {
     const bool any = !changes.added.empty() || !changes.restarted.empty() || !changes.draining.empty() ||
-                     !changes.removed.empty() || !changes.kept.empty();
+                     !changes.removed.empty() || !changes.kept.empty() || !changes.held_back.empty() ||
+                     !changes.released.empty();
     if (any) {
         node.log.state("registry_changed", {{"added", changes.added},
                                             {"restarted", changes.restarted},
                                             {"draining", changes.draining},
                                             {"removed", changes.removed},
-                                            {"kept", changes.kept}});
+                                            {"kept", changes.kept},
+                                            {"held_back", changes.held_back},
+                                            {"released", changes.released}});
     }
 }
 
@@ -92,22 +95,33 @@
     node.routes = std::make_shared<const state::route_table>(std::move(*table));
 }
 
-void apply(relay_state& node, document_kind kind, bool changed) {
+// How a document was updated. Contents of the same hash may differ in the sequences of upstreams.
+enum class document_update { changed, same_hash, confirmed };
+
+state::registry_changes update_registry(relay_state& node, document_update update,
+                                        const state::list_confirmation& confirmation) {
+    const auto now = boot_now();
+    if (update == document_update::confirmed) {
+        return state::confirm_list(node.registry, confirmation, now, {});
+    }
+    const auto list = node.platform.decode_upstreams(*document_of(node, document_kind::registry).content);
+    return update == document_update::changed
+               ? state::apply_list(node.registry, list, confirmation, now, {})
+               : state::refresh_list(node.registry, list, confirmation, now, {});
+}
+
+void apply(relay_state& node, document_kind kind, document_update update) {
     const auto& document = document_of(node, kind);
     if (kind == document_kind::operator_config) {
-        if (changed) {
+        if (update == document_update::changed) {
             apply_routes(node, *document.content);
             apply_evacuations(node, node.platform.decode_evacuations(*document.content));
             update_rollout_orders(node, node.platform.decode_rollouts(*document.content));
         }
         return;
     }
-    const auto now = boot_now();
     const bool had_list = node.registry.confirmed_at != core::steady_time::min();
-    const auto changes =
-        changed ? state::apply_list(node.registry, node.platform.decode_upstreams(*document.content),
-                                    document.confirmed_at, now, {})
-                : state::confirm_list(node.registry, document.confirmed_at, now, {});
+    const auto changes = update_registry(node, update, {{}, document.confirmed_at});
     log_registry_changes(node, changes);
     drop_upstream_state(node, changes);
     apply_registered_cold_times(node);
@@ -151,7 +165,7 @@
     }
     const bool changed = state::adopt_content(document, content, confirmed_at);
     log_adoption(node, kind, content, source, previous, changed);
-    apply(node, kind, changed);
+    apply(node, kind, changed ? document_update::changed : document_update::same_hash);
     update_readiness(node);
 }
 
@@ -256,11 +270,13 @@
     auto& document = document_of(node, kind);
     const auto verdict = state::merge_claim(document, claim, echo, boot_now());
     if (verdict == state::claim_verdict::confirmed) {
-        apply(node, kind, false);
+        apply(node, kind, document_update::confirmed);
         forward_confirmation(node, kind);
     }
     auto& fetching = node.fetching.at(static_cast<std::size_t>(kind));
-    if (verdict != state::claim_verdict::newer || fetching) {
+    const bool refresh = kind == document_kind::registry && verdict == state::claim_verdict::confirmed &&
+                         state::needs_refresh(node.registry, boot_now(), {});
+    if ((verdict != state::claim_verdict::newer && !refresh) || fetching) {
         return;
     }
     fetching = true;
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -301,7 +301,7 @@
             if (request.path == document_path(kind) && known.content) {
                 const auto age = std::chrono::ceil<core::milliseconds>(boot_now() - known.confirmed_at);
                 auto& packed = state_.packed.at(i);
-                if (packed.hash != known.content->hash) {
+                if (!holds_items(packed, *known.content)) {
                     packed = pack_document(*known.content);
                 }
                 return adapters::http_reply{200, {}, encode_document(*known.content, packed, age)};
--- a/packages/state/upstream_registry.cpp
+++ b/packages/state/upstream_registry.cpp
@@ -14,30 +14,150 @@
                     entry.draining, entry.incarnation, entry.cold_for, entry.models);
 }
 
-// A confirmation after an outage starts the grace period in which expired entries are kept.
-void record_confirmation(upstream_registry& registry, core::steady_time confirmed_at, core::steady_time now,
-                         const registry_timeouts& timeouts) {
-    const bool is_first = registry.confirmed_at == core::steady_time::min();
-    if (!is_first && confirmed_at - registry.confirmed_at > timeouts.outage_gap) {
+bool is_first(const upstream_registry& registry) {
+    return registry.confirmed_at == core::steady_time::min();
+}
+
+// A confirmation after an outage, or the first one of another copy of the store, starts the grace period in
+// which missing entries are kept. Returns whether the store has come back from another copy.
+bool record_confirmation(upstream_registry& registry, const list_confirmation& confirmation,
+                         core::steady_time now, const registry_timeouts& timeouts) {
+    const bool returned = registry.era && *registry.era < confirmation.era;
+    const bool outage = !is_first(registry) && confirmation.at - registry.confirmed_at > timeouts.outage_gap;
+    if (returned || outage) {
         registry.grace_until = now + timeouts.reregistration_grace;
+        // What left before the store went away may stand in its copy, however long it was away.
+        for (auto& [id, left] : registry.departed) {
+            left.at = now;
+        }
+    }
+    if (returned || !registry.era) {
+        registry.era = confirmation.era;
+    }
+    registry.confirmed_at = std::max(registry.confirmed_at, confirmation.at);
+    return returned;
+}
+
+void remember_departed(upstream_registry& registry, const upstream_entry& entry, core::steady_time now,
+                       const registry_timeouts& timeouts) {
+    registry.departed[entry.id] = {entry.incarnation, entry.sequence, now};
+    if (registry.departed.size() > timeouts.max_departed) {
+        registry.departed.erase(
+            std::min_element(registry.departed.begin(), registry.departed.end(),
+                             [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
     }
-    registry.confirmed_at = std::max(registry.confirmed_at, confirmed_at);
 }
 
-void remove_expired(upstream_registry& registry, core::steady_time now, registry_changes& changes) {
+void remove_expired(upstream_registry& registry, core::steady_time now, const registry_timeouts& timeouts,
+                    registry_changes& changes) {
+    core::erase_where(registry.departed, [&](const departed_upstream& departed, const std::string&) {
+        return now - departed.at > timeouts.departed_lifetime;
+    });
     if (now < registry.grace_until) {
         return;
     }
     core::erase_where(registry.upstreams, [&](const upstream_record& record, const std::string& id) {
         if (record.missing) {
             changes.removed.push_back(id);
+            remember_departed(registry, record.entry, now, timeouts);
         }
         return record.missing;
     });
 }
 
+// Returns whether an entry of an older copy may have been written before its upstream left or restarted. What
+// a node knows of a start may lag behind what the store has acknowledged, as nodes confirm lists without
+// copying them, so that sequences alone don't show it.
+bool may_be_superseded(const upstream_registry& registry, const upstream_entry& entry) {
+    const auto held = registry.held_back.find(entry.id);
+    if (held != registry.held_back.end() && entry.incarnation <= held->second.incarnation) {
+        return true;
+    }
+    const auto left = registry.departed.find(entry.id);
+    if (left != registry.departed.end() && entry.incarnation <= left->second.incarnation) {
+        return true;
+    }
+    const auto known = registry.upstreams.find(entry.id);
+    if (known == registry.upstreams.end()) {
+        return false;
+    }
+    const auto& before = known->second.entry;
+    const bool same_start = entry.incarnation == before.incarnation;
+    return same_start ? before.draining && !entry.draining : entry.incarnation < before.incarnation;
+}
+
+void hold_back(upstream_registry& registry, const std::vector<upstream_entry>& list, core::steady_time now,
+               registry_changes& changes) {
+    std::map<std::string, held_entry> held;
+    for (const auto& entry : list) {
+        if (may_be_superseded(registry, entry)) {
+            held[entry.id] = {entry.incarnation, entry.sequence};
+            changes.held_back.push_back(entry.id);
+        }
+    }
+    registry.held_back = std::move(held);
+    registry.held_since = now;
+}
+
+// Within an era the list only moves on, so that an entry that differs from the first one was written since.
+void release(upstream_registry& registry, const std::vector<upstream_entry>& list, core::steady_time now,
+             registry_changes& changes) {
+    std::map<std::string, const upstream_entry*> listed;
+    for (const auto& entry : list) {
+        listed[entry.id] = &entry;
+    }
+    core::erase_where(registry.held_back, [&](const held_entry& held, const std::string& id) {
+        const auto found = listed.find(id);
+        if (found == listed.end()) {
+            if (const auto left = registry.departed.find(id); left != registry.departed.end()) {
+                left->second.at = now;
+            }
+            return true;
+        }
+        const auto& entry = *found->second;
+        const bool written = entry.incarnation != held.incarnation || entry.sequence > held.sequence;
+        if (written) {
+            changes.released.push_back(id);
+        }
+        return written;
+    });
+}
+
+void begin_list(upstream_registry& registry, const std::vector<upstream_entry>& list,
+                const list_confirmation& confirmation, core::steady_time now,
+                const registry_timeouts& timeouts, registry_changes& changes) {
+    if (record_confirmation(registry, confirmation, now, timeouts)) {
+        hold_back(registry, list, now, changes);
+    } else {
+        release(registry, list, now, changes);
+    }
+    registry.applied_at = now;
+}
+
+// Returns whether an entry was written before what is known of the same start. An entry that names no start
+// may belong to a later one, whose sequence began anew.
+bool is_outdated(const upstream_registry& registry, const upstream_entry& entry) {
+    if (entry.incarnation == 0) {
+        return false;
+    }
+    if (const auto known = registry.upstreams.find(entry.id); known != registry.upstreams.end()) {
+        return known->second.entry.incarnation == entry.incarnation &&
+               entry.sequence < known->second.entry.sequence;
+    }
+    const auto left = registry.departed.find(entry.id);
+    return left != registry.departed.end() && left->second.incarnation == entry.incarnation &&
+           entry.sequence < left->second.sequence;
+}
+
 void apply_entry(upstream_registry& registry, const upstream_entry& entry, registry_changes& changes) {
     const auto found = registry.upstreams.find(entry.id);
+    if (is_outdated(registry, entry)) {
+        if (found != registry.upstreams.end()) {
+            found->second.missing = false;
+        }
+        return;
+    }
+    registry.departed.erase(entry.id);
     if (found == registry.upstreams.end()) {
         registry.upstreams.emplace(entry.id, upstream_record{entry, false});
         changes.added.push_back(entry.id);
@@ -59,14 +179,16 @@
 }
 
 registry_changes apply_list(upstream_registry& registry, const std::vector<upstream_entry>& list,
-                            core::steady_time confirmed_at, core::steady_time now,
+                            const list_confirmation& confirmation, core::steady_time now,
                             const registry_timeouts& timeouts) {
     registry_changes changes;
-    record_confirmation(registry, confirmed_at, now, timeouts);
+    begin_list(registry, list, confirmation, now, timeouts, changes);
     std::set<std::string> listed;
     for (const auto& entry : list) {
-        listed.insert(entry.id);
-        apply_entry(registry, entry, changes);
+        if (registry.held_back.count(entry.id) == 0) {
+            listed.insert(entry.id);
+            apply_entry(registry, entry, changes);
+        }
     }
     for (auto& [id, record] : registry.upstreams) {
         if (listed.count(id) == 0 && !record.missing) {
@@ -74,18 +196,46 @@
             changes.kept.push_back(id);
         }
     }
-    remove_expired(registry, now, changes);
+    remove_expired(registry, now, timeouts, changes);
     return changes;
 }
 
-registry_changes confirm_list(upstream_registry& registry, core::steady_time confirmed_at,
+registry_changes refresh_list(upstream_registry& registry, const std::vector<upstream_entry>& list,
+                              const list_confirmation& confirmation, core::steady_time now,
+                              const registry_timeouts& timeouts) {
+    registry_changes changes;
+    begin_list(registry, list, confirmation, now, timeouts, changes);
+    const std::set<std::string> released(changes.released.begin(), changes.released.end());
+    for (const auto& entry : list) {
+        const auto known = registry.upstreams.find(entry.id);
+        if (released.count(entry.id) > 0) {
+            apply_entry(registry, entry, changes);
+        } else if (known != registry.upstreams.end() &&
+                   known->second.entry.incarnation == entry.incarnation) {
+            auto& sequence = known->second.entry.sequence;
+            sequence = std::max(sequence, entry.sequence);
+        }
+    }
+    remove_expired(registry, now, timeouts, changes);
+    return changes;
+}
+
+registry_changes confirm_list(upstream_registry& registry, const list_confirmation& confirmation,
                               core::steady_time now, const registry_timeouts& timeouts) {
     registry_changes changes;
-    record_confirmation(registry, confirmed_at, now, timeouts);
-    remove_expired(registry, now, changes);
+    record_confirmation(registry, confirmation, now, timeouts);
+    remove_expired(registry, now, timeouts, changes);
     return changes;
 }
 
+bool needs_refresh(const upstream_registry& registry, core::steady_time now,
+                   const registry_timeouts& timeouts) {
+    // An upstream that is gone never writes again, so copies become rare.
+    const auto pause = std::clamp<core::nanoseconds>((now - registry.held_since) / 2, timeouts.min_refresh,
+                                                     timeouts.max_refresh);
+    return !registry.held_back.empty() && now - registry.applied_at >= pause;
+}
+
 std::set<std::string> versions_of(const upstream_registry& registry, const std::string& service) {
     std::set<std::string> versions;
     for (const auto& [id, record] : registry.upstreams) {
--- a/test/correctness/relay_documents_test.cpp
+++ b/test/correctness/relay_documents_test.cpp
@@ -112,8 +112,8 @@
 
 TEST_CASE("an entry that disappears while the list is confirmed is removed at once") {
     upstream_registry registry;
-    apply_list(registry, {entry("a"), entry("b")}, at(0), at(0), {});
-    const auto changes = apply_list(registry, {entry("a")}, at(900), at(900), {});
+    apply_list(registry, {entry("a"), entry("b")}, {{}, at(0)}, at(0), {});
+    const auto changes = apply_list(registry, {entry("a")}, {{}, at(900)}, at(900), {});
     CHECK(changes.removed == std::vector<std::string>{"b"});
     CHECK(serving_upstreams(registry, "s").size() == 1);
 }
@@ -121,22 +121,22 @@
 TEST_CASE("entries that expire during an outage of the store are kept until they had time to return") {
     // During an outage leases expire although the upstreams still serve.
     upstream_registry registry;
-    apply_list(registry, {entry("a"), entry("b"), entry("c")}, at(0), at(0), {});
-    apply_list(registry, {}, at(6000), at(6000), {});
+    apply_list(registry, {entry("a"), entry("b"), entry("c")}, {{}, at(0)}, at(0), {});
+    apply_list(registry, {}, {{}, at(6000)}, at(6000), {});
     CHECK(serving_upstreams(registry, "s").size() == 3);
-    apply_list(registry, {entry("a")}, at(7000), at(7000), {});
+    apply_list(registry, {entry("a")}, {{}, at(7000)}, at(7000), {});
     CHECK(serving_upstreams(registry, "s").size() == 3);
-    const auto changes = confirm_list(registry, at(8100), at(8100), {});
+    const auto changes = confirm_list(registry, {{}, at(8100)}, at(8100), {});
     CHECK(changes.removed == std::vector<std::string>{"b", "c"});
     CHECK(serving_upstreams(registry, "s").size() == 1);
 }
 
 TEST_CASE("a draining upstream gets no new requests, and a restart under the same id is detected") {
     upstream_registry registry;
-    apply_list(registry, {entry("a"), entry("b")}, at(0), at(0), {});
+    apply_list(registry, {entry("a"), entry("b")}, {{}, at(0)}, at(0), {});
     auto restarted = entry("b");
     restarted.incarnation = 5;
-    const auto changes = apply_list(registry, {entry("a", true), restarted}, at(900), at(900), {});
+    const auto changes = apply_list(registry, {entry("a", true), restarted}, {{}, at(900)}, at(900), {});
     CHECK(changes.draining == std::vector<std::string>{"a"});
     CHECK(changes.restarted == std::vector<std::string>{"b"});
     CHECK(serving_upstreams(registry, "s").size() == 1);
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -174,6 +174,21 @@
     CHECK(registry_hash(entry(1, "ready")) != registry_hash(entry(2, "draining")));
 }
 
+TEST_CASE("an engine's count of its writes is read, and an unusable one counts as none") {
+    const auto sequence_of = [](const std::string& value) {
+        const auto entries = decode_upstreams(content_with(
+            "servers/a", R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,)"
+                         R"("state":"ready","sequence":)" +
+                             value + "}"));
+        REQUIRE(entries.size() == 1);
+        return entries.front().sequence;
+    };
+    CHECK(sequence_of("41") == 41);
+    CHECK(sequence_of("-1") == 0);
+    CHECK(sequence_of("1e300") == 0);
+    CHECK(sequence_of("\"7\"") == 0);
+}
+
 TEST_CASE("an engine that moves to another failure domain changes the hash of the registry") {
     // Nodes copy the registry from each other only when its hash changes, so a field that the hash leaves out
     // stays as it was on all nodes but the one that reads the store.
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -332,6 +332,17 @@
     CHECK(decoded->second == core::milliseconds(12));
 }
 
+TEST_CASE("a document whose items were written again is packed anew although its hash is the same") {
+    // Peers would copy a list in which upstreams that are held back never write again.
+    state::document_content content;
+    content.hash = 6;
+    content.items.push_back({"k", "1", 4});
+    const auto packed = pack_document(content);
+    CHECK(holds_items(packed, content));
+    content.items.front() = {"k", "2", 5};
+    CHECK_FALSE(holds_items(packed, content));
+}
+
 TEST_CASE("the registry of a large fleet is compressed to less than a fifth of its size") {
     // Twenty peers that fetch 70 KB each from one node would occupy its 10 Mbit/s link for more than a
     // second.
