An engine that says that it is leaving stays so when its entry comes back

What callers saw: requests reached an engine that had said in its answers that it was leaving (DRAIN), after its registry entry had vanished and come back with the same start: an older copy of the store, or a lapsed entry that is written again.

Cause: a node forgot what an engine had said with the first list that didn't hold it.

Evidence: "an upstream that said that it is leaving isn't used when its entry vanishes and comes back" fails before: the verdict is `none` instead of `leaving`. Notices are now kept for ten minutes after the engine was last listed with that start; their number stays bounded.

--- a/packages/policy/upstream_restrictions.cpp
+++ b/packages/policy/upstream_restrictions.cpp
@@ -11,8 +11,8 @@
 constexpr double return_spread = 0.25;
 constexpr std::uint64_t spread_steps = 1000;
 
-upstream_notice* find_or_add(upstream_notices& notices, const std::string& upstream,
-                             std::int64_t incarnation) {
+upstream_notice* find_or_add(upstream_notices& notices, const std::string& upstream, std::int64_t incarnation,
+                             core::steady_time now) {
     const auto found = notices.upstreams.find(upstream);
     if (found == notices.upstreams.end() && notices.upstreams.size() >= max_upstream_notices) {
         return nullptr;
@@ -22,6 +22,7 @@
         notice = upstream_notice{};
         notice.incarnation = incarnation;
     }
+    notice.known_at = now;
     return &notice;
 }
 
@@ -33,7 +34,7 @@
 
 bool record_leaving(upstream_notices& notices, const std::string& upstream, std::int64_t incarnation,
                     core::steady_time now) {
-    auto* notice = find_or_add(notices, upstream, incarnation);
+    auto* notice = find_or_add(notices, upstream, incarnation, now);
     if (notice == nullptr || notice->leaving_since) {
         return false;
     }
@@ -43,7 +44,7 @@
 
 void record_quiet(upstream_notices& notices, const std::string& upstream, std::int64_t incarnation,
                   core::milliseconds quiet_for, std::string_view node, core::steady_time now) {
-    auto* notice = find_or_add(notices, upstream, incarnation);
+    auto* notice = find_or_add(notices, upstream, incarnation, now);
     if (notice == nullptr) {
         return;
     }
--- a/packages/policy/upstream_restrictions.h
+++ b/packages/policy/upstream_restrictions.h
@@ -23,6 +23,8 @@
     std::optional<core::steady_time> leaving_since;
     /// Until when it asked this node for silence.
     core::steady_time quiet_until = core::steady_time::min();
+    /// When the upstream was last known with this start.
+    core::steady_time known_at{};
 };
 
 /// Notices by upstream.
@@ -32,6 +34,9 @@
 
 /// Bound of the notices kept at once.
 inline constexpr std::size_t max_upstream_notices = 4000;
+/// How long a notice is kept after its upstream was last known. The upstream may be listed again with the
+/// same start, for example by an older copy of the list.
+inline constexpr core::seconds notice_lifetime{600};
 
 /// Records that an answer said that the upstream is leaving. Returns whether that is news.
 bool record_leaving(upstream_notices& notices, const std::string& upstream, std::int64_t incarnation,
@@ -46,11 +51,15 @@
 const upstream_notice* find_notice(const upstream_notices& notices, const std::string& upstream,
                                    std::int64_t incarnation);
 
-/// Removes notices of upstreams that `is_known` doesn't know with the same incarnation.
+/// Removes notices of upstreams that `is_known` hasn't known with the same incarnation for a long time.
 template <class Known>
-void expire_notices(upstream_notices& notices, Known is_known) {
+void expire_notices(upstream_notices& notices, core::steady_time now, Known is_known) {
     for (auto it = notices.upstreams.begin(); it != notices.upstreams.end();) {
-        it = is_known(it->first, it->second.incarnation) ? std::next(it) : notices.upstreams.erase(it);
+        auto& notice = it->second;
+        if (is_known(it->first, notice.incarnation)) {
+            notice.known_at = now;
+        }
+        it = now - notice.known_at > notice_lifetime ? notices.upstreams.erase(it) : std::next(it);
     }
 }
 
--- a/packages/relay/restrictions.cpp
+++ b/packages/relay/restrictions.cpp
@@ -148,7 +148,7 @@
         }
     }
     policy::expire_cold_limits(node.cold, now);
-    policy::expire_notices(node.notices, [&](const std::string& id, std::int64_t incarnation) {
+    policy::expire_notices(node.notices, now, [&](const std::string& id, std::int64_t incarnation) {
         const auto* entry = find_entry(node, id);
         return entry != nullptr && entry->incarnation == incarnation;
     });
--- a/test/correctness/policy_upstream_restrictions_test.cpp
+++ b/test/correctness/policy_upstream_restrictions_test.cpp
@@ -35,7 +35,28 @@
     CHECK(verdict_of(notices, 7, 60000).reason == restriction::leaving);
     CHECK(verdict_of(notices, 8, 60000).reason == restriction::none);
     CHECK_FALSE(verdict_of(notices, 8, 60000).avoid);
-    expire_notices(notices, [](const std::string&, std::int64_t incarnation) { return incarnation == 8; });
+    expire_notices(notices, at(0) + 2 * notice_lifetime,
+                   [](const std::string&, std::int64_t incarnation) { return incarnation == 8; });
+    CHECK(notices.upstreams.empty());
+}
+
+TEST_CASE("an upstream that said that it is leaving isn't used when its entry vanishes and comes back") {
+    // A copy of the store, or an entry that lapsed and is written again, lists the same start once more.
+    upstream_notices notices;
+    record_leaving(notices, "u", 7, at(0));
+    const auto known = [](const std::string&, std::int64_t) { return true; };
+    const auto unknown = [](const std::string&, std::int64_t) { return false; };
+    expire_notices(notices, at(60000), known);
+    expire_notices(notices, at(61000), unknown);
+    expire_notices(notices, at(120000), unknown);
+    CHECK(verdict_of(notices, 7, 120000).reason == restriction::leaving);
+    CHECK(verdict_of(notices, 8, 120000).reason == restriction::none);
+    // Seen again, it is remembered as long as it is listed.
+    for (int ms = 120000; ms <= 1200000; ms += 60000) {
+        expire_notices(notices, at(ms), known);
+    }
+    CHECK(verdict_of(notices, 7, 1200000).reason == restriction::leaving);
+    expire_notices(notices, at(1200000) + notice_lifetime + milliseconds(1), unknown);
     CHECK(notices.upstreams.empty());
 }
 
