A notice of an engine is recorded however many there are

What callers saw: once a node held 4,000 notices of engines, it didn't hear that another one was leaving or asked for silence, and went on sending to it.

Cause: the table refused new notices when it was full.

Evidence: "an upstream that says that it is leaving is heard however many have said so before" fails before. The notice whose engine was last listed longest ago now makes room. policy_upstream_restrictions_test passes (7 cases).

--- a/packages/policy/upstream_restrictions.cpp
+++ b/packages/policy/upstream_restrictions.cpp
@@ -11,11 +11,16 @@
 constexpr double return_spread = 0.25;
 constexpr std::uint64_t spread_steps = 1000;
 
-upstream_notice* find_or_add(upstream_notices& notices, const std::string& upstream, std::int64_t incarnation,
+void remove_longest_unknown(upstream_notices& notices) {
+    notices.upstreams.erase(
+        std::min_element(notices.upstreams.begin(), notices.upstreams.end(),
+                         [](const auto& a, const auto& b) { return a.second.known_at < b.second.known_at; }));
+}
+
+upstream_notice& find_or_add(upstream_notices& notices, const std::string& upstream, std::int64_t incarnation,
                              core::steady_time now) {
-    const auto found = notices.upstreams.find(upstream);
-    if (found == notices.upstreams.end() && notices.upstreams.size() >= max_upstream_notices) {
-        return nullptr;
+    if (notices.upstreams.count(upstream) == 0 && notices.upstreams.size() >= max_upstream_notices) {
+        remove_longest_unknown(notices);
     }
     auto& notice = notices.upstreams[upstream];
     if (notice.incarnation != incarnation) {
@@ -23,7 +28,7 @@
         notice.incarnation = incarnation;
     }
     notice.known_at = now;
-    return &notice;
+    return notice;
 }
 
 bool contains(const std::vector<std::string>& regions, const std::string& region) {
@@ -34,24 +39,21 @@
 
 bool record_leaving(upstream_notices& notices, const std::string& upstream, std::int64_t incarnation,
                     core::steady_time now) {
-    auto* notice = find_or_add(notices, upstream, incarnation, now);
-    if (notice == nullptr || notice->leaving_since) {
+    auto& notice = find_or_add(notices, upstream, incarnation, now);
+    if (notice.leaving_since) {
         return false;
     }
-    notice->leaving_since = now;
+    notice.leaving_since = now;
     return true;
 }
 
 void record_quiet(upstream_notices& notices, const std::string& upstream, std::int64_t incarnation,
                   core::milliseconds quiet_for, std::string_view node, core::steady_time now) {
-    auto* notice = find_or_add(notices, upstream, incarnation, now);
-    if (notice == nullptr) {
-        return;
-    }
+    auto& notice = find_or_add(notices, upstream, incarnation, now);
     const auto place = core::stable_hash(std::string(node) + '/' + upstream) % spread_steps;
     const double factor = 1 + return_spread * double(place) / double(spread_steps);
     const auto end = now + core::milliseconds(std::int64_t(double(quiet_for.count()) * factor));
-    notice->quiet_until = std::max(notice->quiet_until, end);
+    notice.quiet_until = std::max(notice.quiet_until, end);
 }
 
 const upstream_notice* find_notice(const upstream_notices& notices, const std::string& upstream,
--- a/packages/policy/upstream_restrictions.h
+++ b/packages/policy/upstream_restrictions.h
@@ -32,7 +32,7 @@
     std::map<std::string, upstream_notice> upstreams;
 };
 
-/// Bound of the notices kept at once.
+/// Bound of the notices kept at once; the one whose upstream was last known longest ago makes room.
 inline constexpr std::size_t max_upstream_notices = 4000;
 /// How long a notice is kept after its upstream was last known. The upstream may be listed again with the
 /// same start, for example by an older copy of the list.
--- a/test/correctness/policy_upstream_restrictions_test.cpp
+++ b/test/correctness/policy_upstream_restrictions_test.cpp
@@ -60,6 +60,18 @@
     CHECK(notices.upstreams.empty());
 }
 
+TEST_CASE("an upstream that says that it is leaving is heard however many have said so before") {
+    upstream_notices notices;
+    for (std::size_t i = 0; i < max_upstream_notices; ++i) {
+        record_leaving(notices, "gone-" + std::to_string(i), 1, at(int(i)));
+    }
+    CHECK(record_leaving(notices, "u", 7, at(10000)));
+    CHECK(verdict_of(notices, 7, 12000).reason == restriction::leaving);
+    CHECK(notices.upstreams.size() == max_upstream_notices);
+    CHECK(notices.upstreams.count("gone-0") == 0);
+    CHECK(notices.upstreams.count("gone-1") == 1);
+}
+
 TEST_CASE("an upstream that asked for silence gets no request before the end, and the nodes return spread") {
     // Guards against requests in the time for which an upstream asked a node for silence (BUDGET), and
     // against all nodes returning at once.
