--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -313,7 +313,7 @@
             const auto& known = state_.documents.at(i);
             if (request.path == document_path(kind) && known.content) {
                 auto& packed = state_.packed.at(i);
-                if (packed.hash != known.content->hash) {
+                if (!holds_items(packed, *known.content)) {
                     packed = pack_document(*known.content);
                 }
                 return adapters::http_reply{
