Confirm an edit by its id, not by a revision of a lost table

What callers saw: an operator stored an edit after the key-value service had come back from an older copy, and `figspoke table set` ended with exit code 0, "accepted on 3 nodes after 0 ms", while all three still had the lost table in force. A withdrawal was thus reported as done before any node knew of it.

Cause: `/admin/edit` was asked for a revision only, and the nodes' revision, that of the lost table, was higher.

The fix: the tool also names the edit's id (or that of the newest edit of a table that it didn't have to change), and the node that it asks confirms only a table whose log holds it, and counts its peers' positions in the era of that table. A log that no longer reaches the revision proves nothing, and counts as holding the edit as before.

--- a/packages/cli/await_edit.cpp
+++ b/packages/cli/await_edit.cpp
@@ -23,7 +23,8 @@
 void ask_once(edit_progress& progress, const options& flags, const stored_edit& edit) {
     const auto age = since(edit.known_at);
     const auto answer = get_json(flags.node, "/admin/edit?revision=" + std::to_string(edit.commit.revision) +
-                                                 "&age_ms=" + std::to_string(age.count()));
+                                                 "&age_ms=" + std::to_string(age.count()) +
+                                                 "&edit_id=" + edit.newest_edit_id);
     progress.elapsed = since(edit.write_sent);
     progress.failure = answer ? "" : answer.error().message;
     if (!answer) {
--- a/packages/cli/store_edits.cpp
+++ b/packages/cli/store_edits.cpp
@@ -16,11 +16,12 @@
 constexpr std::chrono::milliseconds least_patience{5000};
 constexpr std::size_t edit_id_bytes = 16;
 
-core::result<void> read_once(core::table_commit& commit, const std::string& kv) {
+core::result<void> read_once(core::table_commit& commit, std::string& newest_edit_id, const std::string& kv) {
     const auto stored = read_table(kv);
     if (!stored) {
         return tl::make_unexpected(stored.error());
     }
+    newest_edit_id = stored->table.log.empty() ? "" : stored->table.log.back().edit_id;
     core::on_table_read(commit, stored->table, stored->version);
     return {};
 }
@@ -44,13 +45,15 @@
             std::nullopt};
 }
 
-core::result<void> run_step(core::table_commit& commit, const std::string& kv) {
-    return commit.step == core::commit_step::read ? read_once(commit, kv) : write_once(commit, kv);
+core::result<void> run_step(core::table_commit& commit, std::string& newest_edit_id, const std::string& kv) {
+    return commit.step == core::commit_step::read ? read_once(commit, newest_edit_id, kv)
+                                                  : write_once(commit, kv);
 }
 
 } // namespace
 
 core::result<stored_edit> store_edits(const options& flags, std::vector<core::row_edit> edits) {
+    std::string newest_edit_id;
     core::table_commit commit;
     commit.edits = std::move(edits);
     commit.origin = {flags.author, core::random_hex(edit_id_bytes)};
@@ -61,7 +64,7 @@
         if (commit.step == core::commit_step::write && !write_sent) {
             write_sent = clock::now();
         }
-        const auto step = run_step(commit, flags.kv);
+        const auto step = run_step(commit, newest_edit_id, flags.kv);
         if (!step && step.error().kind != core::error_kind::store_unavailable) {
             return tl::make_unexpected(step.error());
         }
@@ -77,7 +80,11 @@
     if (commit.failure) {
         return tl::make_unexpected(*commit.failure);
     }
-    return stored_edit{std::move(commit), write_sent.value_or(start), clock::now()};
+    if (commit.changed) {
+        newest_edit_id = commit.origin.edit_id;
+    }
+    return stored_edit{std::move(commit), std::move(newest_edit_id), write_sent.value_or(start),
+                       clock::now()};
 }
 
 } // namespace figspoke::cli
--- a/packages/cli/store_edits.h
+++ b/packages/cli/store_edits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <string>
 #include <vector>
 
 #include "cli/options.h"
@@ -12,6 +13,9 @@
 /// An edit that is stored, or changed nothing.
 struct stored_edit {
     core::table_commit commit;
+    /// The newest edit of the stored table, which a node that has the table in force names in its log. Empty
+    /// for a table without edits.
+    std::string newest_edit_id;
     /// When the first write was sent; the edit is not older.
     std::chrono::steady_clock::time_point write_sent;
     /// When it was known to be stored; the edit is not younger.
--- a/packages/node/admin_reply.cpp
+++ b/packages/node/admin_reply.cpp
@@ -104,7 +104,18 @@
     exchange.send(json_reply(status.dump()));
 }
 
-// `age_ms` tells how long ago the operator's tool stored the revision.
+void withhold_confirmation(edit_progress& progress, const std::string& id) {
+    progress.accepted = false;
+    auto& confirmed = progress.confirmed;
+    const auto found = std::find(confirmed.begin(), confirmed.end(), id);
+    if (found != confirmed.end()) {
+        confirmed.erase(found);
+        progress.waiting_for.push_back(id);
+    }
+}
+
+// `age_ms` tells how long ago the operator's tool stored the revision. With `edit_id` this node confirms only
+// a table that holds the edit: after a loss in the key-value service its revision may be of another one.
 void serve_edit(node_state& node, http_exchange& exchange) {
     const auto& query = exchange.request().query;
     const auto number = [&](const char* name) {
@@ -115,7 +126,12 @@
     const auto stored_at = now - std::chrono::milliseconds(std::min(number("age_ms"), 3600000ULL));
     const auto era = state::unpack_position(current_table(node.config).position).era;
     const auto position = state::pack_position({era, number("revision")});
-    const auto progress = edit_progress_of(node.nodes, position, stored_at, now);
+    auto progress = edit_progress_of(node.nodes, position, stored_at, now);
+    const auto edit_id = query.find("edit_id");
+    if (edit_id != query.end() && !edit_id->second.empty() &&
+        !holds_edit(node.config, number("revision"), edit_id->second)) {
+        withhold_confirmation(progress, node.settings.node.id);
+    }
     const json body = {{"accepted", progress.accepted},
                        {"confirmed", progress.confirmed},
                        {"waiting_for", progress.waiting_for}};
--- a/packages/node/config_table.cpp
+++ b/packages/node/config_table.cpp
@@ -122,6 +122,16 @@
     return {config.position, config.encoded};
 }
 
+bool holds_edit(const config_table& config, std::uint64_t revision, const std::string& edit_id) {
+    const std::lock_guard lock(config.mutex);
+    const auto& log = config.log;
+    if (log.size() >= core::max_table_log && log.front().revision > revision) {
+        return true;
+    }
+    return std::any_of(log.begin(), log.end(),
+                       [&](const core::table_change& change) { return change.edit_id == edit_id; });
+}
+
 std::uint64_t current_revision(const config_table& config) {
     const auto snapshot = current_config(config);
     return snapshot ? snapshot->revision : 0;
--- a/packages/node/config_table.h
+++ b/packages/node/config_table.h
@@ -68,6 +68,10 @@
 };
 positioned_table current_table(const config_table& config);
 
+/// Returns whether the table in force holds the edit that created `revision`. An edit that is older than the
+/// table's full log reaches counts as held.
+bool holds_edit(const config_table& config, std::uint64_t revision, const std::string& edit_id);
+
 /// Returns the revision in force, or 0.
 std::uint64_t current_revision(const config_table& config);
 
--- a/test/correctness/process/cli_test.cpp
+++ b/test/correctness/process/cli_test.cpp
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-#include "support/process/fleet.h"
+#include "support/process/journal.h"
 
 using namespace figspoke;
 using namespace figspoke::test;
@@ -184,6 +184,29 @@
     }
 }
 
+TEST_CASE("an edit is told as done only when it is in force, also after the key-value service lost others") {
+    // Guards against nodes that confirm an edit by a revision that they hold from before the loss.
+    fleet nodes(small_fleet());
+    REQUIRE(wait_for_members(nodes));
+    int runs = 0;
+    const auto set_weight = [&](const std::string& weight) {
+        tool_run set(nodes, "ann-" + std::to_string(++runs),
+                     {"table", "set", "account/tester", "weight=" + weight});
+        return set.finish();
+    };
+    for (int round = 0; round < 3; ++round) {
+        set_control(nodes.kv(), {{"keep_copy", true}});
+        REQUIRE(set_weight("2").code == 0);
+        REQUIRE(set_weight("3").code == 0);
+        set_control(nodes.kv(), {{"return_to_copy", true}});
+        const auto set = set_weight(std::to_string(4 + round));
+        CHECK(set.code == 0);
+        for (int i = 0; i < nodes.node_count(); ++i) {
+            CHECK(status_of(nodes, i).at("table_revision") == set.data["revision"]);
+        }
+    }
+}
+
 TEST_CASE("a load run follows the nodes that take work and repeats its plan") {
     // Guards against a generator that keeps to a leaving node, or whose runs can't be compared.
     auto spec = small_fleet();
