--- a/test/platform/support/relay_cluster.cpp
+++ b/test/platform/support/relay_cluster.cpp
@@ -18,6 +18,10 @@
             {"maxAttempts", 3},   {"resumable", false}, {"allowAnonymous", false}};
 }
 
+json tenant_with(const std::vector<std::string>& keys) {
+    return json::array({json{{"name", "tenant-1"}, {"apiKeys", keys}}});
+}
+
 } // namespace
 
 relay_cluster::relay_cluster() : ports_(pick_free_ports(ports_per_node)) {}
@@ -28,27 +32,40 @@
 }
 
 void relay_cluster::add_engine(const std::string& id, const std::string& service, const std::string& address,
-                               const std::string& state) {
-    const json entry = {{"service", service}, {"address", address}, {"zone", "z"},   {"version", "v1"},
-                        {"slots", 8},         {"state", state},     {"sequence", 1}, {"born", 1000}};
+                               const std::string& state, const std::string& version, std::int64_t born) {
+    const json entry = {{"service", service}, {"address", address}, {"zone", "z"},   {"version", version},
+                        {"slots", 8},         {"state", state},     {"sequence", 1}, {"born", born}};
     store_.put("servers/" + id, entry.dump());
 }
 
 void relay_cluster::configure(int version, const std::vector<std::string>& keys, int order_attempts) {
-    configure_tenants(version, {{{"name", "tenant-1"}, {"apiKeys", keys}}}, order_attempts);
+    configure_tenants(version, tenant_with(keys), order_attempts);
 }
 
 void relay_cluster::configure_tenants(int version, const json& tenants, int order_attempts) {
+    write_configuration(version, tenants, order_attempts, {});
+}
+
+void relay_cluster::configure(const cluster_configuration& configuration) {
+    write_configuration(configuration.version, tenant_with(configuration.keys), 1, configuration.more_routes);
+}
+
+void relay_cluster::write_configuration(int version, const json& tenants, int order_attempts,
+                                        const std::vector<std::string>& more_routes) {
     auto order = make_route("order", "unsafe", "shop");
     order["maxAttempts"] = order_attempts;
     auto open = make_route("open", "safe", "shop");
     open["allowAnonymous"] = true;
     auto chat = make_route("chat", "streaming", "model");
     chat["resumable"] = true;
+    json routes = {order, make_route("look", "safe", "shop"), open, chat,
+                   make_route("once", "streaming", "model")};
+    for (const auto& name : more_routes) {
+        routes.push_back(make_route(name, "safe", "shop"));
+    }
     const json config = {
         {"version", version},
-        {"routes",
-         {order, make_route("look", "safe", "shop"), open, chat, make_route("once", "streaming", "model")}},
+        {"routes", routes},
         {"services", {{{"name", "shop"}, {"maxConns", 50}}, {{"name", "model"}, {"maxConns", 50}}}},
         {"limits",
          {{"maxHeaderBytes", 4096},
@@ -65,7 +82,8 @@
            "\"\ndirectory = \"" + node.directory + "\"\npeers = \"" + node.ip + ":" +
            std::to_string(ports_[3]) + "\"\nmetrics = \"" + node.metrics +
            "\"\n[peers]\nseeds = \"127.0.1.1:1\"\n[store]\naddress = \"" + node.store +
-           "\"\n[bounds]\nrevocation_ms = 3000\ngrace_s = 6\nrepeat_ratio = 0.9\nrepeat_slack = 50\n";
+           "\"\n[bounds]\nrevocation_ms = " + std::to_string(revocation_.count()) +
+           "\ngrace_s = 6\nrepeat_ratio = 0.9\nrepeat_slack = 50\n";
 }
 
 std::string relay_cluster::settings_file(const relay_process& node) const {
--- a/test/platform/support/relay_cluster.h
+++ b/test/platform/support/relay_cluster.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "core/time.h"
 #include "platform/support/engine_stand_in.h"
 #include "platform/support/store_stand_in.h"
 #include "support/process/http.h"
@@ -26,6 +27,15 @@
     std::unique_ptr<child_process> process;
 };
 
+/// What an operator configures beside the fixed routes and services of a cluster.
+struct cluster_configuration {
+    int version = 1;
+    /// API keys of one tenant.
+    std::vector<std::string> keys;
+    /// Names of further idempotent routes of the service `shop`, which begin with /NAME/.
+    std::vector<std::string> more_routes;
+};
+
 /// A stand-in store with an operator's configuration, and the relay nodes that use it.
 class relay_cluster {
   public:
@@ -37,7 +47,7 @@
     void add_engine(const std::string& id, const std::string& service, const engine_stand_in& engine,
                     const std::string& state = "ready");
     void add_engine(const std::string& id, const std::string& service, const std::string& address,
-                    const std::string& state);
+                    const std::string& state, const std::string& version = "v1", std::int64_t born = 1000);
 
     /// Writes an operator's configuration in which `keys` are the API keys of one tenant. Routes: /order/
     /// (runs at most once), /look/ (idempotent), /open/ (idempotent, needs no key), /chat/ (resumable
@@ -47,6 +57,11 @@
     /// The same with another value of `tenants`.
     void configure_tenants(int version, const nlohmann::json& tenants, int order_attempts = 1);
 
+    void configure(const cluster_configuration& configuration);
+
+    /// Sets the bound on withdrawn keys in the settings of nodes that are started later.
+    void set_revocation(core::milliseconds bound) { revocation_ = bound; }
+
     /// Adds lines to the section `node` of the settings of nodes that are started later.
     void add_node_settings(const std::string& lines) { node_settings_ += lines; }
 
@@ -77,10 +92,13 @@
     bool is_ready(const relay_process& node);
 
   private:
+    void write_configuration(int version, const nlohmann::json& tenants, int order_attempts,
+                             const std::vector<std::string>& more_routes);
     std::string settings_file(const relay_process& node) const;
 
     temporary_directory directory_;
     std::string node_settings_;
+    core::milliseconds revocation_{3000};
     store_stand_in store_;
     std::vector<int> ports_;
     std::vector<std::unique_ptr<relay_process>> nodes_;
