Engines of the return tests take 20 ms for an answer

A roll-out of a sound version was stopped in the preparation of its test ("slowdown 4.4"): answers that take no work differ by the machine's other work alone.

--- a/test/platform/store_return_test.cpp
+++ b/test/platform/store_return_test.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds drain_bound{2000};
 constexpr milliseconds time_away{1000};
 constexpr milliseconds probe_interval{40};
+// Answers without it differ by so little work that a busy machine makes one version seem slower.
+constexpr milliseconds work_time{20};
 // Revisions that are given out between the copy and the return, or after the return, by engines that check
 // in.
 constexpr int check_ins = 30;
@@ -131,9 +133,10 @@
     std::vector<std::unique_ptr<prober>> all_;
 };
 
-engine_stand_in::handler answer_with(const std::string& body) {
-    return [body](engine_connection& connection, const engine_request& request) {
-        connection.answer(request, 200, body);
+engine_stand_in::handler answer_with(const std::string& body, int status = 200) {
+    return [body, status](engine_connection& connection, const engine_request& request) {
+        std::this_thread::sleep_for(work_time);
+        connection.answer(request, status, body);
     };
 }
 
@@ -248,7 +251,7 @@
             for (std::string line; std::getline(lines, line);) {
                 const auto has = [&](const char* event) { return line.find(event) != std::string::npos; };
                 if (has("\"document_") || has("\"configuration_") || has("\"registry_changed") ||
-                    has("\"store_")) {
+                    has("\"store_") || has("\"rollout_") || has("\"version_stopped")) {
                     text += node->ip + ' ' + line + '\n';
                 }
             }
@@ -525,10 +528,7 @@
 /// A roll-out of `v2` before a store that returns from a copy without the order.
 struct returning_rollout : returning_store {
     explicit returning_rollout(bool states_era, int status_of_new)
-        : returning_store(states_era),
-          updated([status_of_new](engine_connection& connection, const engine_request& request) {
-              connection.answer(request, status_of_new, "second");
-          }) {
+        : returning_store(states_era), updated(answer_with("second", status_of_new)) {
         configure({3, {"k1"}, {}});
         write_updated();
         start();
@@ -574,7 +574,8 @@
 TEST_CASE_TEMPLATE("a completed roll-out whose order is written again after a return doesn't begin again",
                    era, stated_era, unstated_era) {
     returning_rollout world(era::stated, 200);
-    REQUIRE(wait_until([&] { return world.has_status("completed", "v2"); }, rollout_time * 4));
+    REQUIRE_MESSAGE(wait_until([&] { return world.has_status("completed", "v2"); }, rollout_time * 4),
+                    world.document_log());
     std::this_thread::sleep_for(time_away);
     const auto on_old = world.engine.requests().size();
     world.return_with_order();
@@ -595,7 +596,8 @@
 TEST_CASE_TEMPLATE("a reverted version gets no request after a return at which its order is written again",
                    era, stated_era, unstated_era) {
     returning_rollout world(era::stated, 500);
-    REQUIRE(wait_until([&] { return world.has_status("reverted", "v2"); }, rollout_time * 4));
+    REQUIRE_MESSAGE(wait_until([&] { return world.has_status("reverted", "v2"); }, rollout_time * 4),
+                    world.document_log());
     std::this_thread::sleep_for(time_away);
     const auto on_new = world.updated.requests().size();
     world.return_with_order();
@@ -608,7 +610,8 @@
 TEST_CASE_TEMPLATE("an order for a roll-out that has a lower revision after a return is obeyed", era,
                    stated_era, unstated_era) {
     returning_rollout world(era::stated, 500);
-    REQUIRE(wait_until([&] { return world.has_status("reverted", "v2"); }, rollout_time * 4));
+    REQUIRE_MESSAGE(wait_until([&] { return world.has_status("reverted", "v2"); }, rollout_time * 4),
+                    world.document_log());
     const auto before = world.cluster.store().revision();
     world.return_with_order();
     engine_stand_in third(answer_with("third"));
