--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -54,7 +54,7 @@
     message.stamp = 123456;
     message.echoed_stamp = 99;
     message.echo_held = std::chrono::microseconds(1500);
-    message.documents[0] = {7, 8, core::milliseconds(9)};
+    message.documents[0] = {{{}, 7}, 8, core::milliseconds(9)};
     message.uses["u1"] = {3, 4000, {}, {}};
     policy::trial_report report{"n2", 4, 9, {10, 8, 1, 700}, {20, 19, 1, 900}, 3};
     message.trials.push_back({"s", 12, report, core::milliseconds(15)});
@@ -207,7 +207,8 @@
         auto message = sample_heartbeat();
         message.sender.heartbeat = *rc::gen::arbitrary<std::uint64_t>();
         message.stamp = *rc::gen::arbitrary<std::int64_t>();
-        message.documents[1] = {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>(),
+        message.documents[1] = {state::unpack_position(*rc::gen::arbitrary<std::uint64_t>()),
+                                *rc::gen::arbitrary<std::uint64_t>(),
                                 core::milliseconds(*rc::gen::inRange(0, 1000000))};
         message.uses["u2"] = {*rc::gen::arbitrary<int>(),
                               *rc::gen::arbitrary<std::int64_t>(),
@@ -322,14 +323,16 @@
 
 TEST_CASE("a document with arbitrary bytes survives encoding and decoding") {
     state::document_content content;
-    content.at = 5;
+    content.at.revision = 5;
     content.hash = 6;
-    content.items.push_back({"k", std::string("\xff\x00z", 3), 4});
-    const auto decoded =
-        decode_document(encode_document(content, pack_document(content), core::milliseconds(12)));
+    content.items.push_back({"k", std::string("\xff\x00z", 3), 4, std::nullopt, true});
+    const auto decoded = decode_document(
+        encode_document(content, pack_document(content), {core::milliseconds(12), core::milliseconds(34)}));
     REQUIRE(decoded.has_value());
-    CHECK(decoded->first.items.at(0).value == content.items.at(0).value);
-    CHECK(decoded->second == core::milliseconds(12));
+    CHECK(decoded->content.items.at(0).value == content.items.at(0).value);
+    CHECK(decoded->content.items.at(0).kept);
+    CHECK(decoded->ages.confirmed == core::milliseconds(12));
+    CHECK(decoded->ages.current == core::milliseconds(34));
 }
 
 TEST_CASE("the registry of a large fleet is compressed to less than a fifth of its size") {
@@ -348,9 +351,9 @@
     }
     const auto packed = pack_document(content);
     CHECK(packed.items.size() * 5 < bytes);
-    const auto decoded = decode_document(encode_document(content, packed, core::milliseconds(0)));
+    const auto decoded = decode_document(encode_document(content, packed, {}));
     REQUIRE(decoded);
-    CHECK(decoded->first.items.back().value == content.items.back().value);
+    CHECK(decoded->content.items.back().value == content.items.back().value);
 }
 
 TEST_CASE("bytes that can't be inflated, or inflate beyond the limit, are rejected") {
