The soak's store returns from copies and turns some nodes away

These kinds are drawn apart, so that the plans of older seeds don't change.

An engine whose leaving was learned in calm must get nothing later, whatever fault follows, unless a node has just started: before, any later fault excused it, and no return could have broken this check.

--- a/test/correctness/soak_ledger_test.cpp
+++ b/test/correctness/soak_ledger_test.cpp
@@ -76,6 +76,21 @@
     CHECK(broken_promises(drained, {}).empty());
 }
 
+TEST_CASE("an engine whose leaving was learned in calm gets nothing after a later fault either") {
+    // A store that comes back from an older copy names such an engine as ready.
+    auto drained = one_run(request_kind::repeatable);
+    drained.drained_engines["e"] = at(6000);
+    drained.faults = {{at(8100), at(9000)}};
+    CHECK(broken_promises(drained, {}).size() == 1U);
+    drained.restarts = {{at(6500), at(6900)}};
+    CHECK(broken_promises(drained, {}).size() == 1U);
+    drained.restarts = {{at(6500), at(7100)}};
+    CHECK(broken_promises(drained, {}).empty());
+    drained.restarts.clear();
+    drained.faults = {{at(7900), at(9000)}};
+    CHECK(broken_promises(drained, {}).empty());
+}
+
 TEST_CASE("a stream with a gap, a repeat or another's event is found, and one without its end isn't whole") {
     const auto whole = stream_event(1, false, "c") + stream_event(2, false, "c") + stream_event(3, true, "c");
     CHECK(check_stream(whole, "c").ended);
@@ -104,3 +119,25 @@
         CHECK(is_planned_work(fault.kind));
     }
 }
+
+TEST_CASE("returns of the store leave the other faults of a seed's plan unchanged") {
+    plan_settings settings;
+    settings.seed = 5;
+    const auto plan = make_plan(settings);
+    settings.returns = true;
+    std::vector<planned_fault> others;
+    bool returns = false;
+    for (const auto& fault : make_plan(settings)) {
+        if (fault.kind == fault_kind::store_return || fault.kind == fault_kind::store_turns_away) {
+            returns = true;
+        } else {
+            others.push_back(fault);
+        }
+    }
+    CHECK(returns);
+    REQUIRE(others.size() == plan.size());
+    for (std::size_t i = 0; i < plan.size(); ++i) {
+        CHECK(others[i].at == plan[i].at);
+        CHECK(others[i].kind == plan[i].kind);
+    }
+}
--- a/test/platform/soak/fault_plan.cpp
+++ b/test/platform/soak/fault_plan.cpp
@@ -36,13 +36,17 @@
     kind_row{fault_kind::revoke_key, "revoke_key", 2, true},
     kind_row{fault_kind::withdraw_tenants, "withdraw_tenants", 1, true},
     kind_row{fault_kind::odd_entries, "odd_entries", 1, true},
+    kind_row{fault_kind::store_return, "store_return", 2, false},
+    kind_row{fault_kind::store_turns_away, "store_turns_away", 1, false},
 };
 
 // The plans of seeds that failed before the later kinds came must not change, so these are drawn apart.
 constexpr std::size_t first_kinds = 18;
+constexpr std::size_t later_kinds = 20;
 constexpr unsigned later_kinds_salt = 0x5eed;
-// Mean time between two of them, in gaps of the other kinds.
+constexpr unsigned return_kinds_salt = 0xba5e;
 constexpr int later_kinds_gap = 20;
+constexpr int return_kinds_gap = 6;
 
 constexpr std::size_t longest_series = 4;
 constexpr int least_duration_ms = 200;
@@ -54,18 +58,42 @@
     return *std::find_if(kinds.begin(), kinds.end(), [&](const kind_row& row) { return row.kind == kind; });
 }
 
+// Kinds that are drawn apart from the others: the rows from `first` to before `end`.
+struct kinds_apart {
+    std::size_t first;
+    std::size_t end;
+    unsigned salt;
+    /// Mean time between two of them, in gaps of the other kinds.
+    int gaps;
+};
+
+void add_apart(std::vector<planned_fault>& plan, const plan_settings& settings, const kinds_apart& drawn) {
+    std::vector<double> weights;
+    for (std::size_t i = drawn.first; i < drawn.end; ++i) {
+        weights.push_back(kinds.at(i).weight);
+    }
+    std::mt19937 random(settings.seed ^ drawn.salt);
+    std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+    const int gap = drawn.gaps * int(settings.gap.count());
+    for (core::milliseconds at{0};
+         (at += core::milliseconds(random() % unsigned(2 * gap))) < settings.length;) {
+        const auto kind = kinds.at(drawn.first + pick(random)).kind;
+        const auto duration = least_duration_ms + int(random() % unsigned(most_duration_ms));
+        plan.push_back({at, kind, random() % any_target, core::milliseconds(duration)});
+    }
+}
+
 } // namespace
 
 std::vector<planned_fault> make_plan(const plan_settings& settings) {
     std::mt19937 random(settings.seed);
     const auto between = [&](int low, int high) { return low + int(random() % unsigned(high - low + 1)); };
     std::vector<double> weights;
-    weights.reserve(kinds.size());
-    for (const auto& row : kinds) {
-        weights.push_back(settings.planned_only && !row.planned ? 0 : row.weight);
+    weights.reserve(first_kinds);
+    for (std::size_t i = 0; i < first_kinds; ++i) {
+        weights.push_back(settings.planned_only && !kinds.at(i).planned ? 0 : kinds.at(i).weight);
     }
-    const auto split = weights.begin() + std::ptrdiff_t(first_kinds);
-    std::discrete_distribution<std::size_t> pick(weights.begin(), split);
+    std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
     std::vector<planned_fault> plan;
     core::milliseconds at{0};
     while ((at += core::milliseconds(between(0, int(2 * settings.gap.count())))) < settings.length) {
@@ -78,14 +106,9 @@
             next += core::milliseconds(between(0, most_series_gap_ms));
         }
     }
-    std::mt19937 later_random(settings.seed ^ later_kinds_salt);
-    std::discrete_distribution<std::size_t> pick_later(split, weights.end());
-    const int later_gap = later_kinds_gap * int(settings.gap.count());
-    for (at = core::milliseconds(0);
-         (at += core::milliseconds(later_random() % unsigned(2 * later_gap))) < settings.length;) {
-        const auto kind = kinds.at(first_kinds + pick_later(later_random)).kind;
-        const auto duration = least_duration_ms + int(later_random() % unsigned(most_duration_ms));
-        plan.push_back({at, kind, later_random() % any_target, core::milliseconds(duration)});
+    add_apart(plan, settings, {first_kinds, later_kinds, later_kinds_salt, later_kinds_gap});
+    if (settings.returns) {
+        add_apart(plan, settings, {later_kinds, kinds.size(), return_kinds_salt, return_kinds_gap});
     }
     std::stable_sort(plan.begin(), plan.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
     return plan;
--- a/test/platform/soak/fault_plan.h
+++ b/test/platform/soak/fault_plan.h
@@ -33,7 +33,11 @@
     /// A configuration whose list of tenants is empty, for a time.
     withdraw_tenants,
     /// Entries of another writer among those of the engines, for a time.
-    odd_entries
+    odd_entries,
+    /// The store is away for a moment and comes back from an older copy.
+    store_return,
+    /// The store turns some nodes away and serves the others.
+    store_turns_away
 };
 
 struct planned_fault {
@@ -51,6 +55,8 @@
     core::milliseconds gap{700};
     /// Only planned work: stops, reloads, draining engines and changed keys.
     bool planned_only = false;
+    /// Adds returns of the store from older copies, and spans in which it turns some nodes away.
+    bool returns = false;
 };
 
 /// Returns faults in the order of their times. They come in series of one kind and overlap. The same seed
--- a/test/platform/soak/promise_ledger.cpp
+++ b/test/platform/soak/promise_ledger.cpp
@@ -45,10 +45,17 @@
                        });
 }
 
+// Nodes that have learned in calm that an engine drains never use it again.
 bool reached_drained(const promise_ledger& ledger, const promise_bounds& bounds, const engine_run& run) {
     const auto drained = ledger.drained_engines.find(run.engine);
-    return drained != ledger.drained_engines.end() && run.at > drained->second + bounds.drain &&
-           is_calm(ledger, bounds, {drained->second, run.at});
+    if (drained == ledger.drained_engines.end() || run.at <= drained->second + bounds.drain) {
+        return false;
+    }
+    const bool restarted =
+        std::any_of(ledger.restarts.begin(), ledger.restarts.end(), [&](const time_span& restart) {
+            return restart.from < run.at && restart.until + bounds.calm > run.at;
+        });
+    return !restarted && is_calm(ledger, bounds, {drained->second, drained->second + bounds.drain});
 }
 
 std::vector<std::string> faults_of(const promise_ledger& ledger, const promise_bounds& bounds,
--- a/test/platform/soak/promise_ledger.h
+++ b/test/platform/soak/promise_ledger.h
@@ -50,6 +50,8 @@
     std::map<std::string, core::steady_time> drained_engines;
     /// Spans in which no tenant was configured, so that no key admits a request.
     std::vector<time_span> without_tenants;
+    /// Spans in which a node ends and starts again, planned or not.
+    std::vector<time_span> restarts;
     /// Unplanned faults of nodes, of their links and of the store.
     std::vector<time_span> faults;
     /// Broken promises that were seen at once, such as an answer of another request.
@@ -63,7 +65,8 @@
 struct promise_bounds {
     /// A key that was taken away admits nothing later than this.
     core::milliseconds revocation{3000};
-    /// A draining engine gets nothing new later than this.
+    /// A draining engine gets nothing new later than this, whatever happens once nodes have learned that it
+    /// drains. Nodes that have just started are excused.
     core::milliseconds drain{2000};
     /// Time without faults after which nodes are judged by bounds that hold in calm only.
     core::milliseconds calm{3000};
--- a/test/platform/soak/soak_main.cpp
+++ b/test/platform/soak/soak_main.cpp
@@ -14,6 +14,10 @@
 DEFINE_uint32(engines, 3, "number of engines of each of the two services");
 DEFINE_uint32(callers, 24, "number of callers");
 DEFINE_bool(planned, false, "only planned work: stops, reloads, draining engines and changed keys");
+DEFINE_bool(
+    returns, false,
+    "also returns of the store from older copies, and nodes that it turns away; the bound on withdrawn "
+    "keys is 5 s then");
 
 namespace {
 
@@ -26,6 +30,7 @@
     settings.plan.length = core::seconds(FLAGS_seconds);
     settings.plan.gap = core::milliseconds(FLAGS_gap_ms);
     settings.plan.planned_only = FLAGS_planned;
+    settings.plan.returns = FLAGS_returns;
     settings.nodes = FLAGS_nodes;
     settings.engines = FLAGS_engines;
     settings.callers = FLAGS_callers;
