--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -336,10 +336,10 @@
 
 void handle_claim(relay_state& node, document_kind kind, const state::document_claim& claim,
                   const state::clock_echo& echo, const state::member_entry& peer) {
-    record_position(*node.platform.store, claim.at);
     auto& document = document_of(node, kind);
     const auto verdict = state::merge_claim(document, claim, echo, boot_now());
     if (verdict == state::claim_verdict::confirmed) {
+        record_position(*node.platform.store, document.content->at);
         apply(node, kind, false);
         forward_confirmation(node, kind);
     }
--- a/packages/state/shared_document.cpp
+++ b/packages/state/shared_document.cpp
@@ -183,8 +183,10 @@
         const bool is_unknown = has_versions(content) && !is_compared(document, claim.hash);
         return is_later || is_unknown ? claim_verdict::newer : claim_verdict::no_change;
     }
-    if (claim.at.era < content.at.era) {
-        return claim_verdict::no_change;
+    // A later era is taken from a document only: a datagram that was damaged must not make a node ignore the
+    // store.
+    if (claim.at.era != content.at.era) {
+        return content.at.era < claim.at.era ? claim_verdict::newer : claim_verdict::no_change;
     }
     // Equal hashes cover equal values, so the peer's confirmation holds for this content too, at whichever
     // revision either of them read it.
