What nodes write is written again after the store's return

The loop that stores refused crashes compared with what it had stored before the return, and a node's address that the copy lacks was never registered again.

--- a/packages/relay/crash_store.cpp
+++ b/packages/relay/crash_store.cpp
@@ -29,7 +29,7 @@
 
 // Returns whether the store now holds the refused fingerprints, and no others.
 bool write_refused(relay_state& node, const boost::asio::yield_context& yield,
-                   std::set<std::uint64_t>& stored_fingerprints) {
+                   std::optional<std::set<std::uint64_t>>& stored_fingerprints) {
     auto stored = read_and_merge(node, yield);
     if (!stored) {
         return false;
@@ -71,7 +71,9 @@
 }
 
 void run_crash_store_loop(relay_state& node, const boost::asio::yield_context& yield) {
-    std::set<std::uint64_t> stored;
+    // Empty as long as this node doesn't know what the store holds.
+    std::optional<std::set<std::uint64_t>> stored;
+    state::store_era stored_in;
     auto retry = min_retry_delay;
     const auto wait_to_retry = [&] {
         adapters::sleep_for(retry + core::milliseconds(std::int64_t(double(retry.count()) * draw(node))),
@@ -81,6 +83,7 @@
     while (!node.stopped) {
         if (const auto read = read_and_merge(node, yield)) {
             stored = fingerprints_of(read->records);
+            stored_in = node.platform.store->known.era;
             break;
         }
         wait_to_retry();
@@ -95,6 +98,11 @@
             seen_changes = node.crashes.changes;
             refused = fingerprints_of(refused_crash_records(node.crashes, boot_now()));
         }
+        if (const auto era = node.platform.store->known.era; stored_in != era) {
+            // What the store came back with may be older than what it held.
+            stored_in = era;
+            stored.reset();
+        }
         const auto rank = node.peers->rank();
         if (stored == refused || rank >= writers) {
             differing_since.reset();
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -374,10 +374,18 @@
     void discover_nodes(const asio::yield_context& yield) {
         const auto started = boot_now();
         auto read_at = started;
-        bool registered = false;
+        // The era of the store in which this process has registered.
+        std::optional<state::store_era> registered_in;
         auto pause = min_discovery_delay;
         while (!state_.stopped) {
             adapters::sleep_for(pause, yield);
+            bool registered = registered_in.has_value();
+            if (registered && *registered_in != state_.platform.store->known.era) {
+                // What the store came back with may lack the address.
+                registered_in.reset();
+                registered = false;
+                adapters::sleep_for(jitter_below(max_registration_delay), yield);
+            }
             const auto step = state::next_discovery_step({core::to_ms(boot_now() - started),
                                                           state_.peers->size(), state_.peers->rank(),
                                                           registered, core::to_ms(boot_now() - read_at)},
@@ -393,14 +401,20 @@
             }
             const auto& settings = state_.settings;
             if (listed && !registered) {
-                registered =
-                    state_.platform.register_node(settings.node_id, settings.listen.peers, yield).has_value();
+                const auto era = state_.platform.store->known.era;
+                if (state_.platform.register_node(settings.node_id, settings.listen.peers, yield)) {
+                    registered_in = era;
+                }
             }
             // A lone node, and one that the store refuses, call less and less often.
             pause = std::min(pause * 2, max_discovery_delay);
         }
     }
 
+    core::milliseconds jitter_below(core::milliseconds limit) {
+        return core::milliseconds(std::int64_t(double(limit.count()) * draw(state_)));
+    }
+
     bool read_node_addresses(const asio::yield_context& yield) {
         const auto known = state_.platform.list_nodes(yield);
         if (known) {
@@ -503,6 +517,8 @@
     static constexpr core::milliseconds max_trial_record_age{1000};
     static constexpr core::milliseconds min_discovery_delay{500};
     static constexpr core::milliseconds max_discovery_delay{8000};
+    // The nodes that are listed in the store notice its return at the same time.
+    static constexpr core::milliseconds max_registration_delay{2000};
 
     asio::io_context context_{1};
     relay_state state_;
