Roll-outs outlive a return of the store from an older copy

What callers saw: after the store came back from an older copy, an order that the operator wrote again began its roll-out anew, so that a completed one sent requests by shares again and a stopped version got requests; a new order whose revision was lower than that of the known one was ignored.

Cause: an order was identified by its revision alone, and revisions are given out again. The status of an order was found by the revision too, so a node that started after the return didn't know that the roll-out was over, and nothing wrote a lost status again.

An order is now identified by its position. In one era a later position is a new order, as before. In a later era the same target and duration continue the known roll-out under the new position, with its start, evidence, share and end; another target or duration is a new order whatever its revision. Orders that were replaced or removed are remembered for 60 s (at most 64), as the copy may hold them until the operator has written the latest again. The decisions are pure (policy/rollout_orders).

After such a change the status is read again and written from memory, final ones too, by the members in turn as before. The stored status names the era of its order; one of an earlier era with the same target counts for the order that was written again, and one without an era is compared as before. Heartbeats carry the packed position, which equals the revision in the first era.

--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -121,7 +121,10 @@
         if (update == document_update::changed) {
             apply_routes(node, *document.content);
             apply_evacuations(node, node.platform.decode_evacuations(*document.content));
-            update_rollout_orders(node, node.platform.decode_rollouts(*document.content));
+        }
+        const auto& era = document.content->at.era;
+        if (update == document_update::changed || node.rollout_era != era) {
+            update_rollout_orders(node, node.platform.decode_rollouts(*document.content), era);
         }
         return;
     }
--- a/packages/relay/document_source.h
+++ b/packages/relay/document_source.h
@@ -12,6 +12,7 @@
 #include <tl/expected.hpp>
 
 #include "core/time.h"
+#include "policy/rollout_orders.h"
 #include "relay/crash_record.h"
 #include "relay/rollout_state.h"
 #include "state/route_table.h"
@@ -20,21 +21,13 @@
 
 namespace figspoke::relay {
 
-/// An operator's order to roll out another version of a service.
-struct rollout_order {
-    std::string service;
-    std::string target;
-    core::seconds duration{0};
-    /// Revision of the order in the store: a later order for the same service has a higher one.
-    std::uint64_t revision = 0;
-};
+using policy::rollout_order;
 
 /// The status of a roll-out in the store.
 struct rollout_status {
     rollout_state state = rollout_state::in_progress;
-    std::string target;
-    /// Revision of the order that the status belongs to.
-    std::uint64_t order = 0;
+    /// The order that the status belongs to.
+    policy::status_order order;
     /// Time since the start of the roll-out, so that another node continues from there.
     core::milliseconds elapsed{0};
     /// Position of the status in the store; revision 0 if there is none.
--- a/packages/relay/heartbeat_message.h
+++ b/packages/relay/heartbeat_message.h
@@ -39,7 +39,7 @@
 /// The state of a roll-out as a node reports it.
 struct rollout_record {
     std::string service;
-    /// Revision of the operator's order.
+    /// Packed position of the operator's order.
     std::uint64_t order = 0;
     rollout_state state = rollout_state::in_progress;
     bool stopped = false;
@@ -51,7 +51,7 @@
 /// A process's request counts for a roll-out, as relayed in heartbeats.
 struct trial_record {
     std::string service;
-    /// Revision of the operator's order.
+    /// Packed position of the operator's order.
     std::uint64_t order = 0;
     policy::trial_report report;
     core::milliseconds age{0};
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -74,6 +74,12 @@
     core::steady_time retry_at{};
 };
 
+/// A roll-out whose order was replaced or removed a short time ago. An older copy of the store may hold it.
+struct past_rollout {
+    rollout_progress progress;
+    core::steady_time ended_at{};
+};
+
 /// A stream that waits for the next byte from its upstream.
 struct waiting_stream {
     std::string upstream;
@@ -129,6 +135,9 @@
     state::route_table_ptr routes;
     state::upstream_registry registry;
     std::map<std::string, rollout_progress> rollouts;
+    std::vector<past_rollout> past_rollouts;
+    /// Era of the document whose roll-out orders were last applied.
+    state::store_era rollout_era;
 
     std::unique_ptr<fleet> peers;
     /// Load aggregators of the upstreams, used in a large fleet.
--- a/packages/relay/rollouts.cpp
+++ b/packages/relay/rollouts.cpp
@@ -1,5 +1,9 @@
 #include "relay/rollouts.h"
 
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 #include "core/erase_where.h"
@@ -13,6 +17,14 @@
 
 // Delay after a failed call to the store.
 constexpr core::milliseconds store_retry_delay{700};
+// How long the roll-out of a replaced or removed order is remembered; longer than the age of a copy of the
+// store.
+constexpr core::milliseconds past_rollout_lifetime{60000};
+constexpr std::size_t max_past_rollouts = 64;
+
+std::uint64_t order_number(const rollout_progress& progress) {
+    return state::pack_position(progress.order.position);
+}
 
 policy::version_counts counts_since_start(const rollout_progress& progress, const policy::version_key& key,
                                           const policy::version_counts& now) {
@@ -87,44 +99,120 @@
     progress.share = 0;
     node.log.state("version_stopped", {{"service", progress.order.service},
                                        {"version", progress.order.target},
-                                       {"order", progress.order.revision},
+                                       {"order", order_number(progress)},
                                        {"cause", cause}});
 }
 
 void begin_rollout(relay_state& node, const rollout_order& order) {
     rollout_progress progress;
     progress.order = order;
-    progress.status.target = order.target;
-    progress.status.order = order.revision;
     progress.started_at = boot_now();
     progress.counts_at_start = node.versions;
-    node.rollouts[order.service] = std::move(progress);
     node.log.state("rollout_begun", {{"service", order.service},
                                      {"version", order.target},
-                                     {"order", order.revision},
+                                     {"order", order_number(progress)},
                                      {"duration_s", order.duration.count()}});
+    node.rollouts[order.service] = std::move(progress);
+}
+
+void remember_rollout(relay_state& node, rollout_progress progress) {
+    if (node.past_rollouts.size() >= max_past_rollouts) {
+        node.past_rollouts.erase(node.past_rollouts.begin());
+    }
+    node.past_rollouts.push_back({std::move(progress), boot_now()});
+}
+
+// The store may have lost the status, and what it has may be older than what this node knows.
+void continue_rollout(relay_state& node, rollout_progress progress, const rollout_order& order) {
+    const auto previous = order_number(progress);
+    progress.order = order;
+    progress.status_read = false;
+    progress.written = false;
+    progress.write_due_since.reset();
+    node.log.state("rollout_continued", {{"service", order.service},
+                                         {"version", order.target},
+                                         {"order", order_number(progress)},
+                                         {"previous", previous},
+                                         {"state", static_cast<int>(progress.status.state)},
+                                         {"stopped", progress.stopped}});
+    node.rollouts[order.service] = std::move(progress);
+}
+
+// Continues the latest past roll-out of the same order.
+bool continue_past_rollout(relay_state& node, const rollout_order& order) {
+    for (auto it = node.past_rollouts.rbegin(); it != node.past_rollouts.rend(); ++it) {
+        if (it->progress.order.service == order.service &&
+            policy::compare_orders(it->progress.order, order) == policy::order_change::continued) {
+            auto progress = std::move(it->progress);
+            node.past_rollouts.erase(std::next(it).base());
+            continue_rollout(node, std::move(progress), order);
+            return true;
+        }
+    }
+    return false;
+}
+
+void apply_order(relay_state& node, const rollout_order& order) {
+    const auto found = node.rollouts.find(order.service);
+    if (found != node.rollouts.end()) {
+        const auto change = policy::compare_orders(found->second.order, order);
+        if (change == policy::order_change::none) {
+            return;
+        }
+        auto known = std::move(found->second);
+        node.rollouts.erase(found);
+        if (change == policy::order_change::continued) {
+            continue_rollout(node, std::move(known), order);
+            return;
+        }
+        remember_rollout(node, std::move(known));
+    }
+    if (!continue_past_rollout(node, order)) {
+        begin_rollout(node, order);
+    }
+}
+
+void expire_past_rollouts(relay_state& node, const state::store_era& era) {
+    const auto now = boot_now();
+    auto& past = node.past_rollouts;
+    if (node.rollout_era < era) {
+        for (auto& one : past) {
+            one.ended_at = now;
+        }
+    }
+    past.erase(
+        std::remove_if(past.begin(), past.end(),
+                       [&](const past_rollout& one) { return now - one.ended_at > past_rollout_lifetime; }),
+        past.end());
 }
 
 void adopt_status(relay_state& node, rollout_progress& progress, const rollout_status& status) {
     progress.status.revision = status.revision;
-    if (status.order != progress.order.revision || status.target != progress.order.target) {
+    if (!policy::belongs_to(status.order, progress.order)) {
         return;
     }
     progress.started_at = std::min(progress.started_at, boot_now() - status.elapsed);
-    if (status.state == rollout_state::reverted) {
-        stop_version(node, progress, "the store says that it was reverted");
+    if (!is_final(progress)) {
+        if (status.state == rollout_state::reverted) {
+            stop_version(node, progress, "the store says that it was reverted");
+        }
+        progress.status.state = status.state;
+        progress.share = status.state == rollout_state::completed ? 1.0 : progress.share;
     }
-    progress.status.state = status.state;
-    progress.share = status.state == rollout_state::completed ? 1.0 : progress.share;
+    progress.written = status.state == progress.status.state && is_final(progress) &&
+                       policy::names_position(status.order, progress.order);
 }
 
 // Other coroutines may remove or replace a roll-out during a call, so it is looked up again after each call.
 rollout_progress* find_progress(relay_state& node, const std::string& service, std::uint64_t order) {
     const auto found = node.rollouts.find(service);
-    return found != node.rollouts.end() && found->second.order.revision == order ? &found->second : nullptr;
+    return found != node.rollouts.end() && order_number(found->second) == order ? &found->second : nullptr;
 }
 
 std::optional<rollout_state> state_to_write(const relay_state& node, const rollout_progress& progress) {
+    if (is_final(progress)) {
+        return progress.written ? std::nullopt : std::make_optional(progress.status.state);
+    }
     if (progress.stopped) {
         return rollout_state::reverted;
     }
@@ -152,7 +240,7 @@
 void write_state(relay_state& node, rollout_progress& progress, rollout_state new_state,
                  const boost::asio::yield_context& yield) {
     const auto service = progress.order.service;
-    const auto order = progress.order.revision;
+    const auto order = order_number(progress);
     if (!progress.status_read) {
         const auto status = node.platform.read_rollout_status(service, yield);
         auto* current = find_progress(node, service, order);
@@ -168,8 +256,7 @@
     }
     rollout_status next = progress.status;
     next.state = new_state;
-    next.target = progress.order.target;
-    next.order = order;
+    next.order = {progress.order.target, progress.order.position.revision, progress.order.position.era};
     next.elapsed = core::to_ms(boot_now() - progress.started_at);
     const auto written = node.platform.write_rollout_status(service, next, yield);
     auto* current = find_progress(node, service, order);
@@ -196,19 +283,23 @@
 
 } // namespace
 
-void update_rollout_orders(relay_state& node, const std::vector<rollout_order>& orders) {
+void update_rollout_orders(relay_state& node, const std::vector<rollout_order>& orders,
+                           const state::store_era& era) {
+    expire_past_rollouts(node, era);
+    node.rollout_era = era;
     std::map<std::string, const rollout_order*> by_service;
     for (const auto& order : orders) {
         by_service[order.service] = &order;
     }
-    core::erase_where(node.rollouts, [&](const rollout_progress&, const std::string& service) {
-        return by_service.count(service) == 0;
+    core::erase_where(node.rollouts, [&](rollout_progress& progress, const std::string& service) {
+        const bool removed = by_service.count(service) == 0;
+        if (removed) {
+            remember_rollout(node, std::move(progress));
+        }
+        return removed;
     });
     for (const auto& [service, order] : by_service) {
-        const auto found = node.rollouts.find(service);
-        if (found == node.rollouts.end() || found->second.order.revision < order->revision) {
-            begin_rollout(node, *order);
-        }
+        apply_order(node, *order);
     }
 }
 
@@ -231,7 +322,7 @@
 std::vector<rollout_record> rollout_records(const relay_state& node) {
     std::vector<rollout_record> records;
     for (const auto& [service, progress] : node.rollouts) {
-        records.push_back({service, progress.order.revision, progress.status.state, progress.stopped,
+        records.push_back({service, order_number(progress), progress.status.state, progress.stopped,
                            progress.written, core::to_ms(boot_now() - progress.started_at)});
     }
     return records;
@@ -251,7 +342,7 @@
     for (const auto& [service, progress] : node.rollouts) {
         for (const auto& [process, received] : progress.evidence.reports) {
             if (!is_final(progress) && now - received.created_at <= lifetime) {
-                records.push_back({service, progress.order.revision, received.report,
+                records.push_back({service, order_number(progress), received.report,
                                    core::to_ms(now - received.created_at)});
             }
         }
@@ -279,7 +370,7 @@
         if (share != progress.share) {
             node.log.state("rollout_share", {{"service", service},
                                              {"version", progress.order.target},
-                                             {"order", progress.order.revision},
+                                             {"order", order_number(progress)},
                                              {"share", share},
                                              {"verdict", policy::to_string(evaluation.verdict)},
                                              {"ratio", evaluation.log_likelihood_ratio},
@@ -300,8 +391,10 @@
     }
     std::vector<std::pair<std::string, std::uint64_t>> open;
     for (const auto& [service, progress] : node.rollouts) {
-        if (!is_final(progress) && progress.retry_at <= boot_now()) {
-            open.emplace_back(service, progress.order.revision);
+        const bool is_done = is_final(progress) && progress.written;
+        const bool is_placed = progress.order.position.revision > 0;
+        if (!is_done && is_placed && progress.retry_at <= boot_now()) {
+            open.emplace_back(service, order_number(progress));
         }
     }
     for (const auto& [service, order] : open) {
--- a/packages/relay/rollouts.h
+++ b/packages/relay/rollouts.h
@@ -8,8 +8,11 @@
 
 namespace figspoke::relay {
 
-/// Applies the operator's orders: a new order starts a roll-out, and a removed order ends its roll-out.
-void update_rollout_orders(relay_state& node, const std::vector<rollout_order>& orders);
+/// Applies the operator's orders as they stand in the store in `era`: a new order starts a roll-out, and a
+/// removed order ends its roll-out. An order that stands in another copy of the store, or was written again
+/// after the store came back from one, continues its roll-out.
+void update_rollout_orders(relay_state& node, const std::vector<rollout_order>& orders,
+                           const state::store_era& era);
 
 /// Merges a peer's record of a roll-out. A final state never changes.
 void merge_rollout_record(relay_state& node, const rollout_record& record);
