Tell an operator whose edit the key-value service lost

What callers saw: `figspoke table set` waits for a node that lags; meanwhile the key-value service comes back from a copy without the edit. The tool ended with exit code 4 and "it takes effect without further action", of an edit that no longer existed anywhere.

Cause: a stored edit was taken as stored for good, as the service promises; the tool never looked again.

Evidence before the fix: cli_test "an operator learns of an edit that the key-value service lost before it was in effect" ended with code 4 instead of the new code 8.

The fix: an edit that is not accepted when the waiting time ends is looked for in the table's log by its id. Where the log reaches its revision and doesn't hold it, the tool says so and ends with code 8.

--- a/packages/cli/await_edit.cpp
+++ b/packages/cli/await_edit.cpp
@@ -4,7 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cli/kv_table.h"
 #include "cli/node_call.h"
+#include "core/table_edit.h"
 
 namespace figspoke::cli {
 namespace {
@@ -39,6 +41,16 @@
     }
 }
 
+// A full log that begins after the edit has dropped it, so that its absence says nothing.
+bool is_lost(const options& flags, const stored_edit& edit) {
+    const auto stored = read_table(flags.kv);
+    if (!stored || !edit.commit.changed || core::has_edit(stored->table, edit.commit.origin.edit_id)) {
+        return false;
+    }
+    const auto& log = stored->table.log;
+    return log.size() < core::max_table_log || log.front().revision <= edit.commit.revision;
+}
+
 } // namespace
 
 edit_progress await_edit(const options& flags, const stored_edit& edit) {
@@ -48,6 +60,7 @@
         std::this_thread::sleep_for(poll_period);
         ask_once(progress, flags, edit);
     }
+    progress.lost = !progress.accepted && is_lost(flags, edit);
     return progress;
 }
 
--- a/packages/cli/await_edit.h
+++ b/packages/cli/await_edit.h
@@ -12,6 +12,8 @@
 /// How far a stored edit has come.
 struct edit_progress {
     bool accepted = false;
+    /// Whether the key-value service no longer holds the edit, which was not accepted.
+    bool lost = false;
     std::vector<std::string> confirmed;
     std::vector<std::string> waiting_for;
     /// Time from the sending of the write to the last answer.
@@ -20,7 +22,8 @@
     std::string failure;
 };
 
-/// Asks the options' node until the edit is accepted, for at most the options' waiting time.
+/// Asks the options' node until the edit is accepted, for at most the options' waiting time. An edit that is
+/// not accepted by then is looked for in the key-value service.
 edit_progress await_edit(const options& flags, const stored_edit& edit);
 
 } // namespace figspoke::cli
--- a/packages/cli/finish_edit.cpp
+++ b/packages/cli/finish_edit.cpp
@@ -22,6 +22,11 @@
     return text;
 }
 
+std::string describe_lost(const core::table_commit& commit) {
+    return "lost: the key-value service came back from an older copy without edit " + commit.origin.edit_id +
+           "; store it again\n";
+}
+
 std::string describe_pending(const edit_progress& progress) {
     std::string text = "stored and not yet accepted after " + std::to_string(progress.elapsed.count()) +
                        " ms; it takes effect without further action\n";
@@ -31,17 +36,32 @@
     return text + "waiting for: " + join(progress.waiting_for) + "\n";
 }
 
+exit_code code_of(const edit_progress& progress) {
+    if (progress.lost) {
+        return exit_code::lost;
+    }
+    return progress.accepted ? exit_code::done : exit_code::pending;
+}
+
+std::string describe_progress(const core::table_commit& commit, const edit_progress& progress) {
+    if (progress.lost) {
+        return describe_lost(commit);
+    }
+    return progress.accepted ? describe_accepted(progress) : describe_pending(progress);
+}
+
 outcome describe(const core::table_commit& commit, const edit_progress& progress) {
     outcome told;
-    told.code = progress.accepted ? exit_code::done : exit_code::pending;
+    told.code = code_of(progress);
     told.text = (commit.changed
                      ? "stored at revision " + std::to_string(commit.revision)
                      : "nothing to change; the table stays at revision " + std::to_string(commit.revision)) +
-                "\n" + (progress.accepted ? describe_accepted(progress) : describe_pending(progress));
+                "\n" + describe_progress(commit, progress);
     told.data = {{"revision", commit.revision},
                  {"changed", commit.changed},
                  {"edit_id", commit.origin.edit_id},
                  {"accepted", progress.accepted},
+                 {"lost", progress.lost},
                  {"accepted_after_ms", progress.elapsed.count()},
                  {"confirmed", progress.confirmed},
                  {"waiting_for", progress.waiting_for}};
--- a/packages/cli/help_text.cpp
+++ b/packages/cli/help_text.cpp
@@ -57,6 +57,7 @@
   5  no clear answer: the edit may or may not be stored; the message names its id for `figspoke table log`
   6  table diff found differences
   7  the row does not exist, a service refused the request, or a drained node did not end gracefully
+  8  stored, and lost by the key-value service before it was in effect; store it again
 )";
 }
 
--- a/packages/cli/outcome.h
+++ b/packages/cli/outcome.h
@@ -25,6 +25,8 @@
     differs = 6,
     /// The row does not exist, a service refused the request, or a node did not end gracefully.
     refused = 7,
+    /// The change was stored, and the key-value service lost it before it was in effect.
+    lost = 8,
 };
 
 /// What a command ends with: text for people and the same facts for programs.
--- a/test/correctness/process/cli_test.cpp
+++ b/test/correctness/process/cli_test.cpp
@@ -207,6 +207,25 @@
     }
 }
 
+TEST_CASE("an operator learns of an edit that the key-value service lost before it was in effect") {
+    // Guards against a tool that tells the operator to wait for an edit that nobody holds any more.
+    fleet nodes(small_fleet());
+    REQUIRE(wait_for_members(nodes));
+    set_control(nodes.kv(), {{"keep_copy", true}});
+    nodes.node_process(2).send_signal(SIGSTOP);
+    tool_run set(nodes, "ann", {"table", "set", "account/tester", "weight=2", "--wait_ms=6000"});
+    REQUIRE(wait_until([&] { return !nodes.read_table().log.empty(); }));
+    set_control(nodes.kv(), {{"return_to_copy", true}});
+    const auto lost = set.finish();
+    nodes.node_process(2).send_signal(SIGCONT);
+    CHECK(lost.code == 8);
+    CHECK(lost.data.value("lost", false));
+    tool_run again(nodes, "bob", {"table", "set", "account/tester", "weight=2"});
+    const auto stored = again.finish();
+    CHECK(stored.code == 0);
+    CHECK_FALSE(stored.data.value("lost", true));
+}
+
 TEST_CASE("a load run follows the nodes that take work and repeats its plan") {
     // Guards against a generator that keeps to a leaving node, or whose runs can't be compared.
     auto spec = small_fleet();
