--- a/packages/state/journal_settlement.cpp
+++ b/packages/state/journal_settlement.cpp
@@ -21,6 +21,22 @@
     return ids_complete ? entry_disposition::not_owner : entry_disposition::unknown;
 }
 
+// Whether the key-value service came back from an older copy and lost writes of this owner. Only the owner
+// writes at its epoch, and each write adds a batch id, so such a value is one from which the owner's own
+// descends. A lower version of another owner may hold what this node never saw.
+bool is_earlier_value_of_owner(const journal_writer& writer, const journal_shard& value,
+                               std::uint64_t version) {
+    if (writer.phase != writer_phase::owner || version >= writer.attempt->expected_version) {
+        return false;
+    }
+    if (version == 0 || (value.owner == writer.settings.owner && value.epoch == writer.value.epoch)) {
+        return true;
+    }
+    const auto& known = writer.value.batch_ids;
+    return !value.batch_ids.empty() &&
+           std::find(known.begin(), known.end(), value.batch_ids.back()) != known.end();
+}
+
 void settle_batch(journal_writer& writer) {
     for (std::size_t i = 0; i < writer.attempt->entries.size(); ++i) {
         writer.finished_entries.push_back({writer.attempt->entries[i].ticket, entry_disposition::settled,
@@ -128,6 +144,10 @@
         continue_takeover(writer, std::move(value), version, now);
         return;
     }
+    if (is_earlier_value_of_owner(writer, value, version)) {
+        writer.attempt->expected_version = version;
+        return;
+    }
     const entry_disposition disposition = determine_disposition(*writer.attempt, value, version);
     const bool still_owner =
         value.owner == writer.attempt->new_value.owner && value.epoch == writer.attempt->new_value.epoch;
--- a/test/correctness/state_journal_writer_test.cpp
+++ b/test/correctness/state_journal_writer_test.cpp
@@ -117,6 +117,50 @@
     CHECK(submit_entry(paused, 4, claim_of("r3"), now) == submit_result::not_owner);
 }
 
+TEST_CASE("an owner writes again what the key-value service lost, and an order in it isn't claimed twice") {
+    // Guards against an order that runs again after the service came back from an older copy.
+    service kv;
+    const steady_time start(milliseconds(0));
+    auto owner = owner_of(kv, "owner", start);
+    const auto claim = [&](std::uint64_t ticket, const std::string& order, const std::string& request) {
+        CHECK(submit_entry(owner, ticket, order_claim{order, "acme", "body", request, "node"}, start) ==
+              submit_result::accepted);
+        run(owner, kv, start);
+        const auto finished = take_finished(owner);
+        REQUIRE(finished.size() == 1);
+        CHECK(finished.front().disposition == entry_disposition::settled);
+        return finished.front().result.outcome;
+    };
+    for (const bool absent : {false, true}) {
+        const std::string round = absent ? "absent" : "older";
+        const service copy = absent ? service{} : kv;
+        CHECK(claim(1, round, "first") == entry_outcome::applied);
+        kv = copy;
+        CHECK(claim(2, round + " next", "second") == entry_outcome::applied);
+        CHECK(owner.phase == writer_phase::owner);
+        CHECK(claim(3, round, "repeat") == entry_outcome::in_progress);
+        CHECK(decode_shard(kv.shard.text)->orders.count(round) == 1);
+    }
+}
+
+TEST_CASE("an owner doesn't write over a successor's value whose version is lower than its own") {
+    // Guards against entries of a new owner that are lost, as the service came back before the takeover.
+    service kv;
+    const steady_time start(milliseconds(0));
+    const service copy = kv;
+    auto earlier = owner_of(kv, "earlier", start);
+    for (std::uint64_t i = 0; i < 2; ++i) {
+        submit_entry(earlier, i, order_claim{std::to_string(i), "acme", "body", "request", "node"}, start);
+        run(earlier, kv, start);
+    }
+    kv = copy;
+    auto later = owner_of(kv, "later", start);
+    submit_entry(earlier, 5, claim_of("late"), start);
+    run(earlier, kv, start);
+    CHECK(earlier.phase == writer_phase::idle);
+    CHECK(decode_shard(kv.shard.text)->owner == "later");
+}
+
 TEST_CASE("a crash between sealing and removal neither loses nor doubles charges") {
     // Guards against a new owner that seals charges of an already written page into a second page.
     service kv;
