--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -128,7 +128,10 @@
         if (update == document_update::changed) {
             apply_routes(node, *document.content);
             apply_evacuations(node, node.platform.decode_evacuations(*document.content));
-            update_rollout_orders(node, node.platform.decode_rollouts(*document.content));
+        }
+        const auto& era = document.content->at.era;
+        if (update == document_update::changed || node.rollout_era != era) {
+            update_rollout_orders(node, node.platform.decode_rollouts(*document.content), era);
         }
         return;
     }
@@ -350,10 +353,10 @@
 
 void handle_claim(relay_state& node, document_kind kind, const state::document_claim& claim,
                   const state::clock_echo& echo, const state::member_entry& peer) {
-    record_position(*node.platform.store, claim.at);
     auto& document = document_of(node, kind);
     const auto verdict = state::merge_claim(document, claim, echo, boot_now());
     if (verdict == state::claim_verdict::confirmed) {
+        record_position(*node.platform.store, document.content->at);
         apply(node, kind, document_update::confirmed);
         forward_confirmation(node, kind);
     }
