--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -215,6 +215,16 @@
     CHECK(registry_hash(entry("z1")) != registry_hash(entry("z2")));
 }
 
+TEST_CASE("a kept roll-out order has no position in the era of the document") {
+    // Its revision may be higher than that of a new order of this era, which must be obeyed.
+    auto content = content_with("op/rollout/s", R"({"service":"s","target":"v2","durationS":30})");
+    content.at = {{2, 0}, 40};
+    content.items.front().revision = 60;
+    CHECK(decode_rollouts(content).front().position == state::store_position{{2, 0}, 60});
+    content.items.front().kept = true;
+    CHECK(decode_rollouts(content).front().position == state::store_position{});
+}
+
 TEST_CASE("no decoder throws on arbitrary bytes") {
     CHECK(rc::check([](const std::string& bytes) {
         decode_routes(content_with("op/config", bytes));
