--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -257,8 +257,10 @@
     record_position(*node.platform.store, content.at);
     // The peer replied after the call started, so its confirmation is no older than its age before that time.
     adopt(node, kind, content, address, [&](state::shared_document& document) {
-        return state::adopt_content(document, content, started - received->ages.confirmed,
-                                    started - received->ages.current);
+        const bool changed = state::adopt_content(document, content, started - received->ages.confirmed,
+                                                  started - received->ages.current);
+        state::refresh_items(document, content);
+        return changed;
     });
     // In a fleet of one cell the node that read the document has already informed all others.
     if (node.peers->layout().cells > 1) {
--- a/packages/state/shared_document.h
+++ b/packages/state/shared_document.h
@@ -94,6 +94,13 @@
 /// revision, are kept until `grace_until`.
 bool adopt_read(shared_document& document, const document_content& content, core::steady_time confirmed_at);
 
+/// Returns the latest revision of an item.
+std::uint64_t latest_revision(const document_content& content);
+
+/// Takes over the items of a content with the same hash and era if they have later revisions. Returns whether
+/// it did; the content in force is the same.
+bool refresh_items(shared_document& document, const document_content& content);
+
 /// Records that the content of a claim was fetched and compared.
 void record_compared(shared_document& document, std::uint64_t hash);
 
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -339,10 +339,10 @@
     // Peers would copy a list in which upstreams that are held back never write again.
     state::document_content content;
     content.hash = 6;
-    content.items.push_back({"k", "1", 4});
+    content.items.push_back({"k", "1", 4, std::nullopt, false});
     const auto packed = pack_document(content);
     CHECK(holds_items(packed, content));
-    content.items.front() = {"k", "2", 5};
+    content.items.front() = {"k", "2", 5, std::nullopt, false};
     CHECK_FALSE(holds_items(packed, content));
 }
 
