A plain request is not ended for a silent engine before it can move

What callers saw: a request that may be repeated got a 502 once its engine had been silent for twice the latency target, if the repeat budget or the choice of another engine then failed, although its engine answered a moment later. The same held for a body that paused or came slowly.

The read timeout of plain requests that may move closed the connection first and asked for a place afterwards.

Change: such a request is watched like a stream, with the pauses and the least pace that it had as timeouts, and moves by the same search. Reads last until the deadline. Stalls are looked for every 50 ms, as plain requests move after some hundred milliseconds; a search is repeated after 200 ms, as in a large fleet it asks other nodes.

Evidence: relay_process_tests "a plain request is not ended for a silent engine while the repeat budget is used up" failed before for a silent head and for a body that pauses (502 instead of 200, the engine's connection closed) and passes now. "a plain request that an engine leaves without an answer goes on at another one" passes before and after.

--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -19,7 +19,7 @@
 
 forward_run::~forward_run() {
     node_.stop_handlers.erase(id_);
-    node_.streams.erase(id_);
+    node_.waiting_sends.erase(id_);
     policy::end_session_request(node_.sessions, id_, boot_now());
 }
 
--- a/packages/relay/forward_move.cpp
+++ b/packages/relay/forward_move.cpp
@@ -11,15 +11,18 @@
 namespace {
 
 constexpr core::milliseconds search_end_poll{1000};
+// In a large fleet a search asks other nodes.
+constexpr core::milliseconds search_pause{200};
 
 } // namespace
 
 // The search runs beside the send, whose answer is passed on if it arrives meanwhile.
 void forward_run::on_stall(const state::upstream_entry& entry, const stall& found) {
-    if (search_ || replacement_) {
+    if (search_ || replacement_ || boot_now() < next_search_) {
         return;
     }
-    search_ = replacement_search{entry, node_.streams.at(id_).since, found, nullptr, false};
+    next_search_ = boot_now() + search_pause;
+    search_ = replacement_search{entry, node_.waiting_sends.at(id_).since, found, nullptr, false};
     if (const auto verdict = judge_stalled_send(nullptr); verdict != policy::move_verdict::move) {
         keep_stalled_send(verdict);
         search_.reset();
@@ -41,7 +44,8 @@
     const policy::relay_choice none;
     const auto verdict = judge_stalled_send(found ? &found->choice : &none);
     if (verdict == policy::move_verdict::move) {
-        log_stalled_send("stream_given_up", {{"to", found->entry.id}}, verdict);
+        log_stalled_send(route_.streaming ? "stream_given_up" : "request_moved", {{"to", found->entry.id}},
+                         verdict);
         policy::take_repeat(node_.budgets[service_], budget_settings(), node_.peers->size(), boot_now());
         replacement_ = std::move(found);
         current_link_->close_as_timed_out();
@@ -100,9 +104,9 @@
 }
 
 bool forward_run::is_still_stalled() const {
-    const auto stream = node_.streams.find(id_);
+    const auto stream = node_.waiting_sends.find(id_);
     return !search_->cancelled && !exchange_.disconnected() && !ended_by_stop_ &&
-           stream != node_.streams.end() && stream->second.since == search_->since &&
+           stream != node_.waiting_sends.end() && stream->second.since == search_->since &&
            !stream->second.link->has_unread_bytes();
 }
 
@@ -112,7 +116,7 @@
         return;
     }
     kept_for_ = verdict;
-    log_stalled_send("stalled_stream_kept", {{"cause", policy::to_string(verdict)}}, verdict);
+    log_stalled_send("stalled_send_kept", {{"cause", policy::to_string(verdict)}}, verdict);
     if (verdict != policy::move_verdict::recovered && !stall_counted_) {
         stall_counted_ = true;
         record_upstream_event(node_, search_->stalled.id, policy::upstream_event::failed);
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -96,12 +96,12 @@
 
     // A send to an upstream and its answer.
     bool attempts_remain() const;
-    core::milliseconds read_timeout() const;
+    core::milliseconds plain_pause() const;
     attempt_plan plan_for(const state::upstream_entry& entry);
     next_step send_to(const state::upstream_entry& entry);
-    void begin_stream_watch(const state::upstream_entry& entry, double expected_ms);
+    void begin_watch(const state::upstream_entry& entry, double expected_ms);
     void record_progress(std::size_t events);
-    policy::body_limits make_body_limits(core::milliseconds stall_timeout) const;
+    void watch_body(core::steady_time begun_at, std::size_t received);
     next_step handle_answer(const state::upstream_entry& entry, begun_answer& answer,
                             core::steady_time sent_at);
     next_step handle_refusal(const state::upstream_entry& entry, begun_answer& answer);
@@ -235,6 +235,7 @@
     bool send_settled_ = false;
     std::optional<replacement_search> search_;
     adapters::wakeup search_ended_;
+    core::steady_time next_search_{};
     /// Upstreams that could not be reached when they were to take over the present send.
     std::vector<std::string> unreachable_;
     /// Why the present send was kept when it stalled.
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -50,14 +50,9 @@
            history_.retry != state::retry_policy::at_most_once;
 }
 
-// Returns the maximum time without bytes before the request moves to another upstream, or the time until the
-// deadline if it can't move.
-core::milliseconds forward_run::read_timeout() const {
-    if (!attempts_remain() || route_.streaming) {
-        return time_left();
-    }
-    return std::min(time_left(),
-                    std::max(route_.latency_target * plain_timeout_targets, core::milliseconds(150)));
+// Returns the time without bytes after which a plain request moves to another upstream.
+core::milliseconds forward_run::plain_pause() const {
+    return std::max(route_.latency_target * plain_timeout_targets, core::milliseconds(150));
 }
 
 attempt_plan forward_run::plan_for(const state::upstream_entry& entry) {
@@ -73,7 +68,7 @@
     send.last_event_id = last_event_id_ ? last_event_id_ : request_.last_event_id;
     send.rank = rank_;
     plan.headers = node_.protocol.write_send(exchange_.head(), send);
-    plan.read_timeout = read_timeout();
+    plan.read_timeout = time_left();
     plan.connect = plan_connection();
     return plan;
 }
@@ -113,18 +108,18 @@
     auto answer = send_and_read_head(
         node_, plan, current_link_,
         [&] {
-            begin_stream_watch(entry, expected);
+            begin_watch(entry, expected);
             begin_unproven_send();
         },
         exchange_.yield());
-    node_.streams.erase(id_);
+    node_.waiting_sends.erase(id_);
     if (answer) {
         send_head_at_ = boot_now();
         send_head_after_ = core::to_ms(send_head_at_ - sent_at);
     }
     const auto step =
         answer ? handle_answer(entry, *answer, sent_at) : handle_send_failure(entry, answer.error());
-    node_.streams.erase(id_);
+    node_.waiting_sends.erase(id_);
     end_search();
     node_.unproven_sends.erase(id_);
     current_link_.reset();
@@ -133,15 +128,17 @@
     return step;
 }
 
-// Registers a stream that may move to another upstream when it stalls.
-void forward_run::begin_stream_watch(const state::upstream_entry& entry, double expected_ms) {
-    if (!route_.streaming || !attempts_remain()) {
+// Registers a send whose request may move to another upstream when it stalls.
+void forward_run::begin_watch(const state::upstream_entry& entry, double expected_ms) {
+    if (!attempts_remain()) {
         return;
     }
-    const auto pauses = policy::allowed_pauses(
-        {false, time_left(), route_.latency_target, core::milliseconds(std::int64_t(expected_ms))});
-    node_.streams[id_] = {entry.id, current_link_, boot_now(), pauses,
-                          [this, entry](const stall& found) { on_stall(entry, found); }};
+    const auto pauses = route_.streaming
+                            ? policy::allowed_pauses({false, time_left(), route_.latency_target,
+                                                      core::milliseconds(std::int64_t(expected_ms))})
+                            : policy::stream_pauses{plain_pause(), plain_pause()};
+    node_.waiting_sends[id_] = {entry.id, current_link_, boot_now(), pauses,
+                                [this, entry](const stall& found) { on_stall(entry, found); }};
 }
 
 // Only whole events are progress of the stream: an upstream that sends a byte now and then stalls too.
@@ -158,8 +155,8 @@
         send_last_event_at_ = boot_now();
     }
     send_events_ += events;
-    const auto found = node_.streams.find(id_);
-    if (found == node_.streams.end() || events == 0) {
+    const auto found = node_.waiting_sends.find(id_);
+    if (found == node_.waiting_sends.end() || events == 0) {
         return;
     }
     found->second.since = boot_now();
@@ -167,8 +164,15 @@
         policy::allowed_pauses({true, time_left(), route_.latency_target, core::milliseconds(0)});
 }
 
-policy::body_limits forward_run::make_body_limits(core::milliseconds stall_timeout) const {
-    return {boot_now(), deadline_, stall_timeout, attempts_remain()};
+// A body that arrives too slowly has stalled, too.
+void forward_run::watch_body(core::steady_time begun_at, std::size_t received) {
+    const auto found = node_.waiting_sends.find(id_);
+    if (found == node_.waiting_sends.end()) {
+        return;
+    }
+    const auto wait = policy::body_wait({begun_at, deadline_, plain_pause(), true}, received, boot_now());
+    found->second.since = boot_now();
+    found->second.pauses = {wait, wait};
 }
 
 forward_run::next_step forward_run::handle_answer(const state::upstream_entry& entry, begun_answer& answer,
@@ -205,7 +209,8 @@
 forward_run::next_step forward_run::handle_refusal(const state::upstream_entry& entry, begun_answer& answer) {
     history_.sends.push_back({entry.id, policy::send_result::refused});
     record_upstream_event(node_, entry.id, policy::upstream_event::full);
-    const auto limits = make_body_limits(std::min(refusal_body_timeout, time_left()));
+    const policy::body_limits limits{boot_now(), deadline_, std::min(refusal_body_timeout, time_left()),
+                                     attempts_remain()};
     const auto body = read_answer_body(answer, limits, max_discarded_bytes, exchange_.yield());
     if (body) {
         release_link(node_, entry.id, answer);
@@ -247,8 +252,12 @@
 
 forward_run::next_step forward_run::forward_whole_answer(const state::upstream_entry& entry,
                                                          begun_answer& answer, core::steady_time sent_at) {
+    const auto begun_at = boot_now();
+    begin_watch(entry, 0);
     auto body =
-        read_answer_body(answer, make_body_limits(read_timeout()), max_whole_answer_bytes, exchange_.yield());
+        read_answer_body(answer, {begun_at, deadline_, time_left(), false}, max_whole_answer_bytes,
+                         exchange_.yield(), [&](std::size_t received) { watch_body(begun_at, received); });
+    node_.waiting_sends.erase(id_);
     if (!body) {
         return handle_send_failure(entry,
                                    {policy::send_result::unknown, body.error().cause, body.error().message});
@@ -284,9 +293,9 @@
     event_splitter splitter;
     bool first = true;
     continues_stream_ = answer_started_;
-    begin_stream_watch(entry, 0);
+    begin_watch(entry, 0);
     while (true) {
-        auto piece = answer.link->read_some(read_timeout(), exchange_.yield());
+        auto piece = answer.link->read_some(time_left(), exchange_.yield());
         if (exchange_.disconnected()) {
             return abandon_stream(entry, answer);
         }
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -48,6 +48,7 @@
 // An upstream may restart unseen in a pause of this length.
 constexpr core::milliseconds min_unseen_restart{2000};
 constexpr core::milliseconds drain_poll{50};
+constexpr core::milliseconds stall_poll{50};
 // Connections that are idle for longer are closed, even if the upstream would keep them open.
 constexpr core::milliseconds max_pool_idle{10000};
 
@@ -89,6 +90,7 @@
         spawn([this](const asio::yield_context& yield) { discover_nodes(yield); });
         spawn([this](const asio::yield_context& yield) { run_crash_store_loop(state_, yield); });
         spawn([this](const asio::yield_context& yield) { run_ticks(yield); });
+        spawn([this](const asio::yield_context& yield) { watch_sends(yield); });
         context_.run();
         adapters::close_log();
         std::_Exit(EXIT_SUCCESS);
@@ -347,7 +349,6 @@
             if (passed > min_unseen_restart) {
                 assume_all_cold(state_);
             }
-            report_stalled_streams(state_, passed > min_vm_pause ? passed : core::nanoseconds(0));
             update_rollouts(state_);
             write_rollout_states(state_, yield);
             state_.pool.expire(boot_now(), max_pool_idle);
@@ -357,6 +358,16 @@
         }
     }
 
+    // Plain requests move after some hundred milliseconds, which the tick is too coarse for.
+    void watch_sends(const asio::yield_context& yield) {
+        auto last = boot_now();
+        while (!state_.stopped) {
+            adapters::sleep_for(stall_poll, yield);
+            const auto passed = boot_now() - std::exchange(last, boot_now());
+            report_stalled_sends(state_, passed > min_vm_pause ? passed : core::nanoseconds(0));
+        }
+    }
+
     void discover_nodes(const asio::yield_context& yield) {
         const auto started = boot_now();
         auto read_at = started;
--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -201,13 +201,13 @@
     }
 }
 
-void report_stalled_streams(relay_state& node, core::nanoseconds paused) {
+void report_stalled_sends(relay_state& node, core::nanoseconds paused) {
     const auto now = boot_now();
     core::erase_where(node.probes, [&](const upstream_probe& result, const std::string&) {
         return !result.running && now - result.at > probe_lifetime;
     });
     std::vector<std::pair<std::function<void(const stall&)>, stall>> stalls;
-    for (auto& [id, stream] : node.streams) {
+    for (auto& [id, stream] : node.waiting_sends) {
         stream.since += std::chrono::duration_cast<core::steady_time::duration>(paused);
         const auto silence = core::to_ms(now - stream.since);
         if (silence <= stream.pauses.silent_upstream && silence <= stream.pauses.longest) {
--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -82,14 +82,14 @@
     bool silent_to_all = false;
 };
 
-/// A stream that waits for the next byte from its upstream and that another upstream could continue.
-struct waiting_stream {
+/// A send that waits for the next byte from its upstream and whose request another upstream could take over.
+struct waiting_send {
     std::string upstream;
     upstream_link_ptr link;
     /// Time of the last progress.
     core::steady_time since{};
     policy::stream_pauses pauses;
-    /// Called on each tick at which the stream is stalled.
+    /// Called again and again while the send is stalled.
     std::function<void(const stall&)> on_stall;
 };
 
@@ -148,8 +148,8 @@
     std::map<std::string, upstream_use> uses;
     /// Time of the last byte from each upstream to this node.
     std::map<std::string, core::steady_time> last_byte_at;
-    /// Streams that wait for a byte and could resume on another upstream, by request number.
-    std::map<std::uint64_t, waiting_stream> streams;
+    /// Sends that wait for a byte and whose requests could move to another upstream, by request number.
+    std::map<std::uint64_t, waiting_send> waiting_sends;
     /// Sends that may still crash their upstreams, by request number.
     std::map<std::uint64_t, unproven_send> unproven_sends;
     /// Probes of upstreams that sent no byte to any node.
@@ -225,10 +225,10 @@
 /// Wakes the next queued request for a service.
 void wake_next(relay_state& node, const std::string& service);
 
-/// Reports the streams whose upstream sends no more bytes to their requests, which look for another upstream.
+/// Reports the sends whose upstream sends no more bytes to their requests, which look for another upstream.
 /// An upstream that accepts connections is assumed to be busy and gets more time. `paused` is the time for
 /// which this node itself was paused since the last call, which doesn't count as silence of the upstream.
-void report_stalled_streams(relay_state& node, core::nanoseconds paused);
+void report_stalled_sends(relay_state& node, core::nanoseconds paused);
 
 /// Finds out with connections whether an upstream whose connection broke has crashed, and records the crash
 /// if it has. Ends once the upstream has accepted one long enough after the last that broke.
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -103,7 +103,8 @@
 }
 
 link_result<std::string> read_answer_body(begun_answer& answer, const policy::body_limits& limits,
-                                          std::size_t max_bytes, const boost::asio::yield_context& yield) {
+                                          std::size_t max_bytes, const boost::asio::yield_context& yield,
+                                          const std::function<void(std::size_t)>& on_progress) {
     const link_error too_large{link_failure::malformed, "the body of the answer is too large"};
     if (answer.link->stated_length() > max_bytes) {
         return tl::make_unexpected(too_large);
@@ -132,6 +133,9 @@
                 link_error{link_failure::malformed, "the memory for answers is exhausted"});
         }
         body += *piece;
+        if (on_progress) {
+            on_progress(body.size());
+        }
     }
 }
 
--- a/packages/relay/send_attempt.h
+++ b/packages/relay/send_attempt.h
@@ -66,9 +66,10 @@
 /// Takes the memory for the part of an answer's body that is held. Returns false if the budget is exhausted.
 bool hold_answer_bytes(begun_answer& answer, std::size_t bytes);
 
-/// Reads the body of an answer, at most `max_bytes`.
+/// Reads the body of an answer, at most `max_bytes`. Calls `on_progress` with the number of bytes so far.
 link_result<std::string> read_answer_body(begun_answer& answer, const policy::body_limits& limits,
-                                          std::size_t max_bytes, const boost::asio::yield_context& yield);
+                                          std::size_t max_bytes, const boost::asio::yield_context& yield,
+                                          const std::function<void(std::size_t)>& on_progress = {});
 
 /// Returns a connection that carried nothing since it was opened or taken from the pool.
 void release_unused_link(relay_state& node, const std::string& upstream, const upstream_link_ptr& link);
