A request whose deadline has come is not sent again

What callers and engines saw: at the deadline of a request that may be repeated its node often sent it to another engine with a millisecond left, and ended it as out_of_budget, no_more_attempts or after `not_sent` and 0 ms sends. The repeats came out of the budget that streams need.

Cause: the time left is rounded down to milliseconds for the timers of reads, twice for the head of an answer, so that they fire up to 2 ms before the deadline. The check of the deadline then found time left.

Change: these times are rounded up.

--- a/packages/policy/answer_progress.cpp
+++ b/packages/policy/answer_progress.cpp
@@ -24,7 +24,7 @@
         const core::milliseconds paced(std::int64_t(received) * 1000 / min_body_pace);
         until = std::min(until, limits.begun_at + limits.stall_timeout + paced);
     }
-    return std::max(core::to_ms(until - now), core::milliseconds(0));
+    return std::max(std::chrono::ceil<core::milliseconds>(until - now), core::milliseconds(0));
 }
 
 stream_pauses allowed_pauses(const stream_progress& stream) {
--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -102,8 +102,9 @@
     return std::nullopt;
 }
 
+// A timer that fires early would leave time for another send.
 core::milliseconds forward_run::time_left() const {
-    return std::max(core::to_ms(deadline_ - boot_now()), core::milliseconds(1));
+    return std::max(std::chrono::ceil<core::milliseconds>(deadline_ - boot_now()), core::milliseconds(1));
 }
 
 void forward_request(relay_state& node, caller_exchange& exchange) {
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -24,7 +24,8 @@
     // One deadline for all that comes before the answer: late answers to earlier requests extend nothing.
     const auto deadline = boot_now() + plan.read_timeout;
     for (int discarded = 0; discarded <= max_discarded_answers; ++discarded) {
-        const auto left = std::max(core::to_ms(deadline - boot_now()), core::milliseconds(1));
+        const auto left =
+            std::max(std::chrono::ceil<core::milliseconds>(deadline - boot_now()), core::milliseconds(1));
         begun_answer answer{link, {}, node.memory.open(policy::memory_share::answers)};
         answer.memory.allow_yield([closed = std::weak_ptr<upstream_link>(link)] {
             if (const auto open = closed.lock()) {
--- a/test/platform/stalled_request_test.cpp
+++ b/test/platform/stalled_request_test.cpp
@@ -122,3 +122,15 @@
         CHECK(std::chrono::abs(engines.closed_at[0] - engines.begun_at[1]) < milliseconds(400));
     }
 }
+
+TEST_CASE("a request whose deadline has come is not sent to another engine") {
+    // Guards against a timer that fires a part of a millisecond early, after which the request was repeated.
+    constexpr int requests = 30;
+    slow_engines engines(pause_at::head);
+    for (int i = 0; i < requests; ++i) {
+        kept_connection caller(engines.node->callers);
+        caller.send("/look/1", "r" + std::to_string(i), milliseconds(80));
+        CHECK(caller.read(deadline).status == 504);
+    }
+    CHECK(engines.begun.load() == requests);
+}
