A caller that leaves uses up no repeat

What callers saw: streams that broke off were not continued since the repeat budget was used up, partly by requests of callers that had left.

Cause: the end of a send was judged like a failure, which takes a repeat, before the loop asked whether the caller was still there.

Evidence: relay_process_tests "a caller that leaves uses up no repeat" failed before (the stream ends after its first event, not complete) and passes now.

--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -56,6 +56,9 @@
         if (send_to(*choice) == next_step::finished) {
             return;
         }
+        if (exchange_.disconnected()) {
+            break;
+        }
         if (!replacement_ || ended_by_stop_) {
             if (const auto cause = reason_to_stop()) {
                 finish_failed(*cause);
--- a/test/platform/continuation_test.cpp
+++ b/test/platform/continuation_test.cpp
@@ -1,7 +1,9 @@
 #include <atomic>
+#include <csignal>
 
 #include <doctest/doctest.h>
 
+#include "platform/support/kept_connection.h"
 #include "platform/support/relay_cluster.h"
 
 using namespace figspoke::test;
@@ -108,3 +110,41 @@
         connection.end_stream();
     });
 }
+
+TEST_CASE("a caller that leaves uses up no repeat") {
+    // Guards against streams that are not continued since the repeats went to callers that had left.
+    engine_stand_in engine([](engine_connection& connection, const engine_request& request) {
+        if (request.headers.at("x-request-id") == "left") {
+            connection.wait_for_close(5000);
+            connection.shut();
+            return;
+        }
+        connection.begin_stream(request);
+        if (request.headers.count("last-event-id") > 0) {
+            connection.send_chunk(event(2));
+            connection.end_stream();
+            return;
+        }
+        connection.send_chunk(event(1));
+        connection.shut();
+    });
+    relay_cluster cluster;
+    cluster.configure(1, {"k1"});
+    cluster.add_engine("i-model", "model", engine);
+    auto& node = cluster.start_node();
+    // One repeat.
+    const auto settings = cluster.settings_of(node);
+    cluster.write_settings(node, settings.substr(0, settings.find("repeat_ratio")) +
+                                     "repeat_ratio = 0.0\nrepeat_slack = 1.5\n");
+    node.process->send_signal(SIGHUP);
+    REQUIRE(wait_until([&] { return node.process->output().find("\"reloaded\"") != std::string::npos; }));
+    {
+        kept_connection caller(node.callers);
+        caller.send("/chat/1", "left", std::chrono::milliseconds(8000));
+        REQUIRE(wait_until([&] { return engine.requests().size() == 1; }));
+    }
+    REQUIRE(wait_until([&] { return node.process->output().find("\"left\"") != std::string::npos; }));
+    const auto answer = cluster.send(node, "/chat/1", "r1");
+    CHECK(answer.complete);
+    CHECK(answer.body == event(1) + event(2));
+}
