An answer is dropped for a larger model only once that can begin

What callers saw: an error in place of an answer that a small model was giving, if the engine of the larger model could not be reached or had no place when it was chosen a second time.

The answer was dropped on the prospect of a place and of a repeat; both were taken later, after the connection had been closed.

Change: the larger model's engine is connected and the repeat is counted before the answer at hand is dropped. Otherwise the caller gets that answer.

Evidence: relay_process_tests "the answer of a small model is not dropped for a larger one that can't be reached" failed before (502 instead of 200) and passes now; "an unsure answer of a small model is replaced" passes before and after.

--- a/packages/relay/forward_move.cpp
+++ b/packages/relay/forward_move.cpp
@@ -68,28 +68,41 @@
     if (!entry || search_->cancelled) {
         return std::nullopt;
     }
-    auto use = std::make_unique<use_guard>(node_, entry->id, service_,
+    auto opened = open_replacement(*entry, choice, search_->link, yield);
+    if (!opened && !search_->cancelled) {
+        unreachable_.push_back(entry->id);
+        record_unreachable(*entry, opened.error().cause);
+    }
+    return opened ? std::make_optional(std::move(*opened)) : std::nullopt;
+}
+
+link_result<forward_run::replacement> forward_run::open_replacement(const state::upstream_entry& entry,
+                                                                    const policy::relay_choice& choice,
+                                                                    upstream_link_ptr& link,
+                                                                    const boost::asio::yield_context& yield) {
+    auto use = std::make_unique<use_guard>(node_, entry.id, service_,
                                            use_guard::work{estimated_tokens(), choice.own_prefill_ms, rank_});
-    const auto opened = open_link(node_, *entry, plan_connection(), search_->link, yield);
+    const auto opened = open_link(node_, entry, plan_connection(), link, yield);
     if (!opened) {
-        if (!search_->cancelled) {
-            unreachable_.push_back(entry->id);
-            record_unreachable(*entry, opened.error().cause);
-        }
-        return std::nullopt;
+        return tl::make_unexpected(opened.error());
     }
-    return replacement{*entry, choice, search_->link, std::move(use)};
+    return replacement{entry, choice, link, std::move(use)};
+}
+
+// Returns whether the present configuration still leads the request to the same service.
+bool forward_run::is_admitted() const {
+    const auto found = look_up_route();
+    return found && state::choose_service(found->route, service_draw_) == service_;
 }
 
 // Judges before the search, without a choice, whether it is worth while, and at its end whether the send is
 // given up.
 policy::move_verdict forward_run::judge_stalled_send(const policy::relay_choice* choice) const {
-    const auto route = look_up_route();
     const auto budget = node_.budgets.find(service_);
     policy::move_conditions conditions;
     conditions.stalled = is_still_stalled();
     conditions.repeatable = attempts_remain();
-    conditions.admitted = route && state::choose_service(route->route, service_draw_) == service_;
+    conditions.admitted = is_admitted();
     conditions.crashes_upstreams = policy::is_refused(node_.crashes, {}, *fingerprints_);
     conditions.within_budget =
         budget != node_.budgets.end() &&
--- a/packages/relay/forward_run.h
+++ b/packages/relay/forward_run.h
@@ -106,6 +106,7 @@
                             core::steady_time sent_at);
     next_step handle_refusal(const state::upstream_entry& entry, begun_answer& answer);
     bool drop_for_larger_model(const answer_head& head);
+    bool prepare_larger_model(const policy::relay_choice& choice);
     next_step forward_whole_answer(const state::upstream_entry& entry, begun_answer& answer,
                                    core::steady_time sent_at);
     bool can_repeat_failure() const;
@@ -126,6 +127,10 @@
     void on_stall(const state::upstream_entry& entry, const stall& found);
     void search_replacement(const boost::asio::yield_context& yield);
     std::optional<replacement> find_replacement(const boost::asio::yield_context& yield);
+    link_result<replacement> open_replacement(const state::upstream_entry& entry,
+                                              const policy::relay_choice& choice, upstream_link_ptr& link,
+                                              const boost::asio::yield_context& yield);
+    bool is_admitted() const;
     policy::move_verdict judge_stalled_send(const policy::relay_choice* choice) const;
     bool is_still_stalled() const;
     void keep_stalled_send(policy::move_verdict verdict);
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -241,7 +241,7 @@
         !choice.id.empty(),
         policy::may_repeat_optionally(node_.budgets[service_], budget_settings(), node_.peers->size(),
                                       boot_now())};
-    const bool escalate = policy::should_escalate(input, {});
+    const bool escalate = policy::should_escalate(input, {}) && prepare_larger_model(choice);
     if (!escalate) {
         model_ = answered;
     }
@@ -250,6 +250,28 @@
     return escalate;
 }
 
+// The answer at hand is dropped only for an upstream that is connected and a repeat that is counted.
+bool forward_run::prepare_larger_model(const policy::relay_choice& choice) {
+    const auto entry = find_upstream(choice.id);
+    if (!entry) {
+        return false;
+    }
+    upstream_link_ptr link;
+    auto opened = open_replacement(*entry, choice, link, exchange_.yield());
+    if (!opened) {
+        record_unreachable(*entry, opened.error().cause);
+        return false;
+    }
+    const bool certain = is_admitted() && policy::take_repeat(node_.budgets[service_], budget_settings(),
+                                                              node_.peers->size(), boot_now());
+    if (!certain) {
+        release_unused_link(node_, entry->id, link);
+        return false;
+    }
+    replacement_ = std::move(*opened);
+    return true;
+}
+
 forward_run::next_step forward_run::forward_whole_answer(const state::upstream_entry& entry,
                                                          begun_answer& answer, core::steady_time sent_at) {
     const auto begun_at = boot_now();
