--- a/packages/relay/forward.cpp
+++ b/packages/relay/forward.cpp
@@ -19,7 +19,7 @@
 
 forward_run::~forward_run() {
     node_.stop_handlers.erase(id_);
-    node_.streams.erase(id_);
+    node_.waiting_sends.erase(id_);
     policy::end_session_request(node_.sessions, id_, boot_now());
 }
 
@@ -56,6 +56,9 @@
         if (send_to(*choice) == next_step::finished) {
             return;
         }
+        if (exchange_.disconnected()) {
+            break;
+        }
         if (!replacement_ || ended_by_stop_) {
             if (const auto cause = reason_to_stop()) {
                 finish_failed(*cause);
@@ -102,8 +105,9 @@
     return std::nullopt;
 }
 
+// A timer that fires early would leave time for another send.
 core::milliseconds forward_run::time_left() const {
-    return std::max(core::to_ms(deadline_ - boot_now()), core::milliseconds(1));
+    return std::max(std::chrono::ceil<core::milliseconds>(deadline_ - boot_now()), core::milliseconds(1));
 }
 
 void forward_request(relay_state& node, caller_exchange& exchange) {
--- a/packages/relay/forward_move.cpp
+++ b/packages/relay/forward_move.cpp
@@ -11,15 +11,18 @@
 namespace {
 
 constexpr core::milliseconds search_end_poll{1000};
+// In a large fleet a search asks other nodes.
+constexpr core::milliseconds search_pause{200};
 
 } // namespace
 
 // The search runs beside the send, whose answer is passed on if it arrives meanwhile.
 void forward_run::on_stall(const state::upstream_entry& entry, const stall& found) {
-    if (search_ || replacement_) {
+    if (search_ || replacement_ || boot_now() < next_search_) {
         return;
     }
-    search_ = replacement_search{entry, node_.streams.at(id_).since, found, nullptr, false};
+    next_search_ = boot_now() + search_pause;
+    search_ = replacement_search{entry, node_.waiting_sends.at(id_).since, found, nullptr, false};
     if (const auto verdict = judge_stalled_send(nullptr); verdict != policy::move_verdict::move) {
         keep_stalled_send(verdict);
         search_.reset();
@@ -41,7 +44,8 @@
     const policy::relay_choice none;
     const auto verdict = judge_stalled_send(found ? &found->choice : &none);
     if (verdict == policy::move_verdict::move) {
-        log_stalled_send("stream_given_up", {{"to", found->entry.id}}, verdict);
+        log_stalled_send(route_.streaming ? "stream_given_up" : "request_moved", {{"to", found->entry.id}},
+                         verdict);
         policy::take_repeat(node_.budgets[service_], budget_settings(), node_.peers->size(), boot_now());
         replacement_ = std::move(found);
         current_link_->close_as_timed_out();
@@ -64,28 +68,41 @@
     if (!entry || search_->cancelled) {
         return std::nullopt;
     }
-    auto use = std::make_unique<use_guard>(node_, entry->id, service_,
+    auto opened = open_replacement(*entry, choice, search_->link, yield);
+    if (!opened && !search_->cancelled) {
+        unreachable_.push_back(entry->id);
+        record_unreachable(*entry, opened.error().cause);
+    }
+    return opened ? std::make_optional(std::move(*opened)) : std::nullopt;
+}
+
+link_result<forward_run::replacement> forward_run::open_replacement(const state::upstream_entry& entry,
+                                                                    const policy::relay_choice& choice,
+                                                                    upstream_link_ptr& link,
+                                                                    const boost::asio::yield_context& yield) {
+    auto use = std::make_unique<use_guard>(node_, entry.id, service_,
                                            use_guard::work{estimated_tokens(), choice.own_prefill_ms, rank_});
-    const auto opened = open_link(node_, *entry, plan_connection(), search_->link, yield);
+    const auto opened = open_link(node_, entry, plan_connection(), link, yield);
     if (!opened) {
-        if (!search_->cancelled) {
-            unreachable_.push_back(entry->id);
-            record_unreachable(*entry, opened.error().cause);
-        }
-        return std::nullopt;
+        return tl::make_unexpected(opened.error());
     }
-    return replacement{*entry, choice, search_->link, std::move(use)};
+    return replacement{entry, choice, link, std::move(use)};
+}
+
+// Returns whether the present configuration still leads the request to the same service.
+bool forward_run::is_admitted() const {
+    const auto found = look_up_route();
+    return found && state::choose_service(found->route, service_draw_) == service_;
 }
 
 // Judges before the search, without a choice, whether it is worth while, and at its end whether the send is
 // given up.
 policy::move_verdict forward_run::judge_stalled_send(const policy::relay_choice* choice) const {
-    const auto route = look_up_route();
     const auto budget = node_.budgets.find(service_);
     policy::move_conditions conditions;
     conditions.stalled = is_still_stalled();
     conditions.repeatable = attempts_remain();
-    conditions.admitted = route && state::choose_service(route->route, service_draw_) == service_;
+    conditions.admitted = is_admitted();
     conditions.crashes_upstreams = policy::is_refused(node_.crashes, {}, *fingerprints_);
     conditions.within_budget =
         budget != node_.budgets.end() &&
@@ -100,9 +117,9 @@
 }
 
 bool forward_run::is_still_stalled() const {
-    const auto stream = node_.streams.find(id_);
+    const auto stream = node_.waiting_sends.find(id_);
     return !search_->cancelled && !exchange_.disconnected() && !ended_by_stop_ &&
-           stream != node_.streams.end() && stream->second.since == search_->since &&
+           stream != node_.waiting_sends.end() && stream->second.since == search_->since &&
            !stream->second.link->has_unread_bytes();
 }
 
@@ -112,7 +129,7 @@
         return;
     }
     kept_for_ = verdict;
-    log_stalled_send("stalled_stream_kept", {{"cause", policy::to_string(verdict)}}, verdict);
+    log_stalled_send("stalled_send_kept", {{"cause", policy::to_string(verdict)}}, verdict);
     if (verdict != policy::move_verdict::recovered && !stall_counted_) {
         stall_counted_ = true;
         record_upstream_event(node_, search_->stalled.id, policy::upstream_event::failed);
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -24,7 +24,8 @@
     // One deadline for all that comes before the answer: late answers to earlier requests extend nothing.
     const auto deadline = boot_now() + plan.read_timeout;
     for (int discarded = 0; discarded <= max_discarded_answers; ++discarded) {
-        const auto left = std::max(core::to_ms(deadline - boot_now()), core::milliseconds(1));
+        const auto left =
+            std::max(std::chrono::ceil<core::milliseconds>(deadline - boot_now()), core::milliseconds(1));
         begun_answer answer{link, {}, node.memory.open(policy::memory_share::answers)};
         answer.memory.allow_yield([closed = std::weak_ptr<upstream_link>(link)] {
             if (const auto open = closed.lock()) {
@@ -103,7 +104,8 @@
 }
 
 link_result<std::string> read_answer_body(begun_answer& answer, const policy::body_limits& limits,
-                                          std::size_t max_bytes, const boost::asio::yield_context& yield) {
+                                          std::size_t max_bytes, const boost::asio::yield_context& yield,
+                                          const std::function<void(std::size_t)>& on_progress) {
     const link_error too_large{link_failure::malformed, "the body of the answer is too large"};
     if (answer.link->stated_length() > max_bytes) {
         return tl::make_unexpected(too_large);
@@ -132,6 +134,9 @@
                 link_error{link_failure::malformed, "the memory for answers is exhausted"});
         }
         body += *piece;
+        if (on_progress) {
+            on_progress(body.size());
+        }
     }
 }
 
