Never take a rate epoch that holders of grants already know

What callers would see: after the key-value service came back without the latest epoch of an account's limit, the allocator takes a lower epoch, or the first one again. Nodes refuse grants of an epoch below the one that they know, so the account falls to the small base part of its limit and stays there; and a first epoch waits for no predecessor, so that two allocators may grant at once.

Cause: the next epoch was computed from what the service holds alone.

The fix: demands name the epoch that their holder knows; a seat keeps the highest and takes its epoch above that and above its own last one. An allocator that learns of a later epoch than its own gives its authority up, which a successor's compare-and-swap would have ended anyway.

A first allocator that no holder of a grant has asked yet can still take a known epoch.

--- a/packages/node/rate_service.cpp
+++ b/packages/node/rate_service.cpp
@@ -183,14 +183,21 @@
     node.rates.seats[account].holds_epoch = false;
 }
 
-// Reads the account's epoch and raises it. The epoch that this node held before, if any, is not reused.
+std::uint64_t known_epoch(node_state& node, const std::string& account) {
+    const std::lock_guard lock(node.rates.mutex);
+    const auto& seat = node.rates.seats[account];
+    return std::max(seat.known_epoch, seat.allocator.epoch);
+}
+
+// Reads the account's epoch and raises it. The epoch that this node held before, if any, is not reused, and
+// none that holders of grants know: a service that came back from an older copy gives lower ones out again.
 void take_epoch(node_state& node, const std::string& account, const yield_context& yield) {
     const auto read = node.kv.get(epoch_key(account), yield);
     if (!read && read.error().kind != adapters::kv_error_kind::not_found) {
         return;
     }
     const auto current = read ? decode_epoch(read->text) : epoch_record{};
-    const epoch_record next{current.epoch + 1, node.incarnation};
+    const epoch_record next{std::max(current.epoch, known_epoch(node, account)) + 1, node.incarnation};
     const auto sent = clock::now();
     const auto written =
         node.kv.compare_and_swap(epoch_key(account), encode_epoch(next), read ? read->version : 0, "", yield);
@@ -306,6 +313,9 @@
     const std::lock_guard lock(node.rates.mutex);
     auto& seat = node.rates.seats[demand.account];
     seat.demanded_at = clock::now();
+    seat.known_epoch = std::max(seat.known_epoch, demand.known_epoch);
+    // Holders accept no grant below an epoch that they know.
+    seat.holds_epoch = seat.holds_epoch && seat.known_epoch <= seat.allocator.epoch;
     if (!seat.holds_epoch) {
         return {};
     }
--- a/packages/node/rate_service.h
+++ b/packages/node/rate_service.h
@@ -20,6 +20,8 @@
     policy::rate_allocator allocator;
     std::uint64_t kv_version = 0;
     bool holds_epoch = false;
+    /// Highest epoch that a demand named. The key-value service may have lost it.
+    std::uint64_t known_epoch = 0;
     core::steady_time demanded_at;
 };
 
--- a/test/correctness/process/charges_test.cpp
+++ b/test/correctness/process/charges_test.cpp
@@ -183,3 +183,28 @@
     check_ledger(nodes, sent, {0, 1, 2});
     CHECK(nodes.chat(0, chat_body("after", false)).status == 200);
 }
+
+TEST_CASE("the epoch of an account's limit never falls below one that nodes hold grants of") {
+    // Guards against grants that all nodes refuse, and against a second allocator within the time of the
+    // first.
+    fleet_spec spec;
+    spec.upstreams = {{"engine", {"small@1"}, {}, {}}};
+    spec.edit_table = [](core::table& table) {
+        table.rows.at({"account", "tester"}).columns["tokens_per_s"] = "800";
+    };
+    fleet nodes(spec);
+    REQUIRE(wait_for_members(nodes));
+    const std::string path = "/kv/figspoke/rates/tester";
+    const auto stored_epoch = [&] {
+        const auto answer = http_get(nodes.kv(), path);
+        return answer.status == 200 ? json_of(answer).at("epoch").get<int>() : 0;
+    };
+    // More than the bucket of a node without a grant holds.
+    const auto is_answered = [&] { return nodes.chat(0, chat_body("long", false, 200)).status == 200; };
+    set_control(nodes.kv(), {{"keep_copy", true}});
+    REQUIRE(wait_until([&] { return is_answered(); }));
+    const int held = stored_epoch();
+    REQUIRE(held > 0);
+    set_control(nodes.kv(), {{"return_to_copy", true}});
+    CHECK(wait_until([&] { return stored_epoch() > held; }, std::chrono::seconds(10)));
+}
