--- a/test/correctness/relay_documents_test.cpp
+++ b/test/correctness/relay_documents_test.cpp
@@ -271,6 +271,26 @@
     }
 }
 
+TEST_CASE("items of a content with the same hash are taken over only if they are later ones of that era") {
+    shared_document document;
+    const auto read = [](std::uint64_t revision, const store_era& era) {
+        document_content result;
+        result.at = {era, 50};
+        result.hash = 1;
+        result.items.push_back({"k", std::to_string(revision), revision, std::nullopt, false});
+        return result;
+    };
+    CHECK_FALSE(refresh_items(document, read(5, {1, 0})));
+    adopt_content(document, read(5, {1, 0}), at(0));
+    CHECK(refresh_items(document, read(7, {1, 0})));
+    CHECK_FALSE(refresh_items(document, read(6, {1, 0})));
+    CHECK_FALSE(refresh_items(document, read(9, {2, 0})));
+    auto other = read(9, {1, 0});
+    other.hash = 2;
+    CHECK_FALSE(refresh_items(document, other));
+    CHECK(document.content->items.front().value == "7");
+}
+
 TEST_CASE("an entry that disappears while the list is confirmed is removed at once") {
     upstream_registry registry;
     apply_list(registry, {entry("a"), entry("b")}, {{}, at(0)}, at(0), {});
