--- a/test/platform/store_return_test.cpp
+++ b/test/platform/store_return_test.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds probe_interval{40};
 // Answers without it differ by so little work that a busy machine makes one version seem slower.
 constexpr milliseconds work_time{20};
+constexpr milliseconds observed_reads{4000};
+// The part of three nodes where 380 share 2,000 reads a second.
+constexpr int most_reads_per_second = 2000 * 3 / 380;
 // Revisions that are given out between the copy and the return, or after the return, by engines that check
 // in.
 constexpr int check_ins = 30;
@@ -423,6 +426,22 @@
     CHECK(gone.requests().size() == after_bound);
 }
 
+TEST_CASE_TEMPLATE("nodes don't read without pause from a store that came back from a copy", era, stated_era,
+                   unstated_era) {
+    // A store that allows a number of reads a second answers the rest with 429, and serves no node any more.
+    returning_store world(era::stated);
+    world.configure({3, {"k1"}, {}});
+    world.start();
+    const auto copy = world.cluster.store().take_copy();
+    world.check_in();
+    world.configure_everywhere({4, {"k1"}, {}});
+    world.return_and_rewrite(copy);
+    const auto calls = world.cluster.store().calls();
+    std::this_thread::sleep_for(observed_reads);
+    CHECK(world.cluster.store().calls() - calls <
+          int(most_reads_per_second * core::to_seconds(observed_reads)));
+}
+
 TEST_CASE_TEMPLATE("keys stay withdrawn over two returns of the store in a row", era, stated_era,
                    unstated_era) {
     returning_store world(era::stated);
