A request isn't sent to an engine that left while its connection was made

What callers saw: a request could reach an engine up to the connect timeout of 300 ms after its node had learned that the engine was draining, had left or restarted, or that its failure domain was evacuated (DRAIN, EVAC). With the time in which a node learns it that may exceed the bound.

Cause: an engine is chosen before a connection to it is made, and the choice wasn't looked at again.

The choice is now checked after each new connection; the send counts as not sent, the engine's health isn't touched, and the request chooses again within its usual number of unsent attempts. A pooled connection is taken and written without a wait between.

--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -411,6 +411,10 @@
     if (closed_by_relay) {
         return next_step::retry;
     }
+    if (failure.cause == link_failure::withdrawn) {
+        ++unsent_attempts_;
+        return next_step::retry;
+    }
     const bool out_of_time = failure.cause == link_failure::timed_out && boot_now() >= deadline_;
     if (failure.result == policy::send_result::not_sent) {
         ++unsent_attempts_;
--- a/packages/relay/restrictions.cpp
+++ b/packages/relay/restrictions.cpp
@@ -106,6 +106,16 @@
     return policy::first_to_end(verdicts);
 }
 
+bool is_withdrawn(relay_state& node, const state::upstream_entry& chosen) {
+    const auto* entry = find_entry(node, chosen.id);
+    if (entry == nullptr || entry->incarnation != chosen.incarnation || entry->address != chosen.address) {
+        return true;
+    }
+    const auto reason = restriction_now(node, *entry, {}).reason;
+    return reason == policy::restriction::draining || reason == policy::restriction::evacuated ||
+           reason == policy::restriction::leaving;
+}
+
 bool is_evacuated(const relay_state& node, const std::string& upstream) {
     const auto* entry = find_entry(node, upstream);
     return entry != nullptr && node.evacuated.count(entry->failure_domain) > 0;
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -14,7 +14,8 @@
 constexpr int max_discarded_answers = 2;
 
 attempt_failure failure_of(const link_error& error) {
-    const bool sent = error.cause != link_failure::not_connected && error.cause != link_failure::refused;
+    const bool sent = error.cause != link_failure::not_connected && error.cause != link_failure::refused &&
+                      error.cause != link_failure::withdrawn;
     return {sent ? policy::send_result::unknown : policy::send_result::not_sent, error.cause, error.message};
 }
 
@@ -73,6 +74,11 @@
         if (!connected) {
             return tl::make_unexpected(failure_of(connected.error()));
         }
+        if (is_withdrawn(node, plan.upstream)) {
+            current->close();
+            return tl::make_unexpected(
+                failure_of({link_failure::withdrawn, "the upstream left during the connection"}));
+        }
     }
     const auto link = current;
     state::record_request(link->history, plan.request_id);
--- a/packages/relay/upstream_link.h
+++ b/packages/relay/upstream_link.h
@@ -23,6 +23,8 @@
     not_connected,
     /// The connection was refused because no process listens at the address; no byte was sent.
     refused,
+    /// The upstream left or restarted while the connection was made; no byte was sent.
+    withdrawn,
     /// The connection was reset or closed before the end of the answer.
     broken,
     /// The received bytes aren't an answer to this request.
