A node that starts after a return learns which engines had left

What callers saw: a node that started after the store had come back from an older copy sent requests to engines that had left, which the copy still listed.

Cause: which engines had left was in the memory of the other nodes alone, and a list with a known hash is never copied from them.

A copy of the registry now names the entries that its node holds back, with the sequence from which on they count as written again. A node takes two copies from peers in each era, at least 1 s apart, also if it knows the list; it ignores what a peer holds back if it has seen a later entry.

Evidence: "a node that starts after a return learns from its peers what they hold back" and "copies are compared a few times in each era only" fail with the merge switched off; with it pure_tests (state_*, relay_documents: 98 cases) and relay_tests (74 cases) pass. No run with real processes yet.

--- a/packages/relay/document_codec.cpp
+++ b/packages/relay/document_codec.cpp
@@ -1,6 +1,6 @@
 #include "relay/document_codec.h"
 
-#include <algorithm>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -57,11 +57,16 @@
 }
 
 std::string encode_document(const state::document_content& content, const packed_document& packed,
-                            const document_ages& ages) {
+                            const document_ages& ages, const std::vector<state::told_held_entry>& held_back) {
+    json held = json::array();
+    for (const auto& [id, entry] : held_back) {
+        held.push_back({id, entry.incarnation, entry.sequence});
+    }
     return to_bytes({{"at", state::pack_position(content.at)},
                      {"hash", content.hash},
                      {"age", ages.confirmed.count()},
                      {"current_age", ages.current.count()},
+                     {"held_back", std::move(held)},
                      {"items", binary_of(packed.items)}});
 }
 
@@ -86,6 +91,10 @@
         document.ages.confirmed = core::milliseconds(value.at("age").get<std::int64_t>());
         document.ages.current =
             core::milliseconds(value.value("current_age", document.ages.confirmed.count()));
+        for (const auto& held : value.value("held_back", json::array())) {
+            document.held_back.push_back({held.at(0).get<std::string>(),
+                                          {held.at(1).get<std::int64_t>(), held.at(2).get<std::uint64_t>()}});
+        }
         return document;
     } catch (const std::exception&) {
         return std::nullopt;
--- a/packages/relay/document_codec.h
+++ b/packages/relay/document_codec.h
@@ -3,9 +3,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/time.h"
 #include "state/shared_document.h"
+#include "state/upstream_registry.h"
 
 namespace figspoke::relay {
 
@@ -36,11 +38,15 @@
 struct received_document {
     state::document_content content;
     document_ages ages;
+    /// Entries of the registry that the peer holds back.
+    std::vector<state::told_held_entry> held_back;
 };
 
-/// Encodes a document and its ages. `packed` holds the content's items.
+/// Encodes a document, its ages and, of the registry, the entries that this node holds back. `packed` holds
+/// the content's items.
 std::string encode_document(const state::document_content& content, const packed_document& packed,
-                            const document_ages& ages);
+                            const document_ages& ages,
+                            const std::vector<state::told_held_entry>& held_back = {});
 
 /// Decodes a document and its ages; empty if the bytes are not a valid one.
 std::optional<received_document> decode_document(std::string_view bytes);
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -262,6 +262,12 @@
         state::refresh_items(document, content);
         return changed;
     });
+    if (kind == document_kind::registry) {
+        const auto changes =
+            state::merge_held_entries(node.registry, received->held_back, content.at.era, boot_now());
+        log_registry_changes(node, changes);
+        drop_upstream_state(node, changes);
+    }
     // In a fleet of one cell the node that read the document has already informed all others.
     if (node.peers->layout().cells > 1) {
         node.peers->announce();
@@ -363,8 +369,11 @@
         forward_confirmation(node, kind);
     }
     auto& fetching = node.fetching.at(static_cast<std::size_t>(kind));
-    const bool refresh = kind == document_kind::registry && verdict == state::claim_verdict::confirmed &&
-                         state::needs_refresh(node.registry, boot_now(), {});
+    const bool refresh = kind == document_kind::registry &&
+                         ((verdict == state::claim_verdict::confirmed &&
+                           state::needs_refresh(node.registry, boot_now(), {})) ||
+                          (document.content && claim.hash == document.content->hash &&
+                           state::needs_comparison(node.registry, claim.at.era, boot_now(), {})));
     if ((verdict != state::claim_verdict::newer && !refresh) || fetching) {
         return;
     }
--- a/packages/relay/relay_node.cpp
+++ b/packages/relay/relay_node.cpp
@@ -316,8 +316,11 @@
                 if (!holds_items(packed, *known.content)) {
                     packed = pack_document(*known.content);
                 }
+                const auto held_back = kind == document_kind::registry
+                                           ? state::told_held_entries(state_.registry)
+                                           : std::vector<state::told_held_entry>{};
                 return adapters::http_reply{
-                    200, {}, encode_document(*known.content, packed, ages_of(known, boot_now()))};
+                    200, {}, encode_document(*known.content, packed, ages_of(known, boot_now()), held_back)};
             }
         }
         return std::nullopt;
--- a/packages/state/upstream_registry.cpp
+++ b/packages/state/upstream_registry.cpp
@@ -33,6 +33,7 @@
     }
     if (returned || !registry.era) {
         registry.era = confirmation.era;
+        registry.compared_copies = 0;
     }
     registry.confirmed_at = std::max(registry.confirmed_at, confirmation.at);
     return returned;
@@ -228,6 +229,45 @@
     return changes;
 }
 
+std::vector<told_held_entry> told_held_entries(const upstream_registry& registry) {
+    std::vector<told_held_entry> told;
+    for (const auto& [id, held] : registry.held_back) {
+        told.push_back({id, held});
+    }
+    return told;
+}
+
+registry_changes merge_held_entries(upstream_registry& registry, const std::vector<told_held_entry>& told,
+                                    const store_era& era, core::steady_time now) {
+    registry_changes changes;
+    if (registry.era != era) {
+        return changes;
+    }
+    ++registry.compared_copies;
+    registry.compared_at = now;
+    for (const auto& [id, held] : told) {
+        const auto known = registry.upstreams.find(id);
+        if (known == registry.upstreams.end() || registry.held_back.count(id) > 0 ||
+            known->second.entry.incarnation != held.incarnation ||
+            known->second.entry.sequence > held.sequence) {
+            continue;
+        }
+        registry.departed[id] = {held.incarnation, known->second.entry.sequence, now};
+        registry.upstreams.erase(known);
+        registry.held_back[id] = held;
+        registry.held_since = now;
+        changes.held_back.push_back(id);
+        changes.removed.push_back(id);
+    }
+    return changes;
+}
+
+bool needs_comparison(const upstream_registry& registry, const store_era& peer_era, core::steady_time now,
+                      const registry_timeouts& timeouts) {
+    const bool due = registry.compared_copies == 0 || now - registry.compared_at >= timeouts.min_refresh;
+    return due && registry.era == peer_era && registry.compared_copies < timeouts.min_compared_copies;
+}
+
 bool needs_refresh(const upstream_registry& registry, core::steady_time now,
                    const registry_timeouts& timeouts) {
     // An upstream that is gone never writes again, so copies become rare.
--- a/packages/state/upstream_registry.h
+++ b/packages/state/upstream_registry.h
@@ -80,6 +80,10 @@
     core::steady_time held_since = core::steady_time::min();
     /// Era of the latest list or confirmation; empty before the first.
     std::optional<store_era> era;
+    /// How many copies of peers were compared in this era, so that a node that has just started learns which
+    /// entries its peers hold back.
+    int compared_copies = 0;
+    core::steady_time compared_at{};
     /// When a list was last applied.
     core::steady_time applied_at = core::steady_time::min();
     /// When the list was last confirmed; `steady_time::min()` before the first.
@@ -100,6 +104,8 @@
     /// Shortest and longest time between copies of the list from peers while entries are held back.
     core::milliseconds min_refresh{1000};
     core::milliseconds max_refresh{30000};
+    /// Copies of peers that are compared in each era in any case.
+    int min_compared_copies = 2;
 };
 
 /// The era of the store in which a list was current, and when it was.
@@ -126,6 +132,23 @@
 registry_changes confirm_list(upstream_registry& registry, const list_confirmation& confirmation,
                               core::steady_time now, const registry_timeouts& timeouts);
 
+/// An entry that a peer holds back.
+struct told_held_entry {
+    std::string id;
+    held_entry entry;
+};
+
+/// Returns the entries that are held back, for a peer that copies the list.
+std::vector<told_held_entry> told_held_entries(const upstream_registry& registry);
+
+/// Holds back the entries that a peer held back in `era`, unless this node has seen a later one.
+registry_changes merge_held_entries(upstream_registry& registry, const std::vector<told_held_entry>& told,
+                                    const store_era& era, core::steady_time now);
+
+/// Returns whether the list of a peer that is at `peer_era` should be copied to learn what it holds back.
+bool needs_comparison(const upstream_registry& registry, const store_era& peer_era, core::steady_time now,
+                      const registry_timeouts& timeouts);
+
 /// Returns whether the list should be copied from a peer although its hash is known: the hash leaves out the
 /// sequences, by which upstreams that are held back show that they have written again.
 bool needs_refresh(const upstream_registry& registry, core::steady_time now,
--- a/test/correctness/state_upstream_registry_test.cpp
+++ b/test/correctness/state_upstream_registry_test.cpp
@@ -216,6 +216,47 @@
     CHECK(registry.upstreams.at("a").entry.sequence == 11);
 }
 
+TEST_CASE("a node that starts after a return learns from its peers what they hold back") {
+    upstream_registry peer;
+    apply(peer, {entry("a", 10), entry("b", 10), entry("c", 10, true)}, first_era, 0);
+    apply(peer, {entry("a", 11), entry("c", 11, true)}, first_era, 900);
+    apply(peer, {entry("a", 9), entry("b", 9), entry("c", 9)}, second_era, 1800);
+    upstream_registry started;
+    apply(started, {entry("a", 9), entry("b", 9), entry("c", 9)}, second_era, 2000);
+    CHECK(serving(started) == ids{"a", "b", "c"});
+    CHECK_FALSE(needs_comparison(started, first_era, at(2100), {}));
+    CHECK(needs_comparison(started, second_era, at(2100), {}));
+    const auto told = told_held_entries(peer);
+    CHECK(merge_held_entries(started, told, first_era, at(2100)).removed.empty());
+    CHECK(merge_held_entries(started, told, second_era, at(2100)).removed == ids{"b", "c"});
+    CHECK(serving(started) == ids{"a"});
+    refresh(started, {entry("a", 12), entry("b", 9), entry("c", 9)}, second_era, 3000);
+    CHECK(serving(started) == ids{"a"});
+    refresh(started, {entry("a", 13), entry("b", 12), entry("c", 9)}, second_era, 3900);
+    CHECK(serving(started) == ids{"a", "b"});
+    // A peer that hasn't seen the later entry doesn't hold it back here.
+    CHECK(merge_held_entries(started, told, second_era, at(4000)).removed.empty());
+    CHECK(serving(started) == ids{"a", "b"});
+}
+
+TEST_CASE("copies are compared a few times in each era only") {
+    upstream_registry registry;
+    apply(registry, {entry("a", 9)}, first_era, 0);
+    const auto count_until = [&](const store_era& era, int from, int to) {
+        int copies = 0;
+        for (int ms = from; ms < to; ms += 100) {
+            if (needs_comparison(registry, era, at(ms), {})) {
+                ++copies;
+                merge_held_entries(registry, {}, era, at(ms));
+            }
+        }
+        return copies;
+    };
+    CHECK(count_until(first_era, 0, 20000) == 2);
+    apply(registry, {entry("a", 9)}, second_era, 20000);
+    CHECK(count_until(second_era, 20000, 40000) == 2);
+}
+
 TEST_CASE("the upstreams that left and are remembered are bounded in number and time") {
     upstream_registry registry;
     registry_timeouts timeouts;
--- a/test/relay/relay_parts_test.cpp
+++ b/test/relay/relay_parts_test.cpp
@@ -335,6 +335,17 @@
     CHECK(decoded->ages.current == core::milliseconds(34));
 }
 
+TEST_CASE("the entries that a node holds back reach a peer that copies its document") {
+    const state::document_content content;
+    const auto decoded =
+        decode_document(encode_document(content, pack_document(content), {}, {{"u", {1700, 41}}}));
+    REQUIRE(decoded);
+    REQUIRE(decoded->held_back.size() == 1);
+    CHECK(decoded->held_back.front().id == "u");
+    CHECK(decoded->held_back.front().entry.incarnation == 1700);
+    CHECK(decoded->held_back.front().entry.sequence == 41);
+}
+
 TEST_CASE("a document whose items were written again is packed anew although its hash is the same") {
     // Peers would copy a list in which upstreams that are held back never write again.
     state::document_content content;
