--- a/packages/relay/document_codec.cpp
+++ b/packages/relay/document_codec.cpp
@@ -1,5 +1,7 @@
 #include "relay/document_codec.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "adapters/deflate.h"
@@ -40,7 +42,11 @@
     for (const auto& item : content.items) {
         items.push_back({item.key, binary_of(item.value), item.revision, item.kept});
     }
-    return {content.hash, adapters::deflate_bytes(to_bytes(items))};
+    return {content.hash, state::latest_revision(content), adapters::deflate_bytes(to_bytes(items))};
+}
+
+bool holds_items(const packed_document& packed, const state::document_content& content) {
+    return packed.hash == content.hash && packed.revision == state::latest_revision(content);
 }
 
 document_ages ages_of(const state::shared_document& document, core::steady_time now) {
--- a/packages/relay/document_codec.h
+++ b/packages/relay/document_codec.h
@@ -9,15 +9,20 @@
 
 namespace figspoke::relay {
 
-/// The compressed items of a document, as peers fetch them. Computed once for each content.
+/// The compressed items of a document, as peers fetch them.
 struct packed_document {
     std::uint64_t hash = 0;
+    /// The latest revision of an item. Items may have later revisions in a content of the same hash.
+    std::uint64_t revision = 0;
     std::string items;
 };
 
 /// Compresses the items of a document.
 packed_document pack_document(const state::document_content& content);
 
+/// Returns whether a packed document holds the items of a content.
+bool holds_items(const packed_document& packed, const state::document_content& content);
+
 /// Times since `confirmed_at` and `current_at` of a document.
 struct document_ages {
     core::milliseconds confirmed{0};
--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -51,13 +51,16 @@
 
 void log_registry_changes(relay_state& node, const state::registry_changes& changes) {
     const bool any = !changes.added.empty() || !changes.restarted.empty() || !changes.draining.empty() ||
-                     !changes.removed.empty() || !changes.kept.empty();
+                     !changes.removed.empty() || !changes.kept.empty() || !changes.held_back.empty() ||
+                     !changes.released.empty();
     if (any) {
         node.log.state("registry_changed", {{"added", changes.added},
                                             {"restarted", changes.restarted},
                                             {"draining", changes.draining},
                                             {"removed", changes.removed},
-                                            {"kept", changes.kept}});
+                                            {"kept", changes.kept},
+                                            {"held_back", changes.held_back},
+                                            {"released", changes.released}});
     }
 }
 
@@ -104,22 +107,36 @@
     node.routes = std::make_shared<const state::route_table>(std::move(*table));
 }
 
-void apply(relay_state& node, document_kind kind, bool changed) {
+// How a document was updated. Contents of the same hash may differ in the sequences of upstreams.
+enum class document_update { changed, same_hash, confirmed };
+
+state::registry_changes update_registry(relay_state& node, document_update update,
+                                        const state::list_confirmation& confirmation) {
+    const auto now = boot_now();
+    if (update == document_update::confirmed) {
+        return state::confirm_list(node.registry, confirmation, now, {});
+    }
+    const auto list = node.platform.decode_upstreams(*document_of(node, document_kind::registry).content);
+    return update == document_update::changed
+               ? state::apply_list(node.registry, list, confirmation, now, {})
+               : state::refresh_list(node.registry, list, confirmation, now, {});
+}
+
+void apply(relay_state& node, document_kind kind, document_update update) {
     const auto& document = document_of(node, kind);
     if (kind == document_kind::operator_config) {
-        if (changed) {
+        if (update == document_update::changed) {
             apply_routes(node, *document.content);
             apply_evacuations(node, node.platform.decode_evacuations(*document.content));
-            update_rollout_orders(node, node.platform.decode_rollouts(*document.content));
+        }
+        const auto& era = document.content->at.era;
+        if (update == document_update::changed || node.rollout_era != era) {
+            update_rollout_orders(node, node.platform.decode_rollouts(*document.content), era);
         }
         return;
     }
-    const auto now = boot_now();
     const bool had_list = node.registry.confirmed_at != core::steady_time::min();
-    const auto changes =
-        changed ? state::apply_list(node.registry, node.platform.decode_upstreams(*document.content),
-                                    document.confirmed_at, now, {})
-                : state::confirm_list(node.registry, document.confirmed_at, now, {});
+    const auto changes = update_registry(node, update, {document.content->at.era, document.confirmed_at});
     log_registry_changes(node, changes);
     drop_upstream_state(node, changes);
     apply_registered_cold_times(node);
@@ -191,7 +208,7 @@
     const bool changed = adopt_into(document);
     log_adoption(node, kind, content, source, previous, changed);
     log_kept_version(node, kept_before, kept_version(document.content));
-    apply(node, kind, changed);
+    apply(node, kind, changed ? document_update::changed : document_update::same_hash);
     update_readiness(node);
 }
 
@@ -240,8 +257,10 @@
     record_position(*node.platform.store, content.at);
     // The peer replied after the call started, so its confirmation is no older than its age before that time.
     adopt(node, kind, content, address, [&](state::shared_document& document) {
-        return state::adopt_content(document, content, started - received->ages.confirmed,
-                                    started - received->ages.current);
+        const bool changed = state::adopt_content(document, content, started - received->ages.confirmed,
+                                                  started - received->ages.current);
+        state::refresh_items(document, content);
+        return changed;
     });
     // In a fleet of one cell the node that read the document has already informed all others.
     if (node.peers->layout().cells > 1) {
@@ -340,11 +359,13 @@
     const auto verdict = state::merge_claim(document, claim, echo, boot_now());
     if (verdict == state::claim_verdict::confirmed) {
         record_position(*node.platform.store, document.content->at);
-        apply(node, kind, false);
+        apply(node, kind, document_update::confirmed);
         forward_confirmation(node, kind);
     }
     auto& fetching = node.fetching.at(static_cast<std::size_t>(kind));
-    if (verdict != state::claim_verdict::newer || fetching) {
+    const bool refresh = kind == document_kind::registry && verdict == state::claim_verdict::confirmed &&
+                         state::needs_refresh(node.registry, boot_now(), {});
+    if ((verdict != state::claim_verdict::newer && !refresh) || fetching) {
         return;
     }
     fetching = true;
--- a/packages/relay/forward_send.cpp
+++ b/packages/relay/forward_send.cpp
@@ -50,14 +50,9 @@
            history_.retry != state::retry_policy::at_most_once;
 }
 
-// Returns the maximum time without bytes before the request moves to another upstream, or the time until the
-// deadline if it can't move.
-core::milliseconds forward_run::read_timeout() const {
-    if (!attempts_remain() || route_.streaming) {
-        return time_left();
-    }
-    return std::min(time_left(),
-                    std::max(route_.latency_target * plain_timeout_targets, core::milliseconds(150)));
+// Returns the time without bytes after which a plain request moves to another upstream.
+core::milliseconds forward_run::plain_pause() const {
+    return std::max(route_.latency_target * plain_timeout_targets, core::milliseconds(150));
 }
 
 attempt_plan forward_run::plan_for(const state::upstream_entry& entry) {
@@ -65,7 +60,6 @@
     plan.upstream = entry;
     plan.head = &exchange_.head();
     plan.body = exchange_.body();
-    plan.request_id = request_.request_id;
     upstream_send send;
     send.upstream = entry.id;
     send.account = account_;
@@ -74,23 +68,34 @@
     send.last_event_id = last_event_id_ ? last_event_id_ : request_.last_event_id;
     send.rank = rank_;
     plan.headers = node_.protocol.write_send(exchange_.head(), send);
-    plan.read_timeout = read_timeout();
-    plan.connect_timeout = std::min(connect_timeout, time_left());
-    plan.max_idle =
-        route_.retry == state::retry_policy::at_most_once ? max_idle_unrepeatable : max_idle_repeatable;
+    plan.read_timeout = time_left();
+    plan.connect = plan_connection();
     return plan;
 }
 
+connect_plan forward_run::plan_connection() const {
+    return {request_.request_id, std::min(connect_timeout, time_left()),
+            route_.retry == state::retry_policy::at_most_once ? max_idle_unrepeatable : max_idle_repeatable};
+}
+
 forward_run::next_step forward_run::send_to(const state::upstream_entry& entry) {
     pending_ms_ = choice_.pending_ms;
     const double prefill = choice_.own_prefill_ms;
     sent_model_ = model_;
     use_guard use(node_, entry.id, service_, {estimated_tokens(), prefill, rank_});
     use_ = &use;
+    auto prepared = std::exchange(replacement_, std::nullopt);
+    if (prepared) {
+        prepared->use.reset();
+    }
     policy::record_prefixes(node_.prefixes, entry.id, shared_segments(), boot_now());
     record_upstream_event(node_, entry.id, policy::upstream_event::dispatched);
     count_limited_send(node_, entry.id);
-    const auto plan = plan_for(entry);
+    auto plan = plan_for(entry);
+    plan.link = prepared ? std::move(prepared->link) : nullptr;
+    unreachable_.clear();
+    kept_for_.reset();
+    stall_counted_ = false;
     send_events_ = 0;
     send_gaps_ = {};
     send_head_after_.reset();
@@ -103,18 +108,19 @@
     auto answer = send_and_read_head(
         node_, plan, current_link_,
         [&] {
-            begin_stream_watch(entry, expected);
+            begin_watch(entry, expected);
             begin_unproven_send();
         },
         exchange_.yield());
-    node_.streams.erase(id_);
+    node_.waiting_sends.erase(id_);
     if (answer) {
         send_head_at_ = boot_now();
         send_head_after_ = core::to_ms(send_head_at_ - sent_at);
     }
     const auto step =
         answer ? handle_answer(entry, *answer, sent_at) : handle_send_failure(entry, answer.error());
-    node_.streams.erase(id_);
+    node_.waiting_sends.erase(id_);
+    end_search();
     node_.unproven_sends.erase(id_);
     current_link_.reset();
     use_ = nullptr;
@@ -122,14 +128,17 @@
     return step;
 }
 
-// Registers a stream that may move to another upstream when it stalls.
-void forward_run::begin_stream_watch(const state::upstream_entry& entry, double expected_ms) {
-    if (!route_.streaming || !attempts_remain()) {
+// Registers a send whose request may move to another upstream when it stalls.
+void forward_run::begin_watch(const state::upstream_entry& entry, double expected_ms) {
+    if (!attempts_remain()) {
         return;
     }
-    const auto pauses = policy::allowed_pauses(
-        {false, time_left(), route_.latency_target, core::milliseconds(std::int64_t(expected_ms))});
-    node_.streams[id_] = {entry.id, current_link_, boot_now(), pauses.silent_upstream, pauses.longest};
+    const auto pauses = route_.streaming
+                            ? policy::allowed_pauses({false, time_left(), route_.latency_target,
+                                                      core::milliseconds(std::int64_t(expected_ms))})
+                            : policy::stream_pauses{plain_pause(), plain_pause()};
+    node_.waiting_sends[id_] = {entry.id, current_link_, boot_now(), pauses,
+                                [this, entry](const stall& found) { on_stall(entry, found); }};
 }
 
 // Only whole events are progress of the stream: an upstream that sends a byte now and then stalls too.
@@ -146,19 +155,24 @@
         send_last_event_at_ = boot_now();
     }
     send_events_ += events;
-    const auto found = node_.streams.find(id_);
-    if (found == node_.streams.end() || events == 0) {
+    const auto found = node_.waiting_sends.find(id_);
+    if (found == node_.waiting_sends.end() || events == 0) {
         return;
     }
-    const auto pauses =
-        policy::allowed_pauses({true, time_left(), route_.latency_target, core::milliseconds(0)});
     found->second.since = boot_now();
-    found->second.silence_timeout = pauses.silent_upstream;
-    found->second.limit = pauses.longest;
+    found->second.pauses =
+        policy::allowed_pauses({true, time_left(), route_.latency_target, core::milliseconds(0)});
 }
 
-policy::body_limits forward_run::make_body_limits(core::milliseconds stall_timeout) const {
-    return {boot_now(), deadline_, stall_timeout, attempts_remain()};
+// A body that arrives too slowly has stalled, too.
+void forward_run::watch_body(core::steady_time begun_at, std::size_t received) {
+    const auto found = node_.waiting_sends.find(id_);
+    if (found == node_.waiting_sends.end()) {
+        return;
+    }
+    const auto wait = policy::body_wait({begun_at, deadline_, plain_pause(), true}, received, boot_now());
+    found->second.since = boot_now();
+    found->second.pauses = {wait, wait};
 }
 
 forward_run::next_step forward_run::handle_answer(const state::upstream_entry& entry, begun_answer& answer,
@@ -195,7 +209,8 @@
 forward_run::next_step forward_run::handle_refusal(const state::upstream_entry& entry, begun_answer& answer) {
     history_.sends.push_back({entry.id, policy::send_result::refused});
     record_upstream_event(node_, entry.id, policy::upstream_event::full);
-    const auto limits = make_body_limits(std::min(refusal_body_timeout, time_left()));
+    const policy::body_limits limits{boot_now(), deadline_, std::min(refusal_body_timeout, time_left()),
+                                     attempts_remain()};
     const auto body = read_answer_body(answer, limits, max_discarded_bytes, exchange_.yield());
     if (body) {
         release_link(node_, entry.id, answer);
@@ -208,7 +223,8 @@
 // Selects a larger model and drops the answer if its confidence justifies that. Possible only while the
 // caller has received nothing of the answer.
 bool forward_run::drop_for_larger_model(const answer_head& head) {
-    if (answer_started_ || model_.empty() || !head.confidence || head.status != 200 || !attempts_remain()) {
+    if (answer_started_ || replacement_ || model_.empty() || !head.confidence || head.status != 200 ||
+        !attempts_remain()) {
         return false;
     }
     const auto larger = policy::escalation_model_index(route_.models, model_);
@@ -216,7 +232,7 @@
         return false;
     }
     const auto answered = std::exchange(model_, route_.models.at(*larger));
-    const auto choice = choose_upstream();
+    const auto choice = choose_upstream({}, exchange_.yield());
     const policy::escalation_input input{
         *head.confidence,
         core::to_ms(boot_now() - arrived_),
@@ -225,7 +241,7 @@
         !choice.id.empty(),
         policy::may_repeat_optionally(node_.budgets[service_], budget_settings(), node_.peers->size(),
                                       boot_now())};
-    const bool escalate = policy::should_escalate(input, {});
+    const bool escalate = policy::should_escalate(input, {}) && prepare_larger_model(choice);
     if (!escalate) {
         model_ = answered;
     }
@@ -234,10 +250,36 @@
     return escalate;
 }
 
+// The answer at hand is dropped only for an upstream that is connected and a repeat that is counted.
+bool forward_run::prepare_larger_model(const policy::relay_choice& choice) {
+    const auto entry = find_upstream(choice.id);
+    if (!entry) {
+        return false;
+    }
+    upstream_link_ptr link;
+    auto opened = open_replacement(*entry, choice, link, exchange_.yield());
+    if (!opened) {
+        record_unreachable(*entry, opened.error().cause);
+        return false;
+    }
+    const bool certain = is_admitted() && policy::take_repeat(node_.budgets[service_], budget_settings(),
+                                                              node_.peers->size(), boot_now());
+    if (!certain) {
+        release_unused_link(node_, entry->id, link);
+        return false;
+    }
+    replacement_ = std::move(*opened);
+    return true;
+}
+
 forward_run::next_step forward_run::forward_whole_answer(const state::upstream_entry& entry,
                                                          begun_answer& answer, core::steady_time sent_at) {
+    const auto begun_at = boot_now();
+    begin_watch(entry, 0);
     auto body =
-        read_answer_body(answer, make_body_limits(read_timeout()), max_whole_answer_bytes, exchange_.yield());
+        read_answer_body(answer, {begun_at, deadline_, time_left(), false}, max_whole_answer_bytes,
+                         exchange_.yield(), [&](std::size_t received) { watch_body(begun_at, received); });
+    node_.waiting_sends.erase(id_);
     if (!body) {
         return handle_send_failure(entry,
                                    {policy::send_result::unknown, body.error().cause, body.error().message});
@@ -273,9 +315,9 @@
     event_splitter splitter;
     bool first = true;
     continues_stream_ = answer_started_;
-    begin_stream_watch(entry, 0);
+    begin_watch(entry, 0);
     while (true) {
-        auto piece = answer.link->read_some(read_timeout(), exchange_.yield());
+        auto piece = answer.link->read_some(time_left(), exchange_.yield());
         if (exchange_.disconnected()) {
             return abandon_stream(entry, answer);
         }
@@ -414,13 +456,8 @@
     const bool out_of_time = failure.cause == link_failure::timed_out && boot_now() >= deadline_;
     if (failure.result == policy::send_result::not_sent) {
         ++unsent_attempts_;
-        record_upstream_down(node_, entry.id, failure.cause);
-        confirm_upstream_crash(node_, entry.id, boot_now());
-        record_upstream_event(node_, entry.id,
-                              failure.cause == link_failure::refused
-                                  ? policy::upstream_event::connection_refused
-                                  : policy::upstream_event::failed);
-    } else if (!out_of_time || attempts_remain()) {
+        record_unreachable(entry, failure.cause);
+    } else if (!stall_counted_ && (!out_of_time || attempts_remain())) {
         record_upstream_event(node_, entry.id, policy::upstream_event::failed);
         record_bad_result(entry);
     }
@@ -430,4 +467,12 @@
     return next_step::retry;
 }
 
+void forward_run::record_unreachable(const state::upstream_entry& entry, link_failure cause) {
+    record_upstream_down(node_, entry.id, cause);
+    confirm_upstream_crash(node_, entry.id, boot_now());
+    record_upstream_event(node_, entry.id,
+                          cause == link_failure::refused ? policy::upstream_event::connection_refused
+                                                         : policy::upstream_event::failed);
+}
+
 } // namespace figspoke::relay
--- a/packages/state/shared_document.cpp
+++ b/packages/state/shared_document.cpp
@@ -154,6 +154,24 @@
     return changed;
 }
 
+std::uint64_t latest_revision(const document_content& content) {
+    std::uint64_t latest = 0;
+    for (const auto& item : content.items) {
+        latest = std::max(latest, item.revision);
+    }
+    return latest;
+}
+
+bool refresh_items(shared_document& document, const document_content& content) {
+    if (!document.content || document.content->hash != content.hash ||
+        document.content->at.era != content.at.era ||
+        latest_revision(content) <= latest_revision(*document.content)) {
+        return false;
+    }
+    document.content->items = content.items;
+    return true;
+}
+
 void record_compared(shared_document& document, std::uint64_t hash) {
     record_hash(document, hash);
 }
--- a/test/correctness/relay_documents_test.cpp
+++ b/test/correctness/relay_documents_test.cpp
@@ -271,10 +271,30 @@
     }
 }
 
+TEST_CASE("items of a content with the same hash are taken over only if they are later ones of that era") {
+    shared_document document;
+    const auto read = [](std::uint64_t revision, const store_era& era) {
+        document_content result;
+        result.at = {era, 50};
+        result.hash = 1;
+        result.items.push_back({"k", std::to_string(revision), revision, std::nullopt, false});
+        return result;
+    };
+    CHECK_FALSE(refresh_items(document, read(5, {1, 0})));
+    adopt_content(document, read(5, {1, 0}), at(0));
+    CHECK(refresh_items(document, read(7, {1, 0})));
+    CHECK_FALSE(refresh_items(document, read(6, {1, 0})));
+    CHECK_FALSE(refresh_items(document, read(9, {2, 0})));
+    auto other = read(9, {1, 0});
+    other.hash = 2;
+    CHECK_FALSE(refresh_items(document, other));
+    CHECK(document.content->items.front().value == "7");
+}
+
 TEST_CASE("an entry that disappears while the list is confirmed is removed at once") {
     upstream_registry registry;
-    apply_list(registry, {entry("a"), entry("b")}, at(0), at(0), {});
-    const auto changes = apply_list(registry, {entry("a")}, at(900), at(900), {});
+    apply_list(registry, {entry("a"), entry("b")}, {{}, at(0)}, at(0), {});
+    const auto changes = apply_list(registry, {entry("a")}, {{}, at(900)}, at(900), {});
     CHECK(changes.removed == std::vector<std::string>{"b"});
     CHECK(serving_upstreams(registry, "s").size() == 1);
 }
@@ -282,22 +302,22 @@
 TEST_CASE("entries that expire during an outage of the store are kept until they had time to return") {
     // During an outage leases expire although the upstreams still serve.
     upstream_registry registry;
-    apply_list(registry, {entry("a"), entry("b"), entry("c")}, at(0), at(0), {});
-    apply_list(registry, {}, at(6000), at(6000), {});
+    apply_list(registry, {entry("a"), entry("b"), entry("c")}, {{}, at(0)}, at(0), {});
+    apply_list(registry, {}, {{}, at(6000)}, at(6000), {});
     CHECK(serving_upstreams(registry, "s").size() == 3);
-    apply_list(registry, {entry("a")}, at(7000), at(7000), {});
+    apply_list(registry, {entry("a")}, {{}, at(7000)}, at(7000), {});
     CHECK(serving_upstreams(registry, "s").size() == 3);
-    const auto changes = confirm_list(registry, at(8100), at(8100), {});
+    const auto changes = confirm_list(registry, {{}, at(8100)}, at(8100), {});
     CHECK(changes.removed == std::vector<std::string>{"b", "c"});
     CHECK(serving_upstreams(registry, "s").size() == 1);
 }
 
 TEST_CASE("a draining upstream gets no new requests, and a restart under the same id is detected") {
     upstream_registry registry;
-    apply_list(registry, {entry("a"), entry("b")}, at(0), at(0), {});
+    apply_list(registry, {entry("a"), entry("b")}, {{}, at(0)}, at(0), {});
     auto restarted = entry("b");
     restarted.incarnation = 5;
-    const auto changes = apply_list(registry, {entry("a", true), restarted}, at(900), at(900), {});
+    const auto changes = apply_list(registry, {entry("a", true), restarted}, {{}, at(900)}, at(900), {});
     CHECK(changes.draining == std::vector<std::string>{"a"});
     CHECK(changes.restarted == std::vector<std::string>{"b"});
     CHECK(serving_upstreams(registry, "s").size() == 1);
--- a/test/platform/decode_test.cpp
+++ b/test/platform/decode_test.cpp
@@ -188,6 +188,21 @@
     CHECK(registry_hash(entry(1, "ready")) != registry_hash(entry(2, "draining")));
 }
 
+TEST_CASE("an engine's count of its writes is read, and an unusable one counts as none") {
+    const auto sequence_of = [](const std::string& value) {
+        const auto entries = decode_upstreams(content_with(
+            "servers/a", R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,)"
+                         R"("state":"ready","sequence":)" +
+                             value + "}"));
+        REQUIRE(entries.size() == 1);
+        return entries.front().sequence;
+    };
+    CHECK(sequence_of("41") == 41);
+    CHECK(sequence_of("-1") == 0);
+    CHECK(sequence_of("1e300") == 0);
+    CHECK(sequence_of("\"7\"") == 0);
+}
+
 TEST_CASE("an engine that moves to another failure domain changes the hash of the registry") {
     // Nodes copy the registry from each other only when its hash changes, so a field that the hash leaves out
     // stays as it was on all nodes but the one that reads the store.
@@ -200,6 +215,16 @@
     CHECK(registry_hash(entry("z1")) != registry_hash(entry("z2")));
 }
 
+TEST_CASE("a kept roll-out order has no position in the era of the document") {
+    // Its revision may be higher than that of a new order of this era, which must be obeyed.
+    auto content = content_with("op/rollout/s", R"({"service":"s","target":"v2","durationS":30})");
+    content.at = {{2, 0}, 40};
+    content.items.front().revision = 60;
+    CHECK(decode_rollouts(content).front().position == state::store_position{{2, 0}, 60});
+    content.items.front().kept = true;
+    CHECK(decode_rollouts(content).front().position == state::store_position{});
+}
+
 TEST_CASE("no decoder throws on arbitrary bytes") {
     CHECK(rc::check([](const std::string& bytes) {
         decode_routes(content_with("op/config", bytes));
