Record the nodes' roster again where the key-value service lost it

What callers would see: the service comes back with an older roster. The nodes hold the later one and go on by it, but nothing writes it until the next change is due: a fleet that starts anew counts voters that are gone. And a recorder that restarted and knows only the older roster could record one after it, with the version that the others hold and other voters, so that two sides of a partition may each believe to have the majority.

Cause: a roster of a lower version than the held one was ignored, and the next one is derived from whatever the recorder holds.

Evidence before the fix: config_test "the roster that the nodes hold is recorded again where the key-value service lost it": 6 s later the service still held the older one; state_membership_majority_test "no roster is recorded after an older one than a member holds": one was.

The fix: the recorder writes the held roster on the version that it read where that is older or absent, and says so in its log. No next roster is due while a member that is reached holds a later one.

--- a/packages/node/cluster_loops.cpp
+++ b/packages/node/cluster_loops.cpp
@@ -148,6 +148,15 @@
     return !members.empty() && members.front().id == node.settings.node.id;
 }
 
+// Returns the held roster if the key-value service holds an older one or none: it came back from an older
+// copy.
+std::optional<std::string> roster_to_record_again(node_state& node, const std::string& recorded) {
+    const auto decoded = state::decode_roster(recorded);
+    const std::lock_guard lock(node.nodes.mutex);
+    const std::uint64_t version = decoded ? decoded->version : 0;
+    return version < node.nodes.roster.version ? std::optional(node.nodes.roster_text) : std::nullopt;
+}
+
 // Reads the recorded roster and, on the one node that records it, writes the next one by compare-and-swap.
 void update_roster(node_state& node, const yield_context& yield) {
     const auto read = node.kv.get(roster_key, yield);
@@ -156,6 +165,13 @@
     } else if (read.error().kind != adapters::kv_error_kind::not_found) {
         return;
     }
+    if (const auto lost = roster_to_record_again(node, read ? read->text : "")) {
+        const auto written = node.kv.compare_and_swap(roster_key, *lost, read ? read->version : 0, "", yield);
+        if (written) {
+            adapters::log_warning("roster_recorded_again", "the key-value service held an older roster");
+        }
+        return;
+    }
     std::optional<state::roster> next;
     {
         const std::lock_guard lock(node.nodes.mutex);
--- a/packages/state/roster.cpp
+++ b/packages/state/roster.cpp
@@ -134,6 +134,11 @@
 
 std::optional<roster> next_roster(const majority_view& view, core::steady_time now) {
     const roster& current = view.recorded_roster;
+    // The key-value service may have come back with an older roster than members hold. A roster recorded
+    // after it could have the version of theirs and other voters.
+    if (is_roster_outdated(view, now)) {
+        return std::nullopt;
+    }
     if (current.version == 0) {
         auto first = serving_members_except(view, {}, now);
         return first.empty() ? std::nullopt : std::optional<roster>({1, std::move(first), {}});
--- a/packages/state/roster.h
+++ b/packages/state/roster.h
@@ -48,7 +48,8 @@
 /// including the one with the lowest id.
 bool has_majority(const majority_view& view, core::steady_time now);
 
-/// Returns the roster to record next by CAS; empty if no change is due or none is allowed yet.
+/// Returns the roster to record next by CAS; empty if no change is due or none is allowed yet, as while a
+/// member that is reached holds a later roster than the recorded one.
 std::optional<roster> next_roster(const majority_view& view, core::steady_time now);
 
 /// Encodes a roster as JSON, as stored in the key-value service.
--- a/test/correctness/process/config_test.cpp
+++ b/test/correctness/process/config_test.cpp
@@ -245,3 +245,26 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
     }
 }
+
+TEST_CASE("the roster that the nodes hold is recorded again where the key-value service lost it") {
+    // Guards against a fleet whose next start counts voters that are gone and misses those that joined.
+    fleet nodes(two_versions(3));
+    REQUIRE(wait_for_members(nodes));
+    const auto recorded = [&] { return json_of(http_get(nodes.kv(), "/kv/figspoke/members")); };
+    const auto version = [&] { return recorded().at("version").get<std::uint64_t>(); };
+    REQUIRE(wait_until([&] { return recorded().at("joining").empty(); }));
+    const auto older = recorded();
+    set_control(nodes.kv(), {{"keep_copy", true}});
+    nodes.node_process(2).send_signal(SIGKILL);
+    REQUIRE(nodes.node_process(2).wait_for_exit());
+    nodes.start_node(2);
+    const auto incarnation = [](const json& roster) { return roster.at("voters").value("node2", 0); };
+    REQUIRE(wait_until([&] {
+        const auto now = recorded();
+        return incarnation(now) != 0 && incarnation(now) != incarnation(older) && now.at("joining").empty();
+    }));
+    const auto newest = recorded();
+    set_control(nodes.kv(), {{"return_to_copy", true}});
+    CHECK(wait_until([&] { return version() >= newest.at("version"); }, std::chrono::seconds(6)));
+    CHECK(recorded().at("voters") == newest.at("voters"));
+}
--- a/test/correctness/state_membership_majority_test.cpp
+++ b/test/correctness/state_membership_majority_test.cpp
@@ -263,6 +263,26 @@
     CHECK_FALSE(has_majority(world.view(node), world.now));
 }
 
+TEST_CASE("no roster is recorded after an older one than a member holds") {
+    // Guards against two rosters of one version, after the key-value service came back with an older one.
+    partition_world world(3, 3);
+    start_fleet(world);
+    const auto older = world.stored;
+    world.restart(2);
+    start_fleet(world);
+    REQUIRE(world.stored.version > older.version);
+    auto& recorder = world.nodes[0];
+    world.leave(1);
+    const auto hold = [&](const roster& held) {
+        recorder.held_roster = held;
+        update_self(recorder.known, {member_state::serving, 1, held.version, 0, {}}, world.now);
+    };
+    hold(older);
+    CHECK_FALSE(next_roster(world.view(recorder), world.now));
+    hold(world.stored);
+    CHECK(next_roster(world.view(recorder), world.now));
+}
+
 TEST_CASE("after most nodes were replaced, the new nodes have the majority") {
     // Guards against a fleet that can't serve during an outage of the key-value service because it still
     // counts replaced nodes.
