Wait for the engine's side in the test of a continued stream

The case read what the first engine's thread had seen of the close right after the caller's answer, which may come earlier: it failed once in a full run of relay_process_tests beside other builds (closed.size() 0). It now waits for it; the bounds are the same.

--- a/test/platform/stalled_stream_test.cpp
+++ b/test/platform/stalled_stream_test.cpp
@@ -170,8 +170,11 @@
     const auto answer = caller.read(deadline);
     CHECK(answer.complete);
     CHECK(answer.body == event(1) + event(2));
+    REQUIRE(wait_until([&] {
+        const std::lock_guard lock(mutex);
+        return closed.size() == 1;
+    }));
     const std::lock_guard lock(mutex);
-    REQUIRE(closed.size() == 1);
     REQUIRE(continued.size() == 1);
     CHECK(std::chrono::abs(closed[0] - continued[0]) < milliseconds(400));
 }
