No probe for a send that has stalled in any case

What engines saw: connections without a request for each plain request that was silent, and for each stream that is kept after its longest pause, again and again.

Cause: since sends are kept and plain requests are watched, the probe that tells a dead upstream from a busy one was made even where the longest pause had decided.

--- a/test/platform/stalled_request_test.cpp
+++ b/test/platform/stalled_request_test.cpp
@@ -98,6 +98,7 @@
         CHECK(answer.body == "whle");
         CHECK(engines.begun.load() == 1);
         CHECK(engines.closed_at.empty());
+        CHECK(engines.node->process->output().find("upstream_probed") == std::string::npos);
     }
 }
 
