--- a/packages/relay/relay_state.h
+++ b/packages/relay/relay_state.h
@@ -15,6 +15,7 @@
 #include "adapters/metrics.h"
 #include "adapters/wakeup.h"
 #include "core/relay_settings.h"
+#include "policy/answer_progress.h"
 #include "policy/cold_limits.h"
 #include "policy/crash_ledger.h"
 #include "policy/memory_budget.h"
@@ -80,16 +81,22 @@
     core::steady_time ended_at{};
 };
 
-/// A stream that waits for the next byte from its upstream.
-struct waiting_stream {
+/// A send that makes no progress.
+struct stall {
+    core::milliseconds silence{0};
+    /// Whether the upstream sends no byte to any node.
+    bool silent_to_all = false;
+};
+
+/// A send that waits for the next byte from its upstream and whose request another upstream could take over.
+struct waiting_send {
     std::string upstream;
     upstream_link_ptr link;
+    /// Time of the last progress.
     core::steady_time since{};
-    /// Time without a byte after which the stream is closed if the upstream sends no byte to any node and
-    /// accepts no connection.
-    core::milliseconds silence_timeout{0};
-    /// Time without a byte after which the stream is closed in any case.
-    core::milliseconds limit{0};
+    policy::stream_pauses pauses;
+    /// Called again and again while the send is stalled.
+    std::function<void(const stall&)> on_stall;
 };
 
 /// A send of a request that isn't known to be sound yet.
@@ -152,8 +159,8 @@
     std::map<std::string, upstream_use> uses;
     /// Time of the last byte from each upstream to this node.
     std::map<std::string, core::steady_time> last_byte_at;
-    /// Streams that wait for a byte and could resume on another upstream, by request number.
-    std::map<std::uint64_t, waiting_stream> streams;
+    /// Sends that wait for a byte and whose requests could move to another upstream, by request number.
+    std::map<std::uint64_t, waiting_send> waiting_sends;
     /// Sends that may still crash their upstreams, by request number.
     std::map<std::uint64_t, unproven_send> unproven_sends;
     /// Probes of upstreams that sent no byte to any node.
@@ -229,11 +236,10 @@
 /// Wakes the next queued request for a service.
 void wake_next(relay_state& node, const std::string& service);
 
-/// Closes the connections of streams whose upstream sends no more bytes, so that they resume on another
-/// upstream. An upstream that accepts connections is assumed to be busy and gets more time. `paused` is the
-/// time for which this node itself was paused since the last call, which doesn't count as silence of the
-/// upstream.
-void close_silent_streams(relay_state& node, core::nanoseconds paused);
+/// Reports the sends whose upstream sends no more bytes to their requests, which look for another upstream.
+/// An upstream that accepts connections is assumed to be busy and gets more time. `paused` is the time for
+/// which this node itself was paused since the last call, which doesn't count as silence of the upstream.
+void report_stalled_sends(relay_state& node, core::nanoseconds paused);
 
 /// Finds out with connections whether an upstream whose connection broke has crashed, and records the crash
 /// if it has. Ends once the upstream has accepted one long enough after the last that broke.
--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -25,7 +25,8 @@
     // One deadline for all that comes before the answer: late answers to earlier requests extend nothing.
     const auto deadline = boot_now() + plan.read_timeout;
     for (int discarded = 0; discarded <= max_discarded_answers; ++discarded) {
-        const auto left = std::max(core::to_ms(deadline - boot_now()), core::milliseconds(1));
+        const auto left =
+            std::max(std::chrono::ceil<core::milliseconds>(deadline - boot_now()), core::milliseconds(1));
         begun_answer answer{link, {}, node.memory.open(policy::memory_share::answers)};
         answer.memory.allow_yield([closed = std::weak_ptr<upstream_link>(link)] {
             if (const auto open = closed.lock()) {
@@ -45,7 +46,7 @@
         node.protocol.read_answer(answer.head);
         const bool refusal_without_id =
             answer.head.request_id.empty() && answer.head.not_run && !link->reused;
-        if (answer.head.request_id == plan.request_id || refusal_without_id) {
+        if (answer.head.request_id == plan.connect.request_id || refusal_without_id) {
             return answer;
         }
         node.metrics.add("relay_foreign_answers_total", {});
@@ -62,26 +63,36 @@
 
 } // namespace
 
+link_result<void> open_link(relay_state& node, const state::upstream_entry& upstream,
+                            const connect_plan& plan, upstream_link_ptr& current,
+                            const boost::asio::yield_context& yield) {
+    current = node.pool.take(upstream.id, plan.request_id, boot_now(), plan.max_idle);
+    if (current) {
+        return {};
+    }
+    const auto link = std::make_shared<upstream_link>(node.context);
+    current = link;
+    auto connected = link->connect(upstream.address, plan.connect_timeout, yield);
+    node.metrics.add("relay_connections_total", {{"outcome", connected ? "opened" : "failed"}});
+    return connected;
+}
+
 tl::expected<begun_answer, attempt_failure> send_and_read_head(relay_state& node, const attempt_plan& plan,
                                                                upstream_link_ptr& current,
                                                                const std::function<void()>& on_sent,
                                                                const boost::asio::yield_context& yield) {
-    current = node.pool.take(plan.upstream.id, plan.request_id, boot_now(), plan.max_idle);
-    if (!current) {
-        current = std::make_shared<upstream_link>(node.context);
-        const auto connected = current->connect(plan.upstream.address, plan.connect_timeout, yield);
-        node.metrics.add("relay_connections_total", {{"outcome", connected ? "opened" : "failed"}});
-        if (!connected) {
-            return tl::make_unexpected(failure_of(connected.error()));
-        }
-        if (is_withdrawn(node, plan.upstream)) {
-            current->close();
-            return tl::make_unexpected(
-                failure_of({link_failure::withdrawn, "the upstream left during the connection"}));
-        }
+    if (plan.link) {
+        current = plan.link;
+    } else if (const auto opened = open_link(node, plan.upstream, plan.connect, current, yield); !opened) {
+        return tl::make_unexpected(failure_of(opened.error()));
+    }
+    if (is_withdrawn(node, plan.upstream)) {
+        current->close();
+        return tl::make_unexpected(
+            failure_of({link_failure::withdrawn, "the upstream left before the request was sent"}));
     }
     const auto link = current;
-    state::record_request(link->history, plan.request_id);
+    state::record_request(link->history, plan.connect.request_id);
     link->start_request(*plan.head, plan.headers, plan.body);
     on_sent();
     auto answer = read_matching_head(node, plan, link, yield);
@@ -99,7 +110,8 @@
 }
 
 link_result<std::string> read_answer_body(begun_answer& answer, const policy::body_limits& limits,
-                                          std::size_t max_bytes, const boost::asio::yield_context& yield) {
+                                          std::size_t max_bytes, const boost::asio::yield_context& yield,
+                                          const std::function<void(std::size_t)>& on_progress) {
     const link_error too_large{link_failure::malformed, "the body of the answer is too large"};
     if (answer.link->stated_length() > max_bytes) {
         return tl::make_unexpected(too_large);
@@ -128,7 +140,19 @@
                 link_error{link_failure::malformed, "the memory for answers is exhausted"});
         }
         body += *piece;
+        if (on_progress) {
+            on_progress(body.size());
+        }
+    }
+}
+
+void release_unused_link(relay_state& node, const std::string& upstream, const upstream_link_ptr& link) {
+    if (!link->has_no_input() || node.registry.upstreams.count(upstream) == 0 ||
+        is_evacuated(node, upstream)) {
+        link->close();
+        return;
     }
+    node.pool.keep(upstream, link, boot_now());
 }
 
 void release_link(relay_state& node, const std::string& upstream, const begun_answer& answer) {
--- a/test/relay/withdrawn_upstream_test.cpp
+++ b/test/relay/withdrawn_upstream_test.cpp
@@ -34,10 +34,10 @@
         plan.upstream.incarnation = 7;
         plan.head = &head;
         plan.body = std::make_shared<const std::string>("b");
-        plan.request_id = "r1";
+        plan.connect.request_id = "r1";
         plan.headers = {{"X-Request-Id", "r1"}};
         plan.read_timeout = patience;
-        plan.connect_timeout = patience;
+        plan.connect.connect_timeout = patience;
         node.registry.upstreams["u"] = {plan.upstream, false};
         node.settings.bounds.drain = core::milliseconds(2000);
     }
