Registry entries of the stand-in cluster have a rising sequence

Engines raise it with each check-in; the cluster wrote 1 each time, so that an entry of the store's copy and one that was written again looked equal.

--- a/test/platform/support/relay_cluster.cpp
+++ b/test/platform/support/relay_cluster.cpp
@@ -33,8 +33,9 @@
 
 void relay_cluster::add_engine(const std::string& id, const std::string& service, const std::string& address,
                                const std::string& state, const std::string& version, std::int64_t born) {
-    const json entry = {{"service", service}, {"address", address}, {"zone", "z"},   {"version", version},
-                        {"slots", 8},         {"state", state},     {"sequence", 1}, {"born", born}};
+    const json entry = {{"service", service},      {"address", address}, {"zone", "z"},
+                        {"version", version},      {"slots", 8},         {"state", state},
+                        {"sequence", ++sequence_}, {"born", born}};
     store_.put("servers/" + id, entry.dump());
 }
 
--- a/test/platform/support/relay_cluster.h
+++ b/test/platform/support/relay_cluster.h
@@ -99,6 +99,8 @@
     temporary_directory directory_;
     std::string node_settings_;
     core::milliseconds revocation_{3000};
+    /// Of the newest registry entry.
+    int sequence_ = 0;
     store_stand_in store_;
     std::vector<int> ports_;
     std::vector<std::unique_ptr<relay_process>> nodes_;
