Revisions of entries show a return that no era tells

What callers saw: before a store that states no era, an engine that had left got requests again after a return, when writers had raised the store's revision over the known one before any node read it (store_return_test "an engine that had left and is ready in the store's copy", unstated: 174 requests instead of 22).

Cause: the return isn't detected then, and the copy's entry was taken for a new registration.

An entry that the store had already lost or replaced at a known revision can only come from an older copy. A list that holds one is treated like the first one of a new era: entries that contradict what is known are held back, and missing ones kept for the grace. Only lists with another hash are judged, since a copy of the known list may hold older revisions. The known revisions are forgotten at each return.

Evidence: "a copy of a store that states no era is told by the revisions of its entries" fails with the check switched off and passes with it; "revisions of an earlier era don't show a return in a later one" guards the other side. pure_tests (state_*, relay_documents: 102 cases) and relay_tests (74) pass; of the six return tests on engines five pass, in one play. "an engine that the store's copy lacks is used until it writes again" with no stated era still fails (2 of 2 plays, one of them before this change): there every listed entry was written again, so that nothing shows the return.

--- a/packages/relay/document_loops.cpp
+++ b/packages/relay/document_loops.cpp
@@ -136,7 +136,8 @@
         return;
     }
     const bool had_list = node.registry.confirmed_at != core::steady_time::min();
-    const auto changes = update_registry(node, update, {document.content->at.era, document.confirmed_at});
+    const auto changes = update_registry(
+        node, update, {document.content->at.era, document.confirmed_at, document.content->at.revision});
     log_registry_changes(node, changes);
     drop_upstream_state(node, changes);
     apply_registered_cold_times(node);
--- a/packages/state/upstream_registry.cpp
+++ b/packages/state/upstream_registry.cpp
@@ -18,11 +18,25 @@
     return registry.confirmed_at == core::steady_time::min();
 }
 
+// Returns whether a list of the known era holds an entry that the store had already lost or replaced. It has
+// then come back from an older copy, but its revision has passed the known one before a node saw it.
+bool shows_return(const upstream_registry& registry, const std::vector<upstream_entry>& list) {
+    return std::any_of(list.begin(), list.end(), [&](const upstream_entry& entry) {
+        const auto known = registry.upstreams.find(entry.id);
+        const bool replaced =
+            known != registry.upstreams.end() && entry.revision < known->second.entry.revision;
+        const bool lost = known == registry.upstreams.end() && registry.departed.count(entry.id) > 0 &&
+                          registry.held_back.count(entry.id) == 0 && entry.revision <= registry.revision;
+        return entry.revision > 0 && (replaced || lost);
+    });
+}
+
 // A confirmation after an outage, or the first one of another copy of the store, starts the grace period in
 // which missing entries are kept. Returns whether the store has come back from another copy.
 bool record_confirmation(upstream_registry& registry, const list_confirmation& confirmation,
-                         core::steady_time now, const registry_timeouts& timeouts) {
-    const bool returned = registry.era && *registry.era < confirmation.era;
+                         bool shown_return, core::steady_time now, const registry_timeouts& timeouts) {
+    const bool later_era = registry.era && *registry.era < confirmation.era;
+    const bool returned = later_era || shown_return;
     const bool outage = !is_first(registry) && confirmation.at - registry.confirmed_at > timeouts.outage_gap;
     if (returned || outage) {
         registry.grace_until = now + timeouts.reregistration_grace;
@@ -31,10 +45,18 @@
             left.at = now;
         }
     }
-    if (returned || !registry.era) {
+    if (returned) {
+        // Revisions of what the store has lost can't be compared with what it holds now.
+        for (auto& [id, record] : registry.upstreams) {
+            record.entry.revision = 0;
+        }
+    }
+    if (later_era || !registry.era) {
         registry.era = confirmation.era;
+        registry.revision = 0;
         registry.compared_copies = 0;
     }
+    registry.revision = std::max(registry.revision, confirmation.revision);
     registry.confirmed_at = std::max(registry.confirmed_at, confirmation.at);
     return returned;
 }
@@ -125,9 +147,9 @@
 }
 
 void begin_list(upstream_registry& registry, const std::vector<upstream_entry>& list,
-                const list_confirmation& confirmation, core::steady_time now,
+                const list_confirmation& confirmation, core::steady_time now, bool shown_return,
                 const registry_timeouts& timeouts, registry_changes& changes) {
-    if (record_confirmation(registry, confirmation, now, timeouts)) {
+    if (record_confirmation(registry, confirmation, shown_return, now, timeouts)) {
         hold_back(registry, list, now, changes);
     } else {
         release(registry, list, now, changes);
@@ -155,6 +177,7 @@
     if (is_outdated(registry, entry)) {
         if (found != registry.upstreams.end()) {
             found->second.missing = false;
+            found->second.entry.revision = entry.revision;
         }
         return;
     }
@@ -183,7 +206,8 @@
                             const list_confirmation& confirmation, core::steady_time now,
                             const registry_timeouts& timeouts) {
     registry_changes changes;
-    begin_list(registry, list, confirmation, now, timeouts, changes);
+    const bool shown_return = registry.era == confirmation.era && shows_return(registry, list);
+    begin_list(registry, list, confirmation, now, shown_return, timeouts, changes);
     std::set<std::string> listed;
     for (const auto& entry : list) {
         if (registry.held_back.count(entry.id) == 0) {
@@ -205,7 +229,7 @@
                               const list_confirmation& confirmation, core::steady_time now,
                               const registry_timeouts& timeouts) {
     registry_changes changes;
-    begin_list(registry, list, confirmation, now, timeouts, changes);
+    begin_list(registry, list, confirmation, now, false, timeouts, changes);
     const std::set<std::string> released(changes.released.begin(), changes.released.end());
     for (const auto& entry : list) {
         const auto known = registry.upstreams.find(entry.id);
@@ -213,8 +237,9 @@
             apply_entry(registry, entry, changes);
         } else if (known != registry.upstreams.end() &&
                    known->second.entry.incarnation == entry.incarnation) {
-            auto& sequence = known->second.entry.sequence;
-            sequence = std::max(sequence, entry.sequence);
+            auto& kept = known->second.entry;
+            kept.sequence = std::max(kept.sequence, entry.sequence);
+            kept.revision = std::max(kept.revision, entry.revision);
         }
     }
     remove_expired(registry, now, timeouts, changes);
@@ -224,7 +249,7 @@
 registry_changes confirm_list(upstream_registry& registry, const list_confirmation& confirmation,
                               core::steady_time now, const registry_timeouts& timeouts) {
     registry_changes changes;
-    record_confirmation(registry, confirmation, now, timeouts);
+    record_confirmation(registry, confirmation, false, now, timeouts);
     remove_expired(registry, now, timeouts, changes);
     return changes;
 }
--- a/packages/state/upstream_registry.h
+++ b/packages/state/upstream_registry.h
@@ -27,6 +27,8 @@
     std::int64_t incarnation = 0;
     /// Rises with each write of one incarnation; not a part of comparisons.
     std::uint64_t sequence = 0;
+    /// Revision of the entry in the store, 0 if it isn't known; not a part of comparisons.
+    std::uint64_t revision = 0;
     /// How long it stayed cold when it wrote this entry; see `relay_service::cold_start`.
     core::milliseconds cold_for{0};
     /// Models that it has loaded; empty for plain services.
@@ -80,6 +82,8 @@
     core::steady_time held_since = core::steady_time::min();
     /// Era of the latest list or confirmation; empty before the first.
     std::optional<store_era> era;
+    /// Highest revision of a list or confirmation of this era.
+    std::uint64_t revision = 0;
     /// How many copies of peers were compared in this era, so that a node that has just started learns which
     /// entries its peers hold back.
     int compared_copies = 0;
@@ -108,10 +112,11 @@
     int min_compared_copies = 2;
 };
 
-/// The era of the store in which a list was current, and when it was.
+/// The era of the store in which a list was current, when it was, and at which revision.
 struct list_confirmation {
     store_era era;
     core::steady_time at{};
+    std::uint64_t revision = 0;
 };
 
 /// Applies a complete list. Missing entries are removed, unless the list follows an outage or comes from
--- a/test/correctness/state_upstream_registry_test.cpp
+++ b/test/correctness/state_upstream_registry_test.cpp
@@ -123,6 +123,51 @@
     CHECK(registry.upstreams.at("a").entry.draining);
 }
 
+TEST_CASE("a copy of a store that states no era is told by the revisions of its entries") {
+    // The store's revision may have passed the known one before a node reads it again.
+    const auto listed = [](const std::string& id, std::uint64_t sequence, std::uint64_t revision,
+                           bool draining = false) {
+        auto result = entry(id, sequence, draining);
+        result.revision = revision;
+        return result;
+    };
+    upstream_registry registry;
+    const auto apply_at = [&](const std::vector<upstream_entry>& list, std::uint64_t revision, int ms) {
+        return apply_list(registry, list, {{}, at(ms), revision}, at(ms), {});
+    };
+    apply_at({listed("a", 1, 10), listed("b", 1, 11), listed("c", 1, 12), listed("d", 1, 13)}, 20, 0);
+    apply_at({listed("a", 2, 21), listed("c", 2, 22, true), listed("d", 2, 23)}, 25, 900);
+    // "a" has written again, "b" and "c" stand in the copy as they did, and "d" is missing.
+    const auto changes = apply_at({listed("a", 3, 26), listed("b", 1, 11), listed("c", 1, 12)}, 30, 1800);
+    CHECK(changes.held_back == ids{"b", "c"});
+    CHECK(changes.removed.empty());
+    CHECK(serving(registry) == ids{"a", "d"});
+    // The same entries show no second return, which would keep missing ones for longer.
+    apply_at({listed("a", 4, 31), listed("b", 1, 11), listed("c", 1, 12)}, 32, 2700);
+    CHECK(apply_at({listed("a", 5, 33), listed("b", 1, 11), listed("c", 1, 12)}, 34, 3900).removed ==
+          ids{"c", "d"});
+    // An upstream that lapsed and registers again has a later revision.
+    apply_at({listed("a", 6, 35), listed("b", 9, 36), listed("d", 3, 37)}, 40, 4800);
+    CHECK(serving(registry) == ids{"a", "b", "d"});
+    apply_at({listed("a", 5, 41), listed("d", 4, 42)}, 50, 4000);
+    CHECK(
+        apply_at({listed("a", 6, 51), listed("b", 10, 52), listed("d", 5, 53)}, 60, 4900).held_back.empty());
+    CHECK(serving(registry) == ids{"a", "b", "d"});
+}
+
+TEST_CASE("revisions of an earlier era don't show a return in a later one") {
+    auto one = entry("a", 10);
+    one.revision = 50;
+    upstream_registry registry;
+    apply_list(registry, {one, entry("b", 10)}, {first_era, at(0), 60}, at(0), {});
+    confirm_list(registry, {second_era, at(900), 20}, at(900), {});
+    one.revision = 15;
+    refresh_list(registry, {one, entry("b", 10)}, {second_era, at(1800), 21}, at(1800), {});
+    one.revision = 30;
+    const auto changes = apply_list(registry, {one}, {second_era, at(3600), 31}, at(3600), {});
+    CHECK(changes.removed == ids{"b"});
+}
+
 TEST_CASE("an upstream that left under an id doesn't hold back a later start") {
     upstream_registry registry;
     apply(registry, {entry("a", 10), entry("b", 10, true)}, first_era, 0);
