--- a/packages/relay/send_attempt.cpp
+++ b/packages/relay/send_attempt.cpp
@@ -89,7 +89,7 @@
     if (is_withdrawn(node, plan.upstream)) {
         current->close();
         return tl::make_unexpected(
-            failure_of({link_failure::withdrawn, "the upstream left before the request was sent"}));
+            failure_of({link_failure::withdrawn, "the upstream left during the connection"}));
     }
     const auto link = current;
     state::record_request(link->history, plan.connect.request_id);
