An upstream that leaves the registry is not taken for crashed

Cause: as a scale-in removed 12 engines in one step, each removal confirmed as a crash what the node had closed itself there within 500 ms, such as answers of small models dropped for larger ones. Three engines were enough to refuse the part that most requests share.

Why the fix works: a removal is no evidence. An upstream that has crashed refuses connections, which the probe after a broken connection and the next send still find out; one that restarted is still confirmed by its registration.

Evidence: relay_process_tests "engines that are removed by plan" failed in three of three runs before (`crash_limit_reached` in the log, 503 instead of 200) and passes in three of three now; the five cases of deadly_part_test and others about crashes pass.

--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -240,7 +240,12 @@
 }
 
 // Peers hear of it at once where it may be what makes a request refused: until then they go on sending it.
+// That an upstream has left the registry doesn't show a crash: several are removed at once by plan.
 void confirm_upstream_crash(relay_state& node, const std::string& upstream, core::steady_time crashed_at) {
+    if (node.registry.upstreams.count(upstream) == 0) {
+        policy::discard_unconfirmed_crashes(node.crashes, upstream, boot_now());
+        return;
+    }
     const auto over_limit = policy::confirm_crash(node.crashes, {}, upstream, crashed_at);
     if (over_limit.empty()) {
         return;
