--- a/packages/relay/relay_state.cpp
+++ b/packages/relay/relay_state.cpp
@@ -216,8 +216,8 @@
         const auto use = total_use(node, stream.upstream);
         const bool silent_to_all = !use.silence || *use.silence > upstream_silence;
         // A probe decides only before the longest pause.
-        const bool unreachable = silent_to_all && silence <= stream.pauses.longest &&
-                                 is_unreachable(node, stream.upstream);
+        const bool unreachable =
+            silent_to_all && silence <= stream.pauses.longest && is_unreachable(node, stream.upstream);
         if (policy::is_stalled({silence, stream.pauses, unreachable, stream.link->has_unread_bytes()})) {
             stalls.emplace_back(stream.on_stall, stall{silence, silent_to_all});
         }
