A store that goes on stating a lower era is followed by its revisions

An answer that states a lower era than was known when its call was sent is taken for late and fails the call. A store that stated one wrong, higher number would so be ignored until all nodes have been restarted. From the third such answer in a row on the statement counts as unusable, and the revision decides, as for a store without eras.

--- a/packages/relay/document_source.h
+++ b/packages/relay/document_source.h
@@ -63,6 +63,7 @@
     state::store_position known;
     /// How often the store was noticed to have come back from an older copy.
     std::uint64_t returns = 0;
+    state::lower_statements lower;
     /// Answers whose statement of the era can't be used.
     std::uint64_t unusable_eras = 0;
     /// Answers that were older than what the node knew, and so were ignored.
--- a/packages/state/discovery.h
+++ b/packages/state/discovery.h
@@ -13,8 +13,8 @@
     std::size_t live_members = 1;
     /// Position of this node among the live members.
     std::size_t rank = 0;
-    /// Whether this process has written its address to the store, and the store has not come back from an older
-    /// copy since.
+    /// Whether this process has written its address to the store, and the store has not come back from an
+    /// older copy since.
     bool registered = false;
     /// Time since this process last read the addresses, or since its start.
     core::milliseconds since_read{0};
--- a/packages/state/store_position.cpp
+++ b/packages/state/store_position.cpp
@@ -7,6 +7,8 @@
 namespace figspoke::state {
 namespace {
 
+// An intermediary may deliver a few late answers.
+constexpr int max_late_answers = 2;
 constexpr int detected_shift = 40;
 constexpr int stated_shift = 48;
 
@@ -58,6 +60,19 @@
     return position;
 }
 
+std::optional<std::uint16_t> accept_statement(lower_statements& lower, const store_position& known_when_sent,
+                                              std::optional<std::uint16_t> stated) {
+    if (!stated) {
+        return std::nullopt;
+    }
+    if (*stated >= known_when_sent.era.stated) {
+        lower.in_a_row = 0;
+        return stated;
+    }
+    lower.in_a_row = std::min(lower.in_a_row + 1, max_late_answers + 1);
+    return lower.in_a_row > max_late_answers ? std::nullopt : stated;
+}
+
 bool raise_position(store_position& known, const store_position& seen) {
     if (!(known < seen)) {
         return false;
--- a/packages/state/store_position.h
+++ b/packages/state/store_position.h
@@ -52,6 +52,16 @@
     store_era era;
 };
 
+/// Answers in a row that state a lower era than was known when their calls were sent.
+struct lower_statements {
+    int in_a_row = 0;
+};
+
+/// Returns the era that an answer states, or nothing if the store goes on stating a lower one than was known
+/// when the calls were sent: such answers aren't late, and what the store states is wrong.
+std::optional<std::uint16_t> accept_statement(lower_statements& lower, const store_position& known_when_sent,
+                                              std::optional<std::uint16_t> stated);
+
 /// Raises the known position to one that was seen. Returns whether that shows that the store has come back
 /// from an older copy, which the first position doesn't.
 bool raise_position(store_position& known, const store_position& seen);
--- a/test/correctness/state_store_position_test.cpp
+++ b/test/correctness/state_store_position_test.cpp
@@ -57,6 +57,17 @@
     CHECK(classify_arrival(sent, sent, std::nullopt, 121).age == answer_age::same_era);
 }
 
+TEST_CASE("a store that goes on stating a lower era is followed by its revisions") {
+    lower_statements lower;
+    const auto known = position(3, 0, 120);
+    CHECK(accept_statement(lower, known, 1) == 1);
+    CHECK(accept_statement(lower, known, 1) == 1);
+    CHECK_FALSE(accept_statement(lower, known, 1).has_value());
+    CHECK_FALSE(accept_statement(lower, known, 1).has_value());
+    CHECK(accept_statement(lower, known, 3) == 3);
+    CHECK(accept_statement(lower, known, 1) == 1);
+}
+
 TEST_CASE("only a later era than the known one shows that the store has come back") {
     store_position known;
     CHECK_FALSE(raise_position(known, position(3, 0, 120)));
