--- a/packages/relay/restrictions.h
+++ b/packages/relay/restrictions.h
@@ -26,8 +26,8 @@
 std::optional<policy::restriction_verdict> service_restriction(relay_state& node, const std::string& service,
                                                                const request_regions& regions);
 
-/// Returns whether an upstream that was chosen may get no request any more: it has left, restarted or begun to
-/// leave, or its failure domain is evacuated.
+/// Returns whether an upstream that was chosen may get no request any more: it has left, restarted or begun
+/// to leave, or its failure domain is evacuated.
 bool is_withdrawn(relay_state& node, const state::upstream_entry& chosen);
 
 /// Returns whether the upstream's failure domain is evacuated.
