Tests of documents use neutral keys

The keys of the platform's store stand in platform/ and its tests alone; to the functions under test a key is any text. The checks are the same; both files pass (22 cases).

--- a/test/correctness/relay_documents_test.cpp
+++ b/test/correctness/relay_documents_test.cpp
@@ -24,7 +24,7 @@
 }
 
 document_item config(std::uint64_t version, std::uint64_t revision, const std::string& value) {
-    return {"op/config", value, revision, version, false};
+    return {"configuration", value, revision, version, false};
 }
 
 document_item order(const std::string& key, std::uint64_t revision) {
@@ -51,7 +51,7 @@
 shared_document returned_document(std::uint64_t version) {
     shared_document document;
     document.keeps_items = true;
-    adopt_read(document, read_at(1, 100, {config(version, 90, "new"), order("op/rollout/s", 95)}), at(0));
+    adopt_read(document, read_at(1, 100, {config(version, 90, "new"), order("orders/s", 95)}), at(0));
     begin_grace(document, at(1000), milliseconds(2000));
     return document;
 }
@@ -130,7 +130,7 @@
 
 TEST_CASE("a configuration older than the known one never comes into force") {
     const std::vector<std::vector<document_item>> copies = {
-        {config(3, 50, "old")}, {}, {{"op/config", "unreadable", 50, std::nullopt, false}}};
+        {config(3, 50, "old")}, {}, {{"configuration", "unreadable", 50, std::nullopt, false}}};
     for (const auto& copy : copies) {
         for (const std::uint16_t era : {std::uint16_t(1), std::uint16_t(2)}) {
             auto document = returned_document(4);
@@ -159,7 +159,7 @@
     // Guards against an older configuration that stays valid for good while the store holds a malformed one.
     shared_document document;
     adopt_read(document, read_at(0, 90, {config(4, 90, "readable")}), at(0));
-    adopt_read(document, read_at(0, 91, {{"op/config", "{", 91, std::nullopt, false}}), at(800));
+    adopt_read(document, read_at(0, 91, {{"configuration", "{", 91, std::nullopt, false}}), at(800));
     CHECK(version_of(document) == 4);
     CHECK(document.current_at == at(0));
     const auto hash = document.content->hash;
@@ -173,7 +173,7 @@
     adopt_read(document, read_at(2, 60, {config(4, 60, "new")}), at(1100));
     REQUIRE(document.content->items.size() == 2);
     CHECK(document.content->items[1].kept);
-    adopt_read(document, read_at(2, 61, {config(4, 60, "new"), order("op/rollout/s", 61)}), at(1900));
+    adopt_read(document, read_at(2, 61, {config(4, 60, "new"), order("orders/s", 61)}), at(1900));
     CHECK_FALSE(document.content->items[1].kept);
     adopt_read(document, read_at(2, 62, {config(4, 60, "new")}), at(2900));
     CHECK(document.content->items.size() == 2);
@@ -183,7 +183,7 @@
 
 TEST_CASE("an older order in the copy isn't obeyed, and a new one with a lower revision is") {
     const auto changed = [](std::uint64_t revision) {
-        return document_item{"op/rollout/s", "other", revision, std::nullopt, false};
+        return document_item{"orders/s", "other", revision, std::nullopt, false};
     };
     auto document = returned_document(4);
     adopt_read(document, read_at(2, 60, {config(4, 60, "new"), changed(40)}), at(1100));
@@ -194,7 +194,7 @@
 
 TEST_CASE("a claim of another era neither confirms the content nor moves its position") {
     auto document = returned_document(4);
-    const auto content = read_at(2, 60, {config(4, 90, "new"), order("op/rollout/s", 95)});
+    const auto content = read_at(2, 60, {config(4, 90, "new"), order("orders/s", 95)});
     adopt_read(document, content, at(1100));
     CHECK(merge_claim(document, {{{1, 0}, 120}, content.hash, milliseconds(0)}, {at(2000), milliseconds(0)},
                       at(2001)) == claim_verdict::no_change);
--- a/test/correctness/relay_store_returns_test.cpp
+++ b/test/correctness/relay_store_returns_test.cpp
@@ -25,7 +25,7 @@
 constexpr int revocation_ms = 5000;
 constexpr int key_confirmation_ms = 4650;
 constexpr milliseconds grace{2000};
-constexpr const char* config_key = "op/config";
+constexpr const char* config_key = "configuration";
 
 struct parameters {
     int nodes = 3;
